Lay out the workspace with its typed edges

The decision core, the messages at every edge and the duties of the daemon stand as types first, so that the parts can be built side by side.

--- /dev/null
+++ b/crates/api/src/http.rs
@@ -0,0 +1,110 @@
+//! One blocking HTTP client for every edge, so that limits and time-outs are set in one place.
+
+use bulrushlink_core::{Code, Error, Span};
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use std::time::Duration;
+
+/// The largest answer that is read, in bytes.
+const ANSWER_MAX_BYTES: u64 = 8 * 1024 * 1024;
+/// Time to make a connection, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+
+/// An answer whose status is not looked at.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HttpReply {
+    /// HTTP status.
+    pub status: u16,
+    /// Body as text.
+    pub body: String,
+}
+
+impl HttpReply {
+    /// Reads the body as JSON.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::BadAnswer`] when it isn't the JSON form of `T`.
+    pub fn json<T: DeserializeOwned>(&self) -> Result<T, Error> {
+        serde_json::from_str(&self.body)
+            .map_err(|error| Error::new(Code::BadAnswer, format!("{error}: {}", self.body)))
+    }
+}
+
+/// A client that keeps connections open between calls.
+#[derive(Clone, Debug)]
+pub struct Client {
+    agent: ureq::Agent,
+    token: Option<String>,
+}
+
+impl Client {
+    /// Makes a client whose calls take at most `timeout`.
+    pub fn open(timeout: Span, token: Option<String>) -> Self {
+        let config = ureq::Agent::config_builder()
+            .timeout_connect(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)))
+            .timeout_global(Some(Duration::from_millis(timeout.millis())))
+            .http_status_as_error(false)
+            .build();
+        Self { agent: config.new_agent(), token }
+    }
+
+    /// Sends a GET.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreachable`] when no connection could be made, and [`Code::TimedOut`] when the
+    /// answer is missing: the effect is then not known.
+    pub fn get(&self, url: &str) -> Result<HttpReply, Error> {
+        let request = self.authorise(self.agent.get(url));
+        Self::read(request.call())
+    }
+
+    /// Sends a DELETE.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::get`].
+    pub fn delete(&self, url: &str) -> Result<HttpReply, Error> {
+        let request = self.authorise(self.agent.delete(url));
+        Self::read(request.call())
+    }
+
+    /// Sends a POST with a JSON body.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::get`].
+    pub fn post<T: Serialize>(&self, url: &str, body: &T) -> Result<HttpReply, Error> {
+        let request = self.authorise(self.agent.post(url));
+        Self::read(request.send_json(body))
+    }
+
+    fn authorise<B>(&self, request: ureq::RequestBuilder<B>) -> ureq::RequestBuilder<B> {
+        match &self.token {
+            Some(token) => request.header("authorization", format!("Bearer {token}")),
+            None => request,
+        }
+    }
+
+    fn read(
+        result: Result<ureq::http::Response<ureq::Body>, ureq::Error>,
+    ) -> Result<HttpReply, Error> {
+        let mut response = result.map_err(|error| Self::fault(&error))?;
+        let status = response.status().as_u16();
+        let body = response.body_mut().with_config().limit(ANSWER_MAX_BYTES).read_to_string();
+        let body = body.map_err(|error| Error::new(Code::TimedOut, error.to_string()))?;
+        Ok(HttpReply { status, body })
+    }
+
+    fn fault(error: &ureq::Error) -> Error {
+        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        let code = match error {
+            ureq::Error::ConnectionFailed | ureq::Error::HostNotFound => Code::Unreachable,
+            ureq::Error::Timeout(ureq::Timeout::Connect) => Code::Unreachable,
+            ureq::Error::Io(e) if refused(e) => Code::Unreachable,
+            _ => Code::TimedOut,
+        };
+        Error::new(code, error.to_string())
+    }
+}
--- /dev/null
+++ b/crates/api/src/lib.rs
@@ -0,0 +1,20 @@
+//! Typed messages at the edges of bulrushlink: the platform's store and host list, the workers,
+//! the callers and the operators.
+//!
+//! Every edge is JSON over HTTP. The types here are all that both sides share, so that an edge can
+//! be replaced without touching the decisions.
+
+mod caller;
+mod http;
+mod operator;
+mod platform;
+mod worker;
+
+pub use caller::{JobAnswer, JobList, JobState, ListQuery, StatusQuery, SubmitBody};
+pub use http::{Client, HttpReply};
+pub use operator::{
+    ApplyAnswer, CheckAnswer, DomainRow, DomainsAnswer, Dump, DumpSection, InForce, OperatorAnswer,
+    OperatorCall, PlanAnswer, WorkerRow,
+};
+pub use platform::{EdgeFault, Expect, Host, HostList, Record, Revision, StoreReply, StoreRequest};
+pub use worker::{TaskId, TaskReport, TaskState, WorkerBatch, WorkerOp, WorkerReply, WorkerResult};
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `bulrushlink` command line.
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,49 @@
+//! The decisions of bulrushlink, without any clock, socket or thread.
+//!
+//! Everything here is a pure function of its arguments, so that a decision can be explained,
+//! replayed from a seed and measured.
+//!
+//! # Example
+//!
+//! A release note turns one desired state into the next:
+//!
+//! ```
+//! use bulrushlink_core::{DesiredState, NoteVersion, ReleaseNote};
+//!
+//! let text = r#"{
+//!     "base": 0,
+//!     "id": "first",
+//!     "added": { "domains": [{ "id": "cuenca", "region": "ec-sierra" }] }
+//! }"#;
+//! let note: ReleaseNote = serde_json::from_str(text)?;
+//! let state = DesiredState::default().try_apply(&note)?;
+//! assert_eq!(state.version, NoteVersion(1));
+//! # Ok::<(), Box<dyn std::error::Error>>(())
+//! ```
+
+mod error;
+mod ids;
+mod job;
+mod note;
+mod route;
+mod sched;
+mod units;
+
+pub use error::{Code, Error};
+pub use ids::{
+    Attempt, DaemonId, DomainId, ID_MAX_CHARS, JobKey, KindId, NoteVersion, RackId, RegionId,
+    RequestId, WorkerId, WorkspaceId,
+};
+pub use job::{
+    Adjacency, Ending, GANG_MAX_TASKS, INPUT_MAX_BYTES, JobSpec, Placement, Refusal, Shape,
+    TASK_MAX_ACCELERATORS, TaskPlace, Urgency,
+};
+pub use note::{
+    Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, ReleaseNote, Removals,
+    Service, WorkspaceShare, WorkspaceSpec,
+};
+pub use route::{DomainView, route};
+pub use sched::{
+    Action, Event, Load, Scheduler, StartFault, StopReason, UsageReport, Why, WorkerInfo,
+};
+pub use units::{AcceleratorSet, Moment, Span};
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,24 @@
+//! The daemon `bulrushlinkd`: one process per entry host, all of them peers.
+//!
+//! The [`Node`] is the whole of the daemon's logic without any input or output: it takes typed
+//! [`Input`]s and leaves typed [`Output`]s in an [`Outbox`]. A stakker actor feeds it from real
+//! edges, and tests feed it under virtual time from faulty ones. Inside the node, each duty is a
+//! vertical slice with its state, messages and tests: [`members`], [`notes`], [`hosts`],
+//! [`intake`], [`placer`], [`journal`] and [`keeper`].
+
+mod edge;
+mod hosts;
+mod intake;
+mod journal;
+mod keeper;
+mod members;
+mod node;
+mod notes;
+mod peer;
+mod placer;
+mod settings;
+
+pub use edge::{CallId, CallerCall, CallerReply, Duty, Input, Outbox, Output, Token};
+pub use node::Node;
+pub use peer::{Echo, Heartbeat, JobStatus, PeerMessage, Phase};
+pub use settings::{Limits, Member, Settings, Timing};
--- /dev/null
+++ b/crates/daemon/src/node/domains.rs
@@ -0,0 +1,45 @@
+//! The operators' table of failure domains, put together from several duties.
+
+use bulrushlink_api::{DomainRow, DomainsAnswer, Host, WorkerRow};
+use bulrushlink_core::{Code, DomainSpec, Moment};
+
+use super::Node;
+
+impl Node {
+    pub(super) fn domains(&self, now: Moment) -> DomainsAnswer {
+        let specs = self.notes.state().map(|state| state.domains.as_slice()).unwrap_or_default();
+        DomainsAnswer {
+            code: Code::Done,
+            version: self.notes.version(),
+            domains: specs.iter().map(|spec| self.domain_row(spec, now)).collect(),
+        }
+    }
+
+    fn domain_row(&self, spec: &DomainSpec, now: Moment) -> DomainRow {
+        let view = self.members.views(now).into_iter().find(|view| view.id == spec.id);
+        let own = self.hosts.all().iter().filter(|host| host.domain == spec.id);
+        DomainRow {
+            id: spec.id.clone(),
+            service: spec.service,
+            placer: self.members.placer(&spec.id, now),
+            load: view.map(|view| view.load).unwrap_or_default(),
+            daemons: self
+                .members
+                .in_force(now)
+                .into_iter()
+                .filter(|row| row.domain == spec.id)
+                .collect(),
+            workers: own.map(worker_row).collect(),
+        }
+    }
+}
+
+fn worker_row(host: &Host) -> WorkerRow {
+    WorkerRow {
+        id: host.id.clone(),
+        rack: host.rack.clone(),
+        state: if host.leaving { "leaving" } else { "live" }.to_string(),
+        accelerators: host.accelerators,
+        busy: 0,
+    }
+}
