--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,1 +1,195 @@
-//! The `bulrushlink` command line.
+//! The `bulrushlink` command line: what callers and operators do by hand or from scripts.
+//!
+//! [`run`] is the whole program but for the process: it takes the arguments and two writers, and
+//! returns the exit status, so that sessions can be kept as golden files.
+//!
+//! # Example
+//!
+//! ```
+//! let mut out = Vec::new();
+//! let mut err = Vec::new();
+//! let status = bulrushlink_cli::run(&["--help".to_string()], &mut out, &mut err);
+//! assert_eq!(status.code(), 0);
+//! assert!(String::from_utf8(out).unwrap().contains("bulrushlink submit"));
+//! ```
+
+mod connect;
+mod jobs;
+mod notes;
+mod options;
+mod process;
+mod status;
+mod table;
+
+pub use status::Status;
+
+use bulrushlink_core::{Code, Error};
+use std::io::Write;
+
+use options::Parsed;
+
+/// Where a command writes to.
+pub(crate) struct Streams<'a> {
+    /// Results.
+    pub(crate) out: &'a mut dyn Write,
+    /// Progress and errors.
+    pub(crate) err: &'a mut dyn Write,
+}
+
+impl Streams<'_> {
+    /// Writes one line of a result. A reader that went away doesn't change the exit status.
+    pub(crate) fn line(&mut self, text: &str) {
+        let _ = writeln!(self.out, "{text}");
+    }
+
+    /// Writes one line of progress.
+    pub(crate) fn progress(&mut self, text: &str) {
+        let _ = writeln!(self.err, "{text}");
+    }
+}
+
+/// One command with its help.
+struct Command {
+    /// The words that name it.
+    words: &'static [&'static str],
+    /// What follows the words.
+    operands: &'static str,
+    /// What it does, in one line.
+    about: &'static str,
+    run: fn(&Parsed, &mut Streams<'_>) -> Result<Status, Error>,
+}
+
+const COMMANDS: &[Command] = &[
+    Command {
+        words: &["submit"],
+        operands: "[--file JOBS.json | options]",
+        about: "submit one job, or all jobs of a file",
+        run: jobs::submit,
+    },
+    Command {
+        words: &["status"],
+        operands: "WORKSPACE/REQUEST",
+        about: "show where a job is",
+        run: jobs::status,
+    },
+    Command {
+        words: &["wait"],
+        operands: "WORKSPACE/REQUEST",
+        about: "wait until a job has ended",
+        run: jobs::wait,
+    },
+    Command {
+        words: &["cancel"],
+        operands: "WORKSPACE/REQUEST",
+        about: "cancel a job",
+        run: jobs::cancel,
+    },
+    Command {
+        words: &["list"],
+        operands: "WORKSPACE",
+        about: "list the open jobs of a workspace",
+        run: jobs::list,
+    },
+    Command {
+        words: &["note", "check"],
+        operands: "NOTE.json",
+        about: "check a release note without applying it",
+        run: notes::check,
+    },
+    Command {
+        words: &["note", "diff"],
+        operands: "NOTE.json",
+        about: "show what a release note would change",
+        run: notes::diff,
+    },
+    Command {
+        words: &["note", "apply"],
+        operands: "NOTE.json",
+        about: "apply a release note and wait until it is in force everywhere",
+        run: notes::apply,
+    },
+    Command {
+        words: &["note", "show"],
+        operands: "",
+        about: "show what is in force",
+        run: notes::show,
+    },
+    Command {
+        words: &["domains"],
+        operands: "",
+        about: "show the failure domains with their daemons and workers",
+        run: process::domains,
+    },
+    Command {
+        words: &["dump"],
+        operands: "",
+        about: "show the whole state of one daemon",
+        run: process::dump,
+    },
+    Command {
+        words: &["drain"],
+        operands: "",
+        about: "begin the graceful stop of one daemon",
+        run: process::drain,
+    },
+    Command {
+        words: &["settings", "check"],
+        operands: "SETTINGS.json",
+        about: "check the settings of a daemon",
+        run: process::settings,
+    },
+];
+
+/// Runs one command and returns its exit status.
+pub fn run(args: &[String], out: &mut dyn Write, err: &mut dyn Write) -> Status {
+    let mut streams = Streams { out, err };
+    if args.is_empty() || matches!(args[0].as_str(), "--help" | "-h" | "help") {
+        streams.line(&overview());
+        return Status::Done;
+    }
+    match dispatch(args, &mut streams) {
+        Ok(status) => status,
+        Err(error) => {
+            streams.progress(&format!("bulrushlink: {error}"));
+            Status::of(error.code())
+        }
+    }
+}
+
+fn dispatch(args: &[String], streams: &mut Streams<'_>) -> Result<Status, Error> {
+    let named = |command: &&Command| {
+        command.words.len() <= args.len() && command.words.iter().zip(args).all(|(w, a)| w == a)
+    };
+    let Some(command) = COMMANDS.iter().find(named) else {
+        let text = format!("there is no command {:?}; see bulrushlink --help", args[0]);
+        return Err(Error::new(Code::Usage, text));
+    };
+    let rest = &args[command.words.len()..];
+    if rest.iter().any(|arg| arg == "--help" || arg == "-h") {
+        streams.line(&help(command));
+        return Ok(Status::Done);
+    }
+    let parsed = Parsed::parse(rest)?;
+    (command.run)(&parsed, streams)
+}
+
+fn overview() -> String {
+    let mut text = String::from("Usage: bulrushlink COMMAND [options]\n\nCommands:\n");
+    for command in COMMANDS {
+        let name = format!("bulrushlink {}", command.words.join(" "));
+        text.push_str(&format!("  {name:<28} {}\n", command.about));
+    }
+    text.push_str("\n`bulrushlink COMMAND --help` lists the options.\n");
+    text.push_str(status::HELP);
+    text
+}
+
+fn help(command: &Command) -> String {
+    let brief = format!(
+        "Usage: bulrushlink {} {}\n\n{}",
+        command.words.join(" "),
+        command.operands,
+        command.about
+    );
+    Parsed::usage(&brief)
+}
--- /dev/null
+++ b/crates/cli/src/table.rs
@@ -0,0 +1,120 @@
+//! Answers as text for people.
+
+use bulrushlink_api::{ApplyAnswer, DomainRow, DomainsAnswer, JobAnswer, WorkerRow};
+use bulrushlink_core::{Code, DesiredState, Error};
+use serde::Serialize;
+use std::fmt::Write;
+
+/// Writes an answer as one line of JSON.
+pub(crate) fn json<T: Serialize>(answer: &T) -> Result<String, Error> {
+    serde_json::to_string(answer).map_err(|e| Error::new(Code::BadAnswer, e.to_string()))
+}
+
+/// Writes an answer as JSON over several lines.
+pub(crate) fn pretty<T: Serialize>(answer: &T) -> Result<String, Error> {
+    serde_json::to_string_pretty(answer).map_err(|e| Error::new(Code::BadAnswer, e.to_string()))
+}
+
+/// Writes the answer about one job, with its name, outputs and reason.
+pub(crate) fn job(answer: &JobAnswer) -> String {
+    let mut text = String::new();
+    if let Some(key) = &answer.key {
+        let _ = write!(text, "{key}: ");
+    }
+    text.push_str(&job_line(answer));
+    for (task, output) in answer.output.iter().enumerate() {
+        let _ = write!(text, "\n  task {task}: {output}");
+    }
+    if let Some(why) = &answer.why {
+        let _ = write!(text, "\n  {} for {}: {}", why.phase, why.age, why.text);
+        for place in &why.placement {
+            let _ = write!(text, "\n  task {}: {} [{}]", place.task, place.worker, place.set);
+        }
+    }
+    text
+}
+
+/// Writes the state of one job.
+pub(crate) fn job_line(answer: &JobAnswer) -> String {
+    let mut text = format!("{} (code {})", answer.state, answer.code.number());
+    if let Some(field) = &answer.field {
+        let _ = write!(text, " at {field}");
+    }
+    if !answer.reason.is_empty() {
+        let _ = write!(text, ": {}", answer.reason);
+    }
+    if let Some(retry) = answer.retry {
+        let _ = write!(text, "; come back in {retry}");
+    }
+    text
+}
+
+/// Writes what became of a release note.
+pub(crate) fn pending(answer: &ApplyAnswer) -> String {
+    let reached = answer.in_force.iter().filter(|row| row.version >= Some(answer.version)).count();
+    let total = answer.in_force.len();
+    let mut text = format!("version {}: in force on {reached} of {total} daemons", answer.version);
+    if !answer.pending.is_empty() {
+        let names: Vec<_> = answer.pending.iter().map(ToString::to_string).collect();
+        let _ = write!(text, "; pending: {} not heard from", names.join(", "));
+    }
+    if let Some(settled) = answer.settled_in {
+        let _ = write!(text, "; settled in {settled} at the latest");
+    }
+    text
+}
+
+/// Writes the desired state.
+pub(crate) fn desired(state: &DesiredState) -> String {
+    let mut text = format!("version {}", state.version);
+    for domain in &state.domains {
+        let _ = write!(
+            text,
+            "\nfailure domain {} in {}: {}, grace {}",
+            domain.id, domain.region, domain.service, domain.grace
+        );
+    }
+    for workspace in &state.workspaces {
+        let _ = write!(text, "\nworkspace {}: queue {}", workspace.id, workspace.queue);
+        for guarantee in &workspace.guarantees {
+            let place = guarantee.domain.as_ref().map_or("any domain", |id| id.as_str());
+            let _ = write!(text, "\n  {} x {} in {place}", guarantee.count, guarantee.shape);
+        }
+    }
+    text
+}
+
+/// Writes the table of failure domains.
+pub(crate) fn domains(answer: &DomainsAnswer) -> String {
+    let mut text = format!("version {}\n", answer.version);
+    for row in &answer.domains {
+        domain(&mut text, row);
+    }
+    text
+}
+
+fn domain(text: &mut String, row: &DomainRow) {
+    let placer = row.placer.as_ref().map_or("none", |id| id.as_str());
+    let load = &row.load;
+    let _ = writeln!(
+        text,
+        "\n{}  service {}  placer {placer}  accelerators {}/{} free  jobs waiting {}",
+        row.id, row.service, load.free, load.total, load.waiting
+    );
+    for daemon in &row.daemons {
+        let version = daemon.version.map_or("none".to_string(), |v| v.to_string());
+        let heard = daemon.heard.map_or("never".to_string(), |age| format!("{age} ago"));
+        let _ = writeln!(text, "  daemon {:<16} version {version:<6} heard {heard}", daemon.daemon);
+    }
+    for worker in &row.workers {
+        let _ = writeln!(text, "  {}", worker_line(worker));
+    }
+}
+
+fn worker_line(row: &WorkerRow) -> String {
+    let (id, rack) = (row.id.as_str(), row.rack.as_str());
+    format!(
+        "worker {id:<20} rack {rack:<14} {:<12} {}/{} busy",
+        row.state, row.busy, row.accelerators
+    )
+}
