--- /dev/null
+++ b/crates/lab/src/layout.rs
@@ -0,0 +1,162 @@
+//! The deployment that a run has: domains, daemons, workers and the first release note.
+
+use bulrushlink_api::Host;
+use bulrushlink_core::{
+    DaemonId, DomainId, DomainSpec, Entries, Guarantee, NoteVersion, ReleaseNote, Removals,
+    Service, Shape, Span, WorkspaceSpec,
+};
+use bulrushlink_daemon::{Limits, Member, Settings, Timing};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+
+/// Region of every domain.
+const REGION: &str = "ec-sierra";
+/// The workspaces of the first release note.
+pub(crate) const WORKSPACES: [&str; 4] =
+    ["crossing-risk", "incident-replay", "municipal-transit", "rosters"];
+
+/// Sizes of a deployment.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Layout {
+    /// Names of the failure domains, sorted.
+    pub domains: Vec<String>,
+    /// Daemons of each failure domain.
+    pub daemons: u16,
+    /// Racks of each failure domain.
+    pub racks: u16,
+    /// Workers of each rack.
+    pub workers: u16,
+    /// Accelerators of each worker.
+    pub accelerators: u8,
+    /// Grace of each failure domain.
+    pub grace: Span,
+    /// Lag of the host list.
+    pub lag: Span,
+    /// Periods and time-outs of the daemons.
+    pub timing: Timing,
+}
+
+impl Layout {
+    /// Three failure domains with two daemons and eight workers each.
+    pub fn small() -> Self {
+        Self {
+            domains: ["cuenca", "quito-norte", "quito-sur"].map(String::from).to_vec(),
+            daemons: 2,
+            racks: 2,
+            workers: 4,
+            accelerators: 8,
+            grace: Span::from_secs(30),
+            lag: Span::from_secs(3),
+            timing: Timing::default(),
+        }
+    }
+
+    pub(crate) fn domain_ids(&self) -> Vec<DomainId> {
+        self.domains.iter().map(|name| name.parse().expect("layouts have valid names")).collect()
+    }
+
+    pub(crate) fn members(&self) -> Vec<Member> {
+        let mut members = Vec::new();
+        for domain in self.domain_ids() {
+            for i in 0..self.daemons {
+                let port = 7000 + members.len() as u16;
+                members.push(Member {
+                    id: format!("{domain}-{i}").parse().expect("valid name"),
+                    domain: domain.clone(),
+                    addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), port),
+                });
+            }
+        }
+        members.sort_by(|a, b| a.id.cmp(&b.id));
+        members
+    }
+
+    pub(crate) fn settings(&self, daemon: &DaemonId) -> Settings {
+        Settings {
+            daemon: daemon.clone(),
+            callers: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 1),
+            operators: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 2),
+            store: "http://127.0.0.1:3".to_string(),
+            hosts: "http://127.0.0.1:4".to_string(),
+            operator_token: "token".to_string(),
+            peer_key: "key".to_string(),
+            members: self.members(),
+            limits: Limits::default(),
+            timing: self.timing,
+            log: "info".to_string(),
+        }
+    }
+
+    pub(crate) fn hosts(&self) -> Vec<Host> {
+        let mut hosts = Vec::new();
+        for domain in self.domain_ids() {
+            for rack in 0..self.racks {
+                for worker in 0..self.workers {
+                    hosts.push(self.host(&domain, rack, worker, hosts.len() as u16));
+                }
+            }
+        }
+        hosts
+    }
+
+    fn host(&self, domain: &DomainId, rack: u16, worker: u16, index: u16) -> Host {
+        Host {
+            id: format!("{domain}-r{rack}-w{worker}").parse().expect("valid name"),
+            region: REGION.parse().expect("valid name"),
+            domain: domain.clone(),
+            rack: format!("{domain}-r{rack}").parse().expect("valid name"),
+            addr: SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 8000 + index),
+            accelerators: self.accelerators,
+            slots: 8,
+            leaving: false,
+        }
+    }
+
+    pub(crate) fn domain_spec(&self, id: &DomainId, service: Service) -> DomainSpec {
+        let region = REGION.parse().expect("valid name");
+        DomainSpec { id: id.clone(), region, service, grace: self.grace }
+    }
+
+    /// Returns the note that a deployment begins with.
+    pub(crate) fn first_note(&self) -> ReleaseNote {
+        let domains = self.domain_ids();
+        ReleaseNote {
+            base: NoteVersion(0),
+            id: "first".to_string(),
+            added: Entries {
+                domains: domains.iter().map(|id| self.domain_spec(id, Service::In)).collect(),
+                workspaces: WORKSPACES.iter().map(|name| workspace(name)).collect(),
+            },
+            changed: Entries::default(),
+            withdrawn: Removals::default(),
+        }
+    }
+
+    /// Returns the note that takes a domain out of service or back.
+    pub(crate) fn service_note(
+        &self,
+        base: NoteVersion,
+        id: String,
+        domain: &DomainId,
+        service: Service,
+    ) -> ReleaseNote {
+        let domains = vec![self.domain_spec(domain, service)];
+        ReleaseNote {
+            base,
+            id,
+            added: Entries::default(),
+            changed: Entries { domains, workspaces: Vec::new() },
+            withdrawn: Removals::default(),
+        }
+    }
+}
+
+fn workspace(name: &str) -> WorkspaceSpec {
+    let tasks = if name == "incident-replay" { 4 } else { 1 };
+    let accelerators = if name == "rosters" { 8 } else { 4 };
+    let shape = Shape { tasks, accelerators, adjacency: Default::default() };
+    WorkspaceSpec {
+        id: name.parse().expect("valid name"),
+        guarantees: vec![Guarantee { shape, count: 3, domain: None }],
+        queue: WorkspaceSpec::QUEUE,
+    }
+}
--- /dev/null
+++ b/crates/lab/src/operators.rs
@@ -0,0 +1,103 @@
+//! An operator who takes failure domains out of service and back, and believes only the answers.
+
+use bulrushlink_api::{OperatorAnswer, OperatorCall};
+use bulrushlink_core::{Code, DomainId, Moment, NoteVersion, ReleaseNote, Service, Span};
+use bulrushlink_daemon::Token;
+
+/// Time after which an operator asks again.
+pub(crate) const OPERATOR_PAUSE: Span = Span(500);
+
+/// A withdrawal of a failure domain as the operator was told of it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Withdrawal {
+    pub(crate) domain: DomainId,
+    /// When the daemon said that it is in force everywhere.
+    pub(crate) told: Moment,
+    /// When the operator began to take the domain back.
+    pub(crate) back: Option<Moment>,
+}
+
+/// A note that the operator wants accepted.
+#[derive(Clone, Debug)]
+pub(crate) struct Wanted {
+    pub(crate) note: ReleaseNote,
+    /// Set for notes about one domain.
+    pub(crate) change: Option<(DomainId, Service)>,
+    pub(crate) token: Option<Token>,
+    /// When it was asked for last.
+    pub(crate) asked: Moment,
+    pub(crate) since: Moment,
+}
+
+/// The operator.
+#[derive(Debug, Default)]
+pub(crate) struct Operator {
+    /// Highest version that the operator was told of.
+    pub(crate) head: NoteVersion,
+    /// Notes that are wanted, in order; only the first one is applied.
+    pub(crate) wanted: Vec<Wanted>,
+    pub(crate) withdrawals: Vec<Withdrawal>,
+    /// Notes that were accepted, with the time that took.
+    pub(crate) settled: Vec<Span>,
+}
+
+impl Operator {
+    /// Returns the request for the first wanted note.
+    pub(crate) fn request(&mut self) -> Option<OperatorCall> {
+        let head = self.head;
+        let wanted = self.wanted.first_mut()?;
+        wanted.note.base = wanted.note.base.max(head);
+        Some(OperatorCall::Apply(wanted.note.clone()))
+    }
+
+    /// Begins to want a note.
+    pub(crate) fn want(
+        &mut self,
+        note: ReleaseNote,
+        change: Option<(DomainId, Service)>,
+        now: Moment,
+    ) {
+        if let Some((domain, Service::In)) = &change {
+            let open = |w: &&mut Withdrawal| w.domain == *domain && w.back.is_none();
+            if let Some(withdrawal) = self.withdrawals.iter_mut().find(open) {
+                withdrawal.back = Some(now);
+            }
+        }
+        self.wanted.push(Wanted { note, change, token: None, asked: now, since: now });
+    }
+
+    /// Takes an answer for the first wanted note.
+    pub(crate) fn hear(&mut self, answer: &OperatorAnswer, now: Moment) {
+        match answer {
+            OperatorAnswer::Apply(apply) => {
+                self.head = self.head.max(apply.version);
+                if apply.code == Code::Done {
+                    self.settle(now);
+                }
+            }
+            OperatorAnswer::Plain { code: Code::NoteConflict, reason, .. } => {
+                self.learn_head(reason);
+            }
+            _ => {}
+        }
+    }
+
+    fn settle(&mut self, now: Moment) {
+        if self.wanted.is_empty() {
+            return;
+        }
+        let wanted = self.wanted.remove(0);
+        self.settled.push(now.since(wanted.since));
+        if let Some((domain, Service::Out)) = wanted.change {
+            self.withdrawals.push(Withdrawal { domain, told: now, back: None });
+        }
+    }
+
+    /// Reads the head's version from a conflict's text, as a person would.
+    fn learn_head(&mut self, reason: &str) {
+        let digits = reason.rsplit(|c: char| !c.is_ascii_digit()).find(|part| !part.is_empty());
+        if let Some(head) = digits.and_then(|part| part.parse().ok()) {
+            self.head = self.head.max(NoteVersion(head));
+        }
+    }
+}
--- /dev/null
+++ b/crates/lab/src/world/people.rs
@@ -0,0 +1,118 @@
+//! Callers and the operator, who reach the deployment through any daemon.
+
+use bulrushlink_api::OperatorAnswer;
+use bulrushlink_core::Span;
+use bulrushlink_daemon::{CallerReply, Input, Token};
+
+use super::{Lab, Step};
+use crate::callers::{ANSWER_TIMEOUT, NEXT_DAEMON, Turn, Waiting};
+use crate::operators::OPERATOR_PAUSE;
+
+/// Time after which the operator gives an answer up.
+const OPERATOR_TIMEOUT: Span = Span::from_secs(5);
+
+impl Lab {
+    pub(super) fn caller_turn(&mut self, caller: usize, turn: Turn) {
+        if let Turn::GiveUp(token) = turn {
+            return self.give_up(caller, token);
+        }
+        if self.callers[caller].done && turn != Turn::Cancel {
+            return;
+        }
+        let Some(daemon) = self.balance() else {
+            self.timeline.after(NEXT_DAEMON, Step::Caller { caller, turn });
+            return;
+        };
+        let now = self.timeline.now();
+        let (call, wait) = self.callers[caller].request(turn, now);
+        let token = self.token();
+        self.note(format!("{} hears {token:?} {call:?}", self.daemons[daemon].id()));
+        self.waiting.push(Waiting { token, caller, turn, daemon });
+        let input = Box::new(Input::Caller(token, call));
+        let incarnation = Some(self.daemons[daemon].incarnation);
+        self.timeline.after(Span(3), Step::Arrive { daemon, incarnation, input });
+        let give_up = Step::Caller { caller, turn: Turn::GiveUp(token) };
+        self.timeline.after(wait + ANSWER_TIMEOUT, give_up);
+    }
+
+    fn give_up(&mut self, caller: usize, token: Token) {
+        let Some(i) = self.waiting.iter().position(|w| w.token == token) else { return };
+        let waiting = self.waiting.swap_remove(i);
+        if waiting.turn == Turn::Cancel {
+            return;
+        }
+        let turn = self.turn_after_break(waiting.turn);
+        self.timeline.after(NEXT_DAEMON, Step::Caller { caller, turn });
+    }
+
+    /// The platform's balancer sends to a daemon that was ready at its latest look. One that has
+    /// died since refuses the connection.
+    fn balance(&mut self) -> Option<usize> {
+        if self.balanced.is_empty() {
+            return None;
+        }
+        let daemon = self.balanced[self.rng.usize(0..self.balanced.len())];
+        self.daemons[daemon].is_up().then_some(daemon)
+    }
+
+    fn token(&mut self) -> Token {
+        self.tokens += 1;
+        Token(self.tokens)
+    }
+
+    /// Takes a daemon's answer to a caller. One that the caller has given up is not heard.
+    pub(super) fn answer_caller(&mut self, token: Token, reply: CallerReply) {
+        self.note(format!("answer to {token:?}: {reply:?}"));
+        assert!(token.0 <= self.tokens, "{token:?} was never given out");
+        let Some(i) = self.waiting.iter().position(|w| w.token == token) else { return };
+        let waiting = self.waiting.swap_remove(i);
+        let caller = waiting.caller;
+        let now = self.timeline.now();
+        match self.callers[caller].hear(reply, now) {
+            Ok(Some((delay, turn))) => {
+                let other = self.waiting.iter().any(|w| w.caller == caller);
+                if waiting.turn != Turn::Cancel && !other {
+                    self.timeline.after(delay, Step::Caller { caller, turn });
+                }
+            }
+            Ok(None) => {}
+            Err(text) => self.violate(text),
+        }
+    }
+
+    pub(super) fn operator_turn(&mut self) {
+        let Some(daemon) = self.balance() else {
+            self.timeline.after(OPERATOR_PAUSE, Step::Operator);
+            return;
+        };
+        let now = self.timeline.now();
+        let patient = self.operator.wanted.first().is_some_and(|wanted| {
+            wanted.token.is_some() && now.since(wanted.asked) < OPERATOR_TIMEOUT
+        });
+        if patient {
+            return;
+        }
+        let Some(call) = self.operator.request() else { return };
+        let token = self.token();
+        let wanted = &mut self.operator.wanted[0];
+        wanted.token = Some(token);
+        wanted.asked = now;
+        self.note(format!("{} hears {token:?} {call:?}", self.daemons[daemon].id()));
+        let input = Box::new(Input::Operator(token, call));
+        let incarnation = Some(self.daemons[daemon].incarnation);
+        self.timeline.after(Span(3), Step::Arrive { daemon, incarnation, input });
+        self.timeline.after(OPERATOR_TIMEOUT, Step::Operator);
+    }
+
+    /// Takes a daemon's answer to the operator, who goes on until the note is in force.
+    pub(super) fn answer_operator(&mut self, token: Token, answer: &OperatorAnswer) {
+        self.note(format!("answer to {token:?}: {answer:?}"));
+        let current = self.operator.wanted.first().is_some_and(|w| w.token == Some(token));
+        if !current {
+            return;
+        }
+        self.operator.wanted[0].token = None;
+        self.operator.hear(answer, self.timeline.now());
+        self.timeline.after(OPERATOR_PAUSE, Step::Operator);
+    }
+}
--- /dev/null
+++ b/examples/chaos.rs
@@ -0,0 +1,89 @@
+//! The long randomised run: many nodes under virtual time, faults alone and in pairs, and every
+//! promise checked against the workers' own record.
+//!
+//! `cargo run --release --example chaos -- --seed N --minutes M`
+
+use bulrushlink_core::Span;
+use bulrushlink_lab::{Lab, Layout, Noise};
+use getopts::Options;
+use std::process::ExitCode;
+
+/// Time for the first release note to come into force.
+const WARM_UP: Span = Span::from_secs(10);
+/// Time after the last fault within which every job has to have its end.
+const SETTLE: Span = Span::from_secs(240);
+/// Jobs a minute.
+const JOBS_PER_MINUTE: usize = 60;
+/// Virtual minutes of one deployment; a longer run is several deployments one after the other.
+const EPISODE_MINUTES: u64 = 5;
+
+fn main() -> ExitCode {
+    let mut options = Options::new();
+    options.optopt("", "seed", "seed of the run", "N");
+    options.optopt("", "minutes", "virtual minutes with faults", "M");
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    let number = |matches: &getopts::Matches, name: &str, default: u64| {
+        matches.opt_get_default(name, default).map_err(|error| error.to_string())
+    };
+    let parsed = options.parse(&args).map_err(|error| error.to_string());
+    let numbers = parsed.and_then(|matches| {
+        Ok((number(&matches, "seed", 1)?, number(&matches, "minutes", EPISODE_MINUTES)?))
+    });
+    let (seed, minutes) = match numbers {
+        Ok(numbers) => numbers,
+        Err(text) => {
+            eprintln!("{text}\n{}", options.usage("chaos --seed N --minutes M"));
+            return ExitCode::from(2);
+        }
+    };
+    run(seed, minutes)
+}
+
+fn run(seed: u64, minutes: u64) -> ExitCode {
+    let (mut events, mut jobs, mut violations) = (0, 0, 0);
+    let mut left = minutes;
+    let mut episode = 0;
+    while left > 0 {
+        let length = left.min(EPISODE_MINUTES);
+        let report = run_episode(seed + episode * 1_000_000, length);
+        events += report.events;
+        jobs += report.jobs;
+        violations += report.violations.len();
+        left -= length;
+        episode += 1;
+    }
+    println!("chaos: {events} events, {jobs} jobs, {violations} violations");
+    ExitCode::from(u8::from(violations > 0))
+}
+
+fn run_episode(seed: u64, minutes: u64) -> bulrushlink_lab::Report {
+    let length = Span::from_secs(60 * minutes);
+    let mut lab = Lab::open(Layout::small(), seed);
+    lab.apply_first_note();
+    lab.run(WARM_UP);
+    lab.set_noise(Noise { lost: 10, repeated: 10, late: 10 });
+    lab.submit_drawn(JOBS_PER_MINUTE * minutes as usize, length);
+    lab.draw_faults(length);
+    lab.run(length);
+    lab.mend_all();
+    lab.run(SETTLE);
+    let report = lab.report();
+    println!(
+        "seed {seed}: {} jobs, {} completed, {} refused, {} unknown, {} restarted, partial {}",
+        report.jobs,
+        report.completed,
+        report.refused,
+        report.unknown,
+        report.restarted,
+        report.partial
+    );
+    if !report.violations.is_empty() {
+        for line in lab.trace() {
+            eprintln!("{line}");
+        }
+        for violation in &report.violations {
+            eprintln!("violation at {}: {}", violation.at, violation.text);
+        }
+    }
+    report
+}
