Add the control slices: members, notes, hosts and keeper

Heartbeats with echoes, choice of the placer, contacts and the start permit, the head of the release notes (watch, read, peers, apply), the host list, and renewals with reports.

--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -1,51 +1,192 @@
 //! The workers of the own failure domain, from the platform's lagging list and from themselves.
+//!
+//! The list is a hint. A worker that the list shows is taken for gone once it has been silent for
+//! so long that its leases have surely lapsed, and one that the list shows no more stays for as
+//! long as it answers.
+
+#[cfg(test)]
+mod tests;
 
 use bulrushlink_api::{EdgeFault, Host, HostList};
-use bulrushlink_core::{Moment, WorkerId};
+use bulrushlink_core::{DomainId, Moment, Span, WorkerId};
 
 use crate::edge::{CallId, Context};
+use crate::hash::rank;
+use crate::settings::Settings;
+use crate::timer::{Repeat, jitter};
+
+/// Allowance beyond the lease before a silent worker is taken for lost: the time between two
+/// signs of life of a worker that lives.
+const LOST_MARGIN: Span = Span::from_secs(15);
+
+/// What is known of one worker of the own failure domain.
+#[derive(Debug)]
+struct Entry {
+    host: Host,
+    /// Whether the latest list has it.
+    listed: bool,
+    /// Its own word that it leaves.
+    leaving: bool,
+    /// When it was heard from last, or taken up.
+    seen: Moment,
+}
 
 /// Workers as the platform and they themselves describe them.
 #[derive(Debug)]
-pub(crate) struct Hosts {}
+pub(crate) struct Hosts {
+    domain: DomainId,
+    /// Silence after which the leases of a worker have surely lapsed.
+    lapse: Span,
+    read: Repeat,
+    /// All workers of the latest list, sorted by worker.
+    all: Vec<Host>,
+    /// The workers of the own failure domain, sorted by worker; those too that are lost.
+    entries: Vec<Entry>,
+    /// What `entries` show to others; lost workers are not in it.
+    own: Vec<Host>,
+    generation: u64,
+    /// Whether this daemon hears of all workers of the domain, and so may take one for lost.
+    hears: bool,
+    rng: fastrand::Rng,
+}
 
 impl Hosts {
-    pub(crate) fn open(_now: Moment) -> Self {
-        Self {}
+    pub(crate) fn open(settings: &Settings, now: Moment, incarnation: u64) -> Self {
+        let seed = rank(settings.daemon.as_str(), "hosts") ^ incarnation;
+        Self {
+            domain: settings.domain().clone(),
+            lapse: settings.timing.lease + LOST_MARGIN,
+            read: Repeat::open(now),
+            all: Vec::new(),
+            entries: Vec::new(),
+            own: Vec::new(),
+            generation: 0,
+            hears: false,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
     /// Reads the list when that is due.
-    pub(crate) fn tick(&mut self, _cx: &mut Context<'_>) {}
+    pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
+        let timing = &cx.settings.timing;
+        if self.read.is_due(cx.now, timing.store + timing.store) {
+            let call = cx.out.hosts();
+            self.read.sent(call, cx.now);
+        }
+        self.refresh(cx.now);
+    }
 
-    /// Takes a list.
+    /// Takes a list. A fault changes nothing: the last list goes on.
     pub(crate) fn on_hosts(
         &mut self,
-        _call: CallId,
-        _result: Result<HostList, EdgeFault>,
-        _cx: &mut Context<'_>,
+        call: CallId,
+        result: Result<HostList, EdgeFault>,
+        cx: &mut Context<'_>,
     ) {
+        if self.read.answered(call).is_none() {
+            return;
+        }
+        let period = cx.settings.timing.hosts;
+        match result {
+            Ok(list) => {
+                self.read.after(jitter(period, &mut self.rng), cx.now);
+                self.take(list, cx.now);
+            }
+            Err(_) => self.read.back_off(period, cx.now, &mut self.rng),
+        }
     }
 
-    /// Takes a worker's own word that it leaves or not; it goes before the list's.
-    pub(crate) fn on_leaving(&mut self, _worker: &WorkerId, _leaving: bool, _now: Moment) {}
+    fn take(&mut self, list: HostList, now: Moment) {
+        self.all = list.hosts;
+        self.all.sort_by(|a, b| a.id.cmp(&b.id));
+        self.all.dedup_by(|a, b| a.id == b.id);
+        for entry in &mut self.entries {
+            entry.listed = false;
+        }
+        for host in self.all.iter().filter(|host| host.domain == self.domain) {
+            match self.entries.binary_search_by(|entry| entry.host.id.cmp(&host.id)) {
+                Ok(i) => {
+                    self.entries[i].host = host.clone();
+                    self.entries[i].listed = true;
+                }
+                Err(i) => {
+                    let entry =
+                        Entry { host: host.clone(), listed: true, leaving: false, seen: now };
+                    self.entries.insert(i, entry);
+                }
+            }
+        }
+        self.refresh(now);
+    }
+
+    /// Takes a worker's own word that it leaves or not; it goes before the list's, but for a
+    /// list that says that it leaves: new work stays away from a worker of which either says so.
+    pub(crate) fn on_leaving(&mut self, worker: &WorkerId, leaving: bool, now: Moment) {
+        if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
+            self.entries[i].seen = now;
+            self.entries[i].leaving = leaving;
+            self.refresh(now);
+        }
+    }
+
+    /// Tells whether this daemon is the one that hears of all workers of the domain. Only then
+    /// does silence say anything, counted from the moment at which that began.
+    pub(crate) fn set_hears(&mut self, hears: bool, now: Moment) {
+        if hears && !self.hears {
+            for entry in &mut self.entries {
+                entry.seen = now;
+            }
+        }
+        self.hears = hears;
+    }
+
+    fn refresh(&mut self, now: Moment) {
+        let (lapse, hears) = (self.lapse, self.hears);
+        let silent = |entry: &Entry| now.since(entry.seen) > lapse;
+        self.entries.retain(|entry| entry.listed || !silent(entry));
+        let shown = self.entries.iter().filter(|entry| !(hears && silent(entry)));
+        let own: Vec<_> = shown.map(Entry::shown).collect();
+        if own != self.own {
+            self.own = own;
+            self.generation += 1;
+        }
+    }
 
     /// Lists the workers of the own failure domain, sorted by worker, with `leaving` as known.
     pub(crate) fn own(&self) -> &[Host] {
-        &[]
+        &self.own
+    }
+
+    /// Lists the workers of the own failure domain to talk to, the lost ones too, sorted.
+    pub(crate) fn known(&self) -> impl Iterator<Item = &Host> {
+        self.entries.iter().map(|entry| &entry.host)
     }
 
     /// Lists the workers of all failure domains, sorted by worker.
     pub(crate) fn all(&self) -> &[Host] {
-        &[]
+        &self.all
     }
 
     /// Grows with every change of what [`Self::own`] returns.
     pub(crate) fn generation(&self) -> u64 {
-        0
+        self.generation
     }
 
     /// Returns the state for a dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
-        serde_json::Value::Null
+        let unlisted = self.entries.iter().filter(|entry| !entry.listed);
+        serde_json::json!({
+            "all": self.all.len(),
+            "own": self.own,
+            "unlisted": unlisted.map(|entry| &entry.host.id).collect::<Vec<_>>(),
+            "faults": self.read.faults(),
+            "generation": self.generation,
+        })
+    }
+}
+
+impl Entry {
+    fn shown(&self) -> Host {
+        Host { leaving: self.leaving || self.host.leaving, ..self.host.clone() }
     }
 }
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -1,47 +1,211 @@
 //! Leases of running tasks: any daemon of a failure domain renews those of its share of workers
 //! and passes what the workers report to the placer.
+//!
+//! Renewing starts nothing, so it needs no exclusive right: two daemons that renew the same worker
+//! for a while do no harm, and running work outlives the daemon that started it.
 
-use bulrushlink_api::{EdgeFault, WorkerReply};
-use bulrushlink_core::{DaemonId, Moment};
+mod reports;
+#[cfg(test)]
+mod tests;
 
-use crate::edge::{CallId, Context};
+use bulrushlink_api::{EdgeFault, Host, WorkerBatch, WorkerOp, WorkerReply};
+use bulrushlink_core::{DaemonId, Moment, Span, WorkerId};
+
+use crate::edge::{CallId, Context, Duty};
+use crate::hash::rank;
 use crate::hosts::Hosts;
+use crate::peer::PeerMessage;
+use crate::settings::Settings;
+use crate::timer::{Repeat, jitter};
+use reports::Reports;
+
+/// Time between two full reports of a worker.
+const FULL_PERIOD: Span = Span::from_secs(10);
+
+/// A worker of this daemon's share.
+#[derive(Debug)]
+struct Charge {
+    worker: WorkerId,
+    renew: Repeat,
+    /// When the next full report is due.
+    full: Moment,
+    /// Whether the call in progress asks for a full report.
+    asked: bool,
+    /// When it answered last, or came into the share.
+    heard: Moment,
+    /// Its latest word that it leaves; `None` before the first answer.
+    leaving: Option<bool>,
+}
 
 /// Renews leases and passes reports on.
 #[derive(Debug)]
-pub(crate) struct Keeper {}
+pub(crate) struct Keeper {
+    id: DaemonId,
+    /// The workers of this daemon's share, sorted.
+    charges: Vec<Charge>,
+    reports: Reports,
+    placer: Option<DaemonId>,
+    rng: fastrand::Rng,
+}
 
 impl Keeper {
-    pub(crate) fn open(_now: Moment) -> Self {
-        Self {}
+    pub(crate) fn open(settings: &Settings, incarnation: u64) -> Self {
+        let seed = rank(settings.daemon.as_str(), "keeper") ^ incarnation;
+        Self {
+            id: settings.daemon.clone(),
+            charges: Vec::new(),
+            reports: Reports::open(incarnation),
+            placer: None,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
     /// Calls the workers whose renewal is due. Each worker belongs to the highest of `live` by
-    /// rendezvous hash. Reports go to `placer` until it has taken them.
+    /// rendezvous hash; without any, to this daemon. Reports go to `placer` until it has taken
+    /// them.
     pub(crate) fn tick(
         &mut self,
-        _hosts: &Hosts,
-        _live: &[DaemonId],
-        _placer: Option<&DaemonId>,
-        _cx: &mut Context<'_>,
+        hosts: &Hosts,
+        live: &[DaemonId],
+        placer: Option<&DaemonId>,
+        cx: &mut Context<'_>,
     ) {
+        if placer.is_some() && self.placer.as_ref() != placer {
+            self.placer = placer.cloned();
+            self.reports.clear();
+            for charge in &mut self.charges {
+                charge.full = cx.now;
+            }
+        }
+        self.share(hosts, live, cx);
+        for host in hosts.known() {
+            if let Ok(i) = self.charges.binary_search_by(|c| c.worker.cmp(&host.id)) {
+                self.renew(i, host, cx);
+            }
+        }
+        if let Some(placer) = &self.placer {
+            self.reports.repeat(placer, cx);
+        }
+    }
+
+    /// Takes up the workers that came into this daemon's share, and drops those that left it.
+    fn share(&mut self, hosts: &Hosts, live: &[DaemonId], cx: &Context<'_>) {
+        let mut old = std::mem::take(&mut self.charges).into_iter().peekable();
+        for host in hosts.known() {
+            if !self.is_mine(&host.id, live) {
+                continue;
+            }
+            while old.next_if(|charge| charge.worker < host.id).is_some() {}
+            let kept = old.next_if(|charge| charge.worker == host.id);
+            let charge = kept.unwrap_or_else(|| self.charge(&host.id, cx));
+            self.charges.push(charge);
+        }
+    }
+
+    fn is_mine(&self, worker: &WorkerId, live: &[DaemonId]) -> bool {
+        let keeper = live.iter().max_by_key(|id| rank(worker.as_str(), id.as_str()));
+        keeper.is_none_or(|id| *id == self.id)
+    }
+
+    fn charge(&mut self, worker: &WorkerId, cx: &Context<'_>) -> Charge {
+        let offset = Span(self.rng.u64(0..=cx.settings.timing.renew.millis()));
+        Charge {
+            worker: worker.clone(),
+            renew: Repeat::open(cx.now + offset),
+            full: cx.now,
+            asked: false,
+            heard: cx.now,
+            leaving: None,
+        }
+    }
+
+    fn renew(&mut self, i: usize, host: &Host, cx: &mut Context<'_>) {
+        let timing = cx.settings.timing;
+        let charge = &mut self.charges[i];
+        if !charge.renew.is_due(cx.now, timing.worker + timing.worker) {
+            return;
+        }
+        charge.asked = cx.now >= charge.full;
+        let batch = WorkerBatch {
+            from: self.id.clone(),
+            ops: vec![WorkerOp::RenewAll { lease: timing.lease }],
+            all: charge.asked,
+        };
+        let to = (&host.id, host.addr);
+        let call = cx.out.worker(Duty::Keeper, to, batch, timing.worker);
+        charge.renew.sent(call, cx.now);
     }
 
     /// Takes a worker's answer.
     pub(crate) fn on_worker(
         &mut self,
-        _call: CallId,
-        _result: Result<WorkerReply, EdgeFault>,
-        _hosts: &mut Hosts,
-        _cx: &mut Context<'_>,
+        call: CallId,
+        result: Result<WorkerReply, EdgeFault>,
+        hosts: &mut Hosts,
+        cx: &mut Context<'_>,
     ) {
+        let found = self.charges.iter_mut().find_map(|charge| {
+            charge.renew.answered(call)?;
+            Some(charge)
+        });
+        let Some(charge) = found else { return };
+        let period = cx.settings.timing.renew;
+        let Ok(reply) = result else {
+            // The worker may have taken its report for delivered.
+            charge.full = cx.now;
+            return charge.renew.back_off(period, cx.now, &mut self.rng);
+        };
+        charge.renew.after(jitter(period, &mut self.rng), cx.now);
+        charge.heard = cx.now;
+        hosts.on_leaving(&charge.worker, reply.leaving, cx.now);
+        let news = charge.leaving != Some(reply.leaving) || reply.leaving || charge.asked;
+        charge.leaving = Some(reply.leaving);
+        if charge.asked {
+            charge.full = cx.now + jitter(FULL_PERIOD, &mut self.rng);
+        }
+        let Some(placer) = &self.placer else {
+            charge.full = cx.now;
+            return;
+        };
+        if news && *placer != self.id {
+            let worker = charge.worker.clone();
+            cx.out.peer(placer, PeerMessage::WorkerSeen { worker, leaving: reply.leaving });
+        }
+        if charge.asked || !reply.tasks.is_empty() {
+            let worker = charge.worker.clone();
+            self.reports.add(worker, charge.asked, reply.tasks, placer, cx);
+        }
     }
 
     /// Takes the placer's word that it has a report.
-    pub(crate) fn on_taken(&mut self, _seq: u64) {}
+    pub(crate) fn on_taken(&mut self, seq: u64) {
+        self.reports.on_taken(seq);
+    }
+
+    /// Returns for how long a worker of this daemon's share has been silent.
+    pub(crate) fn silent(&self, worker: &WorkerId, now: Moment) -> Option<Span> {
+        let i = self.charges.binary_search_by(|charge| charge.worker.cmp(worker)).ok()?;
+        Some(now.since(self.charges[i].heard))
+    }
 
     /// Returns the state for a dump.
-    pub(crate) fn dump(&self) -> serde_json::Value {
-        serde_json::Value::Null
+    pub(crate) fn dump(&self, now: Moment) -> serde_json::Value {
+        let charges: Vec<_> = self
+            .charges
+            .iter()
+            .map(|charge| {
+                serde_json::json!({
+                    "worker": charge.worker,
+                    "silent_ms": self.silent(&charge.worker, now).map(Span::millis),
+                    "faults": charge.renew.faults(),
+                    "leaving": charge.leaving,
+                })
+            })
+            .collect();
+        serde_json::json!({
+            "placer": self.placer,
+            "reports": self.reports.len(),
+            "charges": charges,
+        })
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`intake`], [`placer`], [`journal`] and [`keeper`].
 
 mod edge;
+mod hash;
 mod hosts;
 mod intake;
 mod journal;
@@ -17,8 +18,10 @@
 mod peer;
 mod placer;
 mod settings;
+mod timer;
 
 pub use edge::{CallId, CallerCall, CallerReply, Duty, Input, Outbox, Output, Token};
 pub use node::Node;
+pub use notes::{Accepted, Head};
 pub use peer::{Echo, Heartbeat, JobStatus, PeerMessage, Phase};
 pub use settings::{Limits, Member, Settings, Timing};
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -1,12 +1,30 @@
 //! Which daemons are alive, who places work in which failure domain, and whether this daemon may
 //! start work now.
+//!
+//! A daemon heartbeats every daemon of its own failure domain, and a fixed number of the others in
+//! turn, so that the cost of control doesn't grow with the deployment. Whatever is learned from a
+//! peer counts from the moment at which this daemon sent the stamp that the peer echoes, never
+//! from the arrival of a message that may be late.
 
-use bulrushlink_api::InForce;
-use bulrushlink_core::{DaemonId, DomainId, DomainView, Load, Moment, NoteVersion, Span};
+mod peer;
+mod permit;
+mod roles;
+#[cfg(test)]
+mod tests;
+
+use bulrushlink_core::{DaemonId, DomainId, Load, Moment, NoteVersion, Span};
 
 use crate::edge::Context;
-use crate::peer::{Heartbeat, Phase};
-use crate::settings::Settings;
+use crate::hash::rank;
+use crate::peer::{Echo, Heartbeat, PeerMessage, Phase};
+use crate::settings::{Settings, Timing};
+use crate::timer::jitter;
+use peer::Peer;
+
+/// Daemons of other failure domains that get a heartbeat in each round.
+const FAN_OUT: usize = 2;
+/// Rounds that a daemon listens before it claims a role in its failure domain.
+const CLAIM_ROUNDS: u64 = 3;
 
 /// What this daemon tells about itself in its heartbeats.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -23,59 +41,147 @@
 
 /// What is known of the daemons of the deployment.
 #[derive(Debug)]
-pub(crate) struct Members {}
+pub(crate) struct Members {
+    id: DaemonId,
+    domain: DomainId,
+    incarnation: u64,
+    timing: Timing,
+    /// All failure domains of the deployment, sorted.
+    domains: Vec<DomainId>,
+    /// All other daemons, sorted by id.
+    peers: Vec<Peer>,
+    /// Indices of the peers in other failure domains, in this daemon's own order.
+    order: Vec<usize>,
+    /// Position in `order` that is next.
+    turn: usize,
+    /// When the next round is due.
+    due: Moment,
+    /// From when on this daemon may claim a role without having heard from all of its domain.
+    claim: Moment,
+    own: Announcement,
+    /// When `own.version` came into force.
+    since: Moment,
+    /// The latest moment at which, surely, no version above the one in force here was known to
+    /// the store or to a majority; `None` before the first one since the start.
+    contact: Option<Moment>,
+    /// When this daemon woke from a pause, until a contact or a hold has followed.
+    woke: Option<Moment>,
+    /// The highest version that a majority held all at the same time, and when they did.
+    quorum: Option<(NoteVersion, Moment)>,
+    rng: fastrand::Rng,
+}
 
 impl Members {
-    pub(crate) fn open(_settings: &Settings, _now: Moment, _incarnation: u64) -> Self {
-        Self {}
+    pub(crate) fn open(settings: &Settings, now: Moment, incarnation: u64) -> Self {
+        let id = settings.daemon.clone();
+        let domain = settings.domain().clone();
+        let mut domains: Vec<_> = settings.members.iter().map(|m| m.domain.clone()).collect();
+        domains.sort();
+        domains.dedup();
+        let others = settings.members.iter().filter(|m| m.id != id);
+        let peers: Vec<_> = others.map(Peer::new).collect();
+        let mut order: Vec<_> = (0..peers.len()).filter(|i| peers[*i].domain != domain).collect();
+        order.sort_by_key(|i| rank(id.as_str(), peers[*i].id.as_str()));
+        let mut rng = fastrand::Rng::with_seed(rank(id.as_str(), "members") ^ incarnation);
+        let timing = settings.timing;
+        Self {
+            due: now + Span(rng.u64(0..=timing.heartbeat.millis())),
+            claim: now + Span(timing.heartbeat.millis() * CLAIM_ROUNDS),
+            id,
+            domain,
+            incarnation,
+            timing,
+            domains,
+            peers,
+            order,
+            turn: 0,
+            own: Announcement::default(),
+            since: now,
+            contact: None,
+            woke: None,
+            quorum: None,
+            rng,
+        }
     }
 
-    /// Sets what the next heartbeats say.
-    pub(crate) fn announce(&mut self, _announcement: Announcement) {}
+    /// Sets what the next heartbeats say. A new version is told in a round of its own.
+    pub(crate) fn announce(&mut self, announcement: Announcement, now: Moment) {
+        assert!(announcement.version >= self.own.version, "a version in force never reverts");
+        if announcement.version > self.own.version {
+            self.since = now;
+            self.due = self.due.min(now);
+        }
+        self.own = announcement;
+        self.learn(now);
+    }
 
-    /// Takes a heartbeat. Returns the sender's version when it is one to learn.
+    /// Takes a heartbeat. One of an older incarnation, or older than one heard before, is of no
+    /// use and has no effect.
     pub(crate) fn on_heartbeat(
         &mut self,
-        _from: &DaemonId,
-        _heartbeat: Heartbeat,
-        _cx: &mut Context<'_>,
+        from: &DaemonId,
+        heartbeat: Heartbeat,
+        cx: &mut Context<'_>,
     ) {
+        let Ok(i) = self.peers.binary_search_by(|peer| peer.id.cmp(from)) else { return };
+        let echo = heartbeat.echo.filter(|echo| echo.incarnation == self.incarnation);
+        let stamp = echo.map(|echo| echo.stamp).filter(|stamp| *stamp <= cx.now);
+        if !self.peers[i].take(&heartbeat, stamp, cx.now) {
+            return;
+        }
+        self.learn(cx.now);
+        if heartbeat.ask {
+            self.send(i, false, cx);
+        }
     }
 
-    /// Takes an answer of the store to a read of the head that was sent at `sent` and showed no
-    /// version above the one in force.
-    pub(crate) fn on_store_contact(&mut self, _sent: Moment) {}
-
     /// Sends the heartbeats that are due.
-    pub(crate) fn tick(&mut self, _cx: &mut Context<'_>) {}
-
-    /// Tells whether this daemon has heard recently enough to start work under `grace`.
-    pub(crate) fn permit(&self, _now: Moment, _grace: Span) -> bool {
-        true
-    }
-
-    /// Lists the live daemons of a failure domain that serve, this one too, sorted.
-    pub(crate) fn live(&self, _domain: &DomainId, _now: Moment) -> Vec<DaemonId> {
-        Vec::new()
-    }
-
-    /// Names the daemon that places work in a failure domain.
-    pub(crate) fn placer(&self, _domain: &DomainId, _now: Moment) -> Option<DaemonId> {
-        None
+    pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
+        if cx.now < self.due {
+            return;
+        }
+        self.due = cx.now + jitter(self.timing.heartbeat, &mut self.rng);
+        for i in 0..self.peers.len() {
+            if self.peers[i].domain == self.domain {
+                let ask = !self.peers[i].is_live(cx.now, self.timing.heartbeat);
+                self.send(i, ask, cx);
+            }
+        }
+        for _ in 0..FAN_OUT.min(self.order.len()) {
+            let i = self.order[self.turn % self.order.len()];
+            self.turn = (self.turn + 1) % self.order.len();
+            self.send(i, true, cx);
+        }
     }
 
-    /// Lists the failure domains for routing.
-    pub(crate) fn views(&self, _now: Moment) -> Vec<DomainView> {
-        Vec::new()
+    fn send(&self, i: usize, ask: bool, cx: &mut Context<'_>) {
+        let peer = &self.peers[i];
+        let echo = peer.stamp.map(|stamp| Echo { incarnation: peer.incarnation, stamp });
+        let heartbeat = Heartbeat {
+            incarnation: self.incarnation,
+            stamp: cx.now,
+            echo,
+            ask,
+            version: self.own.version,
+            phase: self.own.phase,
+            placing: self.own.placing,
+            load: self.own.load,
+            contact: self.contact.map(|contact| cx.now.since(contact)),
+        };
+        cx.out.peer(&peer.id, PeerMessage::Heartbeat(heartbeat));
     }
 
-    /// Lists the versions in force, sorted by daemon.
-    pub(crate) fn in_force(&self, _now: Moment) -> Vec<InForce> {
-        Vec::new()
+    /// Returns the time in which every daemon of the other failure domains has its turn.
+    fn round(&self) -> Span {
+        Span(self.timing.heartbeat.millis() * self.order.len().div_ceil(FAN_OUT) as u64)
     }
 
-    /// Returns the state for a dump.
-    pub(crate) fn dump(&self, _now: Moment) -> serde_json::Value {
-        serde_json::Value::Null
+    /// Returns the silence after which `peer` is taken for dead. Daemons of other failure domains
+    /// are heard from just once in a round.
+    fn patience(&self, peer: &Peer) -> Span {
+        if peer.domain == self.domain {
+            return self.timing.suspect;
+        }
+        self.timing.suspect + self.round() + self.round()
     }
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,7 @@
 //! and what one duty learns to the others.
 
 use bulrushlink_api::{Dump, DumpSection, OperatorAnswer, OperatorCall};
-use bulrushlink_core::{Code, DaemonId, Moment, NoteVersion, Service};
+use bulrushlink_core::{Code, DaemonId, Moment, NoteVersion, Service, Span};
 use std::collections::VecDeque;
 
 use crate::edge::{Context, Duty, Input, Outbox, Output, Token};
@@ -10,18 +10,23 @@
 use crate::intake::{Intake, World};
 use crate::keeper::Keeper;
 use crate::members::{Announcement, Members};
-use crate::notes::Notes;
+use crate::notes::{Notes, Surroundings};
 use crate::peer::{PeerMessage, Phase};
 use crate::placer::Placer;
 use crate::settings::Settings;
 
 mod domains;
 
+/// The longest time between two inputs of a process that runs; ticks come far more often.
+const PAUSE_LIMIT: Span = Span(1500);
+
 /// A daemon without its edges.
 #[derive(Debug)]
 pub struct Node {
     settings: Settings,
     opened: Moment,
+    /// When the last input was handled.
+    handled: Moment,
     /// Wall clock in milliseconds at `opened`.
     wall: u64,
     members: Members,
@@ -46,13 +51,14 @@
     pub fn open(settings: Settings, now: Moment, wall: u64, incarnation: u64) -> Self {
         Self {
             members: Members::open(&settings, now, incarnation),
-            notes: Notes::open(&settings, now),
-            hosts: Hosts::open(now),
-            keeper: Keeper::open(now),
+            notes: Notes::open(&settings, now, incarnation),
+            hosts: Hosts::open(&settings, now, incarnation),
+            keeper: Keeper::open(&settings, incarnation),
             placer: Placer::open(&settings, now, incarnation),
             intake: Intake::open(now),
             settings,
             opened: now,
+            handled: now,
             wall,
             phase: Phase::Joining,
             draining: None,
@@ -67,6 +73,7 @@
     /// Messages of the node to itself are handled before this returns, so that a deployment of one
     /// daemon needs no network.
     pub fn handle(&mut self, input: Input, now: Moment, out: &mut Outbox) {
+        self.note_pause(now);
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
             self.dispatch(input, now, out);
@@ -103,16 +110,17 @@
     }
 
     fn dispatch(&mut self, input: Input, now: Moment, out: &mut Outbox) {
-        let may_start = self.may_start(now);
-        let wall = self.wall + now.since(self.opened).millis();
-        let mut cx = Context { now, wall, may_start, settings: &self.settings, out };
+        let mut cx = self.clock(now).context(&self.settings, out);
         let world = World { state: self.notes.state(), members: &self.members, phase: self.phase };
         match input {
             Input::Caller(token, call) => self.intake.on_caller(token, call, world, &mut cx),
             Input::Operator(token, call) => self.on_operator(token, call, now, out),
             Input::Peer(from, message) => self.on_peer(&from, message, now, out),
             Input::Store(call, result) => match call.duty {
-                Duty::Notes => self.notes.on_store(call, result, &mut self.members, &mut cx),
+                Duty::Notes => {
+                    let world = Surroundings { hosts: self.hosts.all() };
+                    self.notes.on_store(call, result, &mut self.members, world, &mut cx);
+                }
                 Duty::Intake => self.intake.on_store(call, result, world, &mut cx),
                 _ => self.placer.on_store(call, result, &mut cx),
             },
@@ -127,9 +135,7 @@
     }
 
     fn on_peer(&mut self, from: &DaemonId, message: PeerMessage, now: Moment, out: &mut Outbox) {
-        let may_start = self.may_start(now);
-        let wall = self.wall + now.since(self.opened).millis();
-        let mut cx = Context { now, wall, may_start, settings: &self.settings, out };
+        let mut cx = self.clock(now).context(&self.settings, out);
         match message {
             PeerMessage::Heartbeat(heartbeat) => {
                 let version = heartbeat.version;
@@ -137,8 +143,11 @@
                 self.notes.on_version(from, version, &mut cx);
             }
             PeerMessage::NoteWanted { have } => self.notes.on_wanted(from, have, &mut cx),
-            PeerMessage::Note(state) => self.notes.on_note(state, &mut cx),
+            PeerMessage::Note(head) => self.notes.on_note(head),
             PeerMessage::ReportsTaken { seq } => self.keeper.on_taken(seq),
+            PeerMessage::WorkerSeen { worker, leaving } => {
+                self.hosts.on_leaving(&worker, leaving, now);
+            }
             PeerMessage::Update { .. } => {
                 let world =
                     World { state: self.notes.state(), members: &self.members, phase: self.phase };
@@ -158,22 +167,19 @@
                 OperatorAnswer::Plain { code: Code::Done, reason, field: None, retry: None }
             }
             call => {
-                let may_start = self.may_start(now);
-                let wall = self.wall + now.since(self.opened).millis();
-                let mut cx = Context { now, wall, may_start, settings: &self.settings, out };
-                return self.notes.on_operator(token, call, &self.members, &mut cx);
+                let mut cx = self.clock(now).context(&self.settings, out);
+                let world = Surroundings { hosts: self.hosts.all() };
+                return self.notes.on_operator(token, call, world, &mut cx);
             }
         };
         out.push(Output::Operator(token, answer));
     }
 
     fn tick(&mut self, now: Moment, out: &mut Outbox) {
-        let may_start = self.may_start(now);
-        let wall = self.wall + now.since(self.opened).millis();
-        let mut cx = Context { now, wall, may_start, settings: &self.settings, out };
+        let mut cx = self.clock(now).context(&self.settings, out);
         let domain = self.settings.domain();
         self.members.tick(&mut cx);
-        self.notes.tick(&self.members, &mut cx);
+        self.notes.tick(&mut cx);
         self.hosts.tick(&mut cx);
         let live = self.members.live(domain, now);
         let placer = self.members.placer(domain, now);
@@ -185,9 +191,7 @@
 
     /// Passes on what one duty learned to the others, after every input.
     fn settle(&mut self, now: Moment, out: &mut Outbox) {
-        let may_start = self.may_start(now);
-        let wall = self.wall + now.since(self.opened).millis();
-        let mut cx = Context { now, wall, may_start, settings: &self.settings, out };
+        let mut cx = self.clock(now).context(&self.settings, out);
         let domain = self.settings.domain();
         if self.phase == Phase::Joining && self.notes.state().is_some() {
             self.phase = Phase::Ready;
@@ -200,19 +204,37 @@
             self.shared = self.notes.version();
             self.placer.on_share(share, &mut cx);
         }
+        self.hosts.set_hears(chosen, now);
         if self.listed != self.hosts.generation() {
             self.listed = self.hosts.generation();
             self.placer.on_hosts(self.hosts.own(), &mut cx);
         }
-        self.members.announce(Announcement {
+        let announcement = Announcement {
             version: self.notes.version(),
             phase: self.phase,
             placing: self.placer.is_active(),
             load: self.placer.load(),
-        });
+        };
+        self.members.announce(announcement, now);
+        self.notes.answer_accepted(&self.members, &mut cx);
         self.exit_when_drained(now, out);
     }
 
+    /// Notes a pause of the whole process, such as a stop signal: what it knows may be old.
+    fn note_pause(&mut self, now: Moment) {
+        let gap = now.since(self.handled);
+        self.handled = now;
+        if gap > PAUSE_LIMIT {
+            self.members.on_pause(gap, now);
+            self.notes.on_pause(now);
+        }
+    }
+
+    fn clock(&self, now: Moment) -> Clock {
+        let wall = self.wall + now.since(self.opened).millis();
+        Clock { now, wall, may_start: self.may_start(now) }
+    }
+
     fn may_start(&self, now: Moment) -> bool {
         let spec = self.notes.state().and_then(|state| state.domain(self.settings.domain()));
         spec.is_some_and(|spec| spec.service == Service::In && self.members.permit(now, spec.grace))
@@ -242,7 +264,7 @@
             sections: vec![
                 section("hosts", self.hosts.dump()),
                 section("intake", self.intake.dump()),
-                section("keeper", self.keeper.dump()),
+                section("keeper", self.keeper.dump(now)),
                 section("members", self.members.dump(now)),
                 section("notes", self.notes.dump()),
                 section("placer", self.placer.dump(now)),
@@ -250,3 +272,18 @@
         }
     }
 }
+
+/// What every [`Context`] of one input has in common.
+#[derive(Clone, Copy)]
+struct Clock {
+    now: Moment,
+    wall: u64,
+    may_start: bool,
+}
+
+impl Clock {
+    fn context<'a>(self, settings: &'a Settings, out: &'a mut Outbox) -> Context<'a> {
+        let Self { now, wall, may_start } = self;
+        Context { now, wall, may_start, settings, out }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/notes/apply.rs
@@ -0,0 +1,258 @@
+//! Carries an operator's note to the store, and never says more about it than is certain.
+//!
+//! A write whose answer was lost may take effect later still. It is settled by writing the same
+//! again under the same condition: the store takes it at most once, and a conflict shows either
+//! this note as accepted or, for certain, that it never will be.
+
+use bulrushlink_api::{EdgeFault, Expect, OperatorAnswer, Record, StoreReply, StoreRequest};
+use bulrushlink_core::{Code, Error, Moment, NoteVersion, ReleaseNote, Span};
+
+use super::{FAULT_WAIT, HEAD_KEY, Head, Notes, Surroundings};
+use crate::edge::{CallId, Context, Duty, Output, Token};
+use crate::members::Members;
+use crate::timer::jitter;
+
+/// Notes that may be on their way at the same time.
+const APPLIES_MAX: usize = 16;
+/// Time after which an operator is told that the outcome isn't known.
+const SETTLE_WAIT: Span = Span::from_secs(8);
+/// Time to come back after the store was out of reach.
+const STORE_RETRY: Span = Span::from_secs(2);
+
+/// A write of the head.
+#[derive(Clone, Debug)]
+struct Write {
+    head: Head,
+    expect: Expect,
+}
+
+#[derive(Debug)]
+enum Stage {
+    /// Reads the head.
+    Reading(CallId),
+    /// Writes the next head.
+    Writing(CallId, Write),
+    /// Writes the same again from the moment on.
+    Waiting(Moment, Write),
+}
+
+/// One operator's note on its way.
+#[derive(Debug)]
+pub(super) struct Apply {
+    token: Token,
+    note: ReleaseNote,
+    stage: Stage,
+    until: Moment,
+    /// Whether a write was sent whose effect isn't known.
+    doubtful: bool,
+}
+
+impl Apply {
+    fn waits_for(&self, call: CallId) -> bool {
+        match &self.stage {
+            Stage::Reading(id) | Stage::Writing(id, _) => *id == call,
+            Stage::Waiting(..) => false,
+        }
+    }
+}
+
+impl Notes {
+    /// Begins to apply a note. One that was accepted before gets the same acceptance again.
+    pub(super) fn begin(&mut self, token: Token, note: ReleaseNote, cx: &mut Context<'_>) {
+        match self.head.as_ref().map_or(Ok(None), |head| head.find(&note)) {
+            Ok(Some(version)) => return self.accepted.push((token, version)),
+            Ok(None) => {}
+            Err(error) => return refuse(token, &error, cx),
+        }
+        if self.applies.len() >= APPLIES_MAX {
+            let text = format!("{APPLIES_MAX} notes are on their way; nothing was written");
+            return plain(token, Code::Overloaded, text, Some(STORE_RETRY), cx);
+        }
+        let call = cx.out.store(Duty::Notes, StoreRequest::Get { key: HEAD_KEY.to_string() });
+        let until = cx.now + SETTLE_WAIT;
+        let stage = Stage::Reading(call);
+        self.applies.push(Apply { token, note, stage, until, doubtful: false });
+    }
+
+    /// Takes a store's answer to a call for an operator's note.
+    pub(super) fn on_apply(
+        &mut self,
+        call: CallId,
+        result: Result<StoreReply, EdgeFault>,
+        members: &Members,
+        world: Surroundings<'_>,
+        cx: &mut Context<'_>,
+    ) {
+        let Some(i) = self.applies.iter().position(|apply| apply.waits_for(call)) else { return };
+        let apply = self.applies.swap_remove(i);
+        match apply.stage {
+            Stage::Reading(_) => self.on_head(apply, result, members, world, cx),
+            Stage::Writing(_, ref write) => {
+                let write = write.clone();
+                self.on_written(apply, write, result, cx);
+            }
+            Stage::Waiting(..) => unreachable!("a waiting note has no call"),
+        }
+    }
+
+    fn on_head(
+        &mut self,
+        apply: Apply,
+        result: Result<StoreReply, EdgeFault>,
+        members: &Members,
+        world: Surroundings<'_>,
+        cx: &mut Context<'_>,
+    ) {
+        let record = match result {
+            Ok(StoreReply::Found { record }) => record,
+            Ok(StoreReply::Limited { retry }) => {
+                let text = "the store's rate is reached; nothing was written".to_string();
+                return plain(apply.token, Code::StoreUnavailable, text, Some(retry), cx);
+            }
+            _ => {
+                let text = "the store can't be read; nothing was written".to_string();
+                return plain(apply.token, Code::StoreUnavailable, text, Some(STORE_RETRY), cx);
+            }
+        };
+        self.learn_record(record.as_ref());
+        match next_write(&apply.note, record.as_ref(), members, world, cx.now) {
+            Ok(Step::Accepted(version)) => self.accepted.push((apply.token, version)),
+            Ok(Step::Write(write)) => self.write(apply, write, cx),
+            Err(error) => refuse(apply.token, &error, cx),
+        }
+    }
+
+    fn write(&mut self, mut apply: Apply, write: Write, cx: &mut Context<'_>) {
+        let request = StoreRequest::Put {
+            key: HEAD_KEY.to_string(),
+            value: write.head.text(),
+            expect: write.expect,
+            lease: None,
+        };
+        let call = cx.out.store(Duty::Notes, request);
+        apply.stage = Stage::Writing(call, write);
+        self.applies.push(apply);
+    }
+
+    fn on_written(
+        &mut self,
+        mut apply: Apply,
+        write: Write,
+        result: Result<StoreReply, EdgeFault>,
+        cx: &mut Context<'_>,
+    ) {
+        let pause = match result {
+            Ok(StoreReply::Done { at }) => {
+                self.revision = self.revision.max(at);
+                self.accepted.push((apply.token, write.head.state.version));
+                return self.learn(write.head);
+            }
+            Ok(StoreReply::Conflict { record }) => return self.on_conflict(apply, record, cx),
+            Ok(StoreReply::Limited { retry }) => retry,
+            Err(EdgeFault::Unreachable) if !apply.doubtful => {
+                let text = "the store can't be reached; nothing was written".to_string();
+                return plain(apply.token, Code::StoreUnavailable, text, Some(STORE_RETRY), cx);
+            }
+            Err(EdgeFault::Unreachable) => FAULT_WAIT,
+            _ => {
+                apply.doubtful = true;
+                FAULT_WAIT
+            }
+        };
+        let due = cx.now + jitter(pause, &mut self.rng);
+        apply.stage = Stage::Waiting(due, write);
+        self.applies.push(apply);
+    }
+
+    fn on_conflict(&mut self, apply: Apply, record: Option<Record>, cx: &mut Context<'_>) {
+        self.learn_record(record.as_ref());
+        match record.as_ref().map(Head::try_from).transpose() {
+            Ok(head) => match head.unwrap_or_default().decide(&apply.note) {
+                Ok(version) => self.accepted.push((apply.token, version)),
+                Err(error) => refuse(apply.token, &error, cx),
+            },
+            Err(error) => refuse(apply.token, &error, cx),
+        }
+    }
+
+    /// Repeats doubtful writes, and answers operators whose time is over.
+    pub(super) fn tick_applies(&mut self, cx: &mut Context<'_>) {
+        for apply in std::mem::take(&mut self.applies) {
+            match apply.stage {
+                _ if cx.now >= apply.until => give_up(&apply, cx),
+                Stage::Waiting(due, ref write) if cx.now >= due => {
+                    let write = write.clone();
+                    self.write(apply, write, cx);
+                }
+                _ => self.applies.push(apply),
+            }
+        }
+    }
+}
+
+impl Head {
+    /// Decides on a note whose write met this head instead of the one that it was based on.
+    fn decide(&self, note: &ReleaseNote) -> Result<NoteVersion, Error> {
+        match self.find(note)? {
+            Some(version) => Ok(version),
+            None => {
+                let text = format!("based on {}, head is {}", note.base, self.state.version);
+                Err(Error::at(Code::NoteConflict, "/base", text))
+            }
+        }
+    }
+}
+
+enum Step {
+    Accepted(NoteVersion),
+    Write(Write),
+}
+
+fn next_write(
+    note: &ReleaseNote,
+    record: Option<&Record>,
+    members: &Members,
+    world: Surroundings<'_>,
+    now: Moment,
+) -> Result<Step, Error> {
+    let expect = record.map_or(Expect::Absent, |record| Expect::At(record.at));
+    let head = record.map(Head::try_from).transpose()?.unwrap_or_default();
+    if let Some(version) = head.find(note)? {
+        return Ok(Step::Accepted(version));
+    }
+    let settled = members.settlement(head.state.version, head.lapse, now).done;
+    let next = head.try_apply(note, settled)?;
+    super::answer::check_fit(note, &next.state, world)?;
+    Ok(Step::Write(Write { head: next, expect }))
+}
+
+fn give_up(apply: &Apply, cx: &mut Context<'_>) {
+    if apply.doubtful {
+        let text = "not known whether the note was accepted; show what is in force, or apply the \
+                    same note again";
+        return plain(apply.token, Code::TimedOut, text.to_string(), Some(STORE_RETRY), cx);
+    }
+    // A write that is still on its way may take effect.
+    if matches!(apply.stage, Stage::Writing(..)) {
+        let text = "the store hasn't answered; apply the same note again to learn the outcome";
+        return plain(apply.token, Code::TimedOut, text.to_string(), Some(STORE_RETRY), cx);
+    }
+    let text = "the store doesn't answer; nothing was written".to_string();
+    plain(apply.token, Code::StoreUnavailable, text, Some(STORE_RETRY), cx);
+}
+
+/// Answers with an error.
+pub(super) fn refuse(token: Token, error: &Error, cx: &mut Context<'_>) {
+    let answer = OperatorAnswer::Plain {
+        code: error.code(),
+        reason: error.text().to_string(),
+        field: error.field().map(str::to_string),
+        retry: None,
+    };
+    cx.out.push(Output::Operator(token, answer));
+}
+
+fn plain(token: Token, code: Code, reason: String, retry: Option<Span>, cx: &mut Context<'_>) {
+    let answer = OperatorAnswer::Plain { code, reason, field: None, retry };
+    cx.out.push(Output::Operator(token, answer));
+}
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,11 +5,13 @@
 
 use bulrushlink_api::TaskReport;
 use bulrushlink_core::{
-    Attempt, DesiredState, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal,
-    Span, Why, WorkerId,
+    Attempt, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal, Span, Why,
+    WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::notes::Head;
+
 /// Life cycle of a daemon, as it tells others.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -52,6 +54,9 @@
     pub placing: bool,
     /// Load of the sender's failure domain, if it places there.
     pub load: Load,
+    /// Age of the sender's latest contact: then, surely, there was no version above `version`.
+    /// `None` while the sender hasn't made sure of its version since its start.
+    pub contact: Option<Span>,
 }
 
 /// Where a job is, as its placer tells.
@@ -91,8 +96,8 @@
         /// Version that the sender has.
         have: NoteVersion,
     },
-    /// The desired state of the sender.
-    Note(DesiredState),
+    /// The desired state of the sender, as the store holds it.
+    Note(Head),
     /// Hands a job to the placer of a failure domain; answered by `Update`. Repeated until then.
     Submit {
         /// The failure domain that has to run it.
@@ -149,4 +154,11 @@
         /// The message.
         seq: u64,
     },
+    /// A keeper of leases heard from a worker; tells the placer that the worker lives.
+    WorkerSeen {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether the worker is about to leave.
+        leaving: bool,
+    },
 }
