Put the stand-ins behind HTTP, with faults for tests

The platform's store and host list, and the workers of a deployment, each run as one process or as a handle within a test; bulrushlink-standin is the program.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,15 +5,26 @@
 //! directly; [`Platform`] and [`Workers`] put the same state machines behind HTTP.
 
 mod checkpoints;
+mod command;
+mod deployment;
+mod fault;
 mod hosts;
+mod http;
+mod platform;
 mod program;
 mod record;
 mod store;
 mod worker;
+mod workers;
 
 pub use checkpoints::Checkpoints;
+pub use command::Running;
+pub use deployment::{DeployedDomain, Deployment};
+pub use fault::Faults;
 pub use hosts::HostTable;
+pub use platform::{AdminHosts, AdminWorker, Platform, PlatformOptions};
 pub use program::Program;
 pub use record::{PartialGang, Record, Run, RunEnd};
 pub use store::{CallCounts, Store, StoreRates, VALUE_MAX_BYTES};
 pub use worker::{WorkerMode, WorkerSim, WorkerTiming};
+pub use workers::{AdminMode, RecordPage, Workers};
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,233 @@
+//! The platform behind HTTP: `POST /kv`, `GET /hosts`, and pages for tests under `/admin`.
+
+use bulrushlink_api::{Host, StoreReply, StoreRequest};
+use bulrushlink_core::{Error, Moment, Span, WorkerId};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use tiny_http::Method;
+
+use crate::fault::Faults;
+use crate::hosts::HostTable;
+use crate::http::{HttpServer, Reply, Service, parse};
+use crate::store::{CallCounts, Store, StoreRates, VALUE_MAX_BYTES};
+
+/// Threads that answer requests.
+const THREADS: usize = 8;
+
+/// How a platform behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct PlatformOptions {
+    /// Calls a second that the store answers.
+    pub rates: StoreRates,
+    /// Lag of the host list.
+    pub hosts_lag: Span,
+}
+
+impl Default for PlatformOptions {
+    fn default() -> Self {
+        Self { rates: StoreRates::default(), hosts_lag: Span::from_secs(1) }
+    }
+}
+
+/// Body of `POST /admin/hosts`: hosts that join, or change.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminHosts {
+    /// The hosts.
+    pub hosts: Vec<Host>,
+}
+
+/// Body of `POST /admin/leave` and `POST /admin/remove`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct AdminWorker {
+    /// The worker.
+    pub worker: WorkerId,
+}
+
+/// A waiting watch, in the form in which the server keeps it.
+#[derive(Debug, Serialize, Deserialize)]
+struct WaitingWatch {
+    request: StoreRequest,
+    until: Moment,
+}
+
+struct State {
+    store: Store,
+    hosts: HostTable,
+    faults: Faults,
+}
+
+struct PlatformService {
+    state: Arc<Mutex<State>>,
+}
+
+/// A running platform.
+pub struct Platform {
+    server: HttpServer,
+    state: Arc<Mutex<State>>,
+}
+
+impl Platform {
+    /// Starts a platform; port 0 takes a free one.
+    ///
+    /// # Errors
+    ///
+    /// [`bulrushlink_core::Code::Unreachable`] when the address can't be bound.
+    pub fn bind(addr: SocketAddr) -> Result<Self, Error> {
+        Self::with_options(addr, PlatformOptions::default())
+    }
+
+    /// Starts a platform that behaves otherwise.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::bind`].
+    pub fn with_options(addr: SocketAddr, options: PlatformOptions) -> Result<Self, Error> {
+        let state = Arc::new(Mutex::new(State {
+            store: Store::with_rates(options.rates),
+            hosts: HostTable::open(options.hosts_lag),
+            faults: Faults::default(),
+        }));
+        let service = PlatformService { state: state.clone() };
+        Ok(Self { server: HttpServer::bind(addr, THREADS, Box::new(service))?, state })
+    }
+
+    /// Returns the address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Returns the URL of the store and of the host list.
+    pub fn url(&self) -> String {
+        format!("http://{}", self.addr())
+    }
+
+    /// Adds hosts to the list, or replaces those of the same name.
+    pub fn add_hosts(&self, hosts: Vec<Host>) {
+        let now = self.server.now();
+        let mut state = lock(&self.state);
+        for host in hosts {
+            state.hosts.add(host, now);
+        }
+    }
+
+    /// Marks a host as about to leave.
+    pub fn leave(&self, worker: &WorkerId) {
+        lock(&self.state).hosts.leave(worker, self.server.now());
+    }
+
+    /// Switches faults on or off.
+    pub fn set_faults(&self, faults: Faults) {
+        lock(&self.state).faults = faults;
+    }
+
+    /// Returns the counters of store calls.
+    pub fn counts(&self) -> CallCounts {
+        lock(&self.state).store.counts()
+    }
+
+    /// Stops the platform; connections are refused from then on.
+    pub fn stop(self) {
+        self.server.stop();
+    }
+}
+
+fn lock(state: &Mutex<State>) -> MutexGuard<'_, State> {
+    state.lock().expect("no holder of the platform's state panics")
+}
+
+impl Service for PlatformService {
+    fn handle(&self, method: &Method, path: &str, body: String, now: Moment) -> Reply {
+        match (method, path) {
+            (Method::Post, "/kv") => self.with_faults(now, || self.store(&body, now)),
+            (Method::Get, "/hosts") => {
+                self.with_faults(now, || Reply::json(&lock(&self.state).hosts.handle(now)))
+            }
+            (Method::Get, "/admin/calls") => Reply::json(&lock(&self.state).store.counts()),
+            (Method::Post, path) if path.starts_with("/admin/") => {
+                self.admin(path, &body, now).unwrap_or_else(|reply| reply)
+            }
+            _ => Reply::error(404, "no such path"),
+        }
+    }
+
+    fn retry(&self, body: &str, now: Moment) -> Reply {
+        let watch: WaitingWatch = serde_json::from_str(body).expect("the server's own form");
+        let StoreRequest::Watch { key, after, .. } = &watch.request else {
+            unreachable!("only watches wait");
+        };
+        let mut state = lock(&self.state);
+        state.store.expire(now);
+        let down = state.faults.down || state.faults.mute;
+        if down || (now < watch.until && !state.store.changed(key, *after)) {
+            return Reply::Wait(body.to_string());
+        }
+        Reply::json(&state.store.peek(key))
+    }
+
+    fn tick(&self, now: Moment) {
+        lock(&self.state).store.expire(now);
+    }
+}
+
+impl PlatformService {
+    fn with_faults(&self, now: Moment, act: impl FnOnce() -> Reply) -> Reply {
+        let faults = lock(&self.state).faults;
+        if faults.down {
+            return Reply::error(503, "down");
+        }
+        if faults.loses_request() {
+            return Reply::Lost;
+        }
+        let reply = act();
+        if faults.loses_reply() {
+            return Reply::Lost;
+        }
+        reply.delayed((faults.slow_ms > 0).then(|| now + Span(faults.slow_ms)))
+    }
+
+    fn store(&self, body: &str, now: Moment) -> Reply {
+        let request: StoreRequest = match parse(body) {
+            Ok(request) => request,
+            Err(reply) => return reply,
+        };
+        if let StoreRequest::Put { value, .. } = &request
+            && value.len() > VALUE_MAX_BYTES
+        {
+            return Reply::error(413, "the value is over a megabyte");
+        }
+        let mut state = lock(&self.state);
+        let reply = state.store.handle(&request, now);
+        let StoreRequest::Watch { key, after, wait } = &request else { return Reply::json(&reply) };
+        let limited = matches!(reply, StoreReply::Limited { .. });
+        if limited || state.store.changed(key, *after) {
+            return Reply::json(&reply);
+        }
+        let watch = WaitingWatch { until: now + *wait, request };
+        Reply::Wait(serde_json::to_string(&watch).expect("a watch has a JSON form"))
+    }
+
+    fn admin(&self, path: &str, body: &str, now: Moment) -> Result<Reply, Reply> {
+        let mut state = lock(&self.state);
+        match path {
+            "/admin/fault" => state.faults = parse(body)?,
+            "/admin/hosts" => {
+                let AdminHosts { hosts } = parse(body)?;
+                hosts.into_iter().for_each(|host| state.hosts.add(host, now));
+            }
+            "/admin/leave" => {
+                let AdminWorker { worker } = parse(body)?;
+                state.hosts.leave(&worker, now);
+            }
+            "/admin/remove" => {
+                let AdminWorker { worker } = parse(body)?;
+                state.hosts.remove(&worker, now);
+            }
+            _ => return Err(Reply::error(404, "no such path")),
+        }
+        Ok(Reply::json(&serde_json::json!({ "done": true })))
+    }
+}
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -143,6 +143,11 @@
         self.revision.0 += (before - self.entries.len()) as u64;
     }
 
+    /// Answers what a watch that is over hears; its call was counted when it began.
+    pub fn peek(&self, key: &str) -> StoreReply {
+        self.found(key)
+    }
+
     /// Returns the counters of calls.
     pub fn counts(&self) -> CallCounts {
         self.counts
