Decide placement, guarantees and retries in one failure domain

Each guaranteed shape is bound to a concrete block that no firm work may enter, so that the guarantee holds by construction and a start needs no search over levels. Waiting jobs stand in lanes of equal shape and terms, so that a decision looks at the heads only. A small fake table of workers checks every action against its own record.

--- /dev/null
+++ b/crates/core/src/sched/blame.rs
@@ -0,0 +1,128 @@
+//! Keeps the score of workers from what came of their jobs, quarantines and probes them.
+
+use crate::sched::Scheduler;
+use crate::sched::event::Action;
+use crate::sched::fit::{Place, pick};
+use crate::sched::fleet::WorkerIx;
+use crate::sched::health::{SCORE_MAX, Strike, Weight};
+use crate::sched::jobs::{JobIx, Reason};
+use crate::units::{AcceleratorSet, Moment};
+
+/// One worker in this many may be quarantined at the same time.
+const QUARANTINE_PART: usize = 8;
+/// The largest job that probes a worker, in accelerators.
+const PROBE_ACCELERATORS_MAX: u32 = 2;
+
+impl Scheduler {
+    /// Notes that a job completed on its workers. Those that failed it before are to blame.
+    pub(super) fn note_success(&mut self, ix: JobIx) {
+        let job = self.jobs.get(ix);
+        let (space, kind) = (job.space, job.spec.kind.clone());
+        let mut workers: Vec<_> = job.places.iter().map(|p| p.worker).collect();
+        workers.sort_unstable();
+        workers.dedup();
+        for worker in &workers {
+            self.fleet.health_mut(*worker).strikes.clear();
+            if self.fleet.worker(*worker).health.is_quarantined() {
+                self.readmit(*worker);
+            }
+        }
+        let mut failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
+        failing.extend(&self.jobs.get(ix).failed_on);
+        failing.sort_unstable();
+        failing.dedup();
+        failing.retain(|worker| !workers.contains(worker));
+        for worker in failing {
+            let health = self.fleet.health_mut(worker);
+            health.confirm(space, &kind, ix);
+            health.release(ix, true);
+            self.judge(worker);
+        }
+    }
+
+    /// Notes that a job failed on a worker; returns whether it was a probe.
+    pub(super) fn note_failure(&mut self, ix: JobIx, worker: Option<WorkerIx>) -> bool {
+        let Some(worker) = worker else { return false };
+        let job = self.jobs.get_mut(ix);
+        if std::mem::take(&mut job.probe) {
+            self.fleet.health_mut(worker).end_probe(true, self.now);
+            return true;
+        }
+        if !job.failed_on.contains(&worker) {
+            job.failed_on.push(worker);
+        }
+        let (space, kind) = (job.space, job.spec.kind.clone());
+        let failing = &mut self.kinds.entry(space, &kind).failing;
+        if !failing.contains(&worker) {
+            failing.push(worker);
+        }
+        let strike = Strike { job: Some(ix), space, kind, weight: Weight::Alone };
+        self.fleet.health_mut(worker).strike(strike);
+        self.judge(worker);
+        false
+    }
+
+    /// Lets go of a job that ends without completing. One that failed on several workers is to
+    /// blame itself.
+    pub(super) fn acquit(&mut self, ix: JobIx) {
+        let failed_on = self.jobs.get(ix).failed_on.clone();
+        let blame = failed_on.len() < 2;
+        for worker in failed_on {
+            self.fleet.health_mut(worker).release(ix, blame);
+        }
+    }
+
+    /// Quarantines a worker whose score says so, within the bound.
+    fn judge(&mut self, worker: WorkerIx) {
+        let state = self.fleet.worker(worker);
+        if state.is_gone() || state.health.is_quarantined() {
+            return;
+        }
+        let kinds = &self.kinds;
+        let score = state.health.score(|space, kind| {
+            kinds.get(space, kind).is_none_or(|k| k.failing.iter().all(|w| *w == worker))
+        });
+        let most = (self.fleet.count() / QUARANTINE_PART).max(1).min(self.fleet.count() - 1);
+        if score < SCORE_MAX || self.fleet.quarantined().len() >= most {
+            return;
+        }
+        self.fleet.quarantine(worker, self.now);
+        self.give_up(worker);
+        let id = self.fleet.worker(worker).info.id.clone();
+        self.actions.push(Action::Quarantine(id));
+    }
+
+    fn readmit(&mut self, worker: WorkerIx) {
+        self.fleet.readmit(worker);
+        self.freed = true;
+        let id = self.fleet.worker(worker).info.id.clone();
+        self.actions.push(Action::Readmit(id));
+    }
+
+    /// Starts a small idempotent job on a quarantined worker whose probe is due.
+    pub(super) fn try_probe(&mut self, ix: JobIx) -> bool {
+        let job = self.jobs.get(ix);
+        let shape = job.spec.shape;
+        let small = shape.tasks == 1 && shape.total() <= PROBE_ACCELERATORS_MAX;
+        if !small || !job.repeatable() || job.is_urgent() {
+            return false;
+        }
+        let due = self.fleet.quarantined().iter().copied().find(|worker| {
+            let state = self.fleet.worker(*worker);
+            let quarantine = state.health.quarantine();
+            let due = quarantine.is_some_and(|q| q.prober.is_none() && q.probe <= self.now);
+            due && !state.info.leaving && state.shunned == Moment(0)
+        });
+        let Some(worker) = due else { return false };
+        let state = self.fleet.worker(worker);
+        let free = AcceleratorSet::run(0, state.info.accelerators).without(state.busy);
+        let Some(set) = pick(free, shape.accelerators) else { return false };
+        if !state.is_free(set, 1) {
+            return false;
+        }
+        self.fleet.health_mut(worker).begin_probe(ix);
+        self.begin(ix, vec![Place { worker, set, tasks: 1 }], Reason::Probe);
+        self.jobs.get_mut(ix).probe = true;
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/drain.rs
@@ -0,0 +1,268 @@
+//! Keeps a block free for a gang that has waited long, so that small jobs don't starve it.
+//!
+//! Nothing new starts in the block but jobs that are expected to end before it is free, and what
+//! can be moved away cheaply is. The cost is accelerators that idle while the block drains, so few
+//! blocks drain at the same time.
+
+use serde::Serialize;
+
+use crate::job::{Adjacency, Shape};
+use crate::sched::Scheduler;
+use crate::sched::event::StopReason;
+use crate::sched::fit::{self, Place, pick};
+use crate::sched::fleet::{View, WorkerIx};
+use crate::sched::guarantee::is_block;
+use crate::sched::jobs::{JobIx, Phase, Reason};
+use crate::units::{AcceleratorSet, Moment, Span};
+
+/// Wait after which a block is kept free for a job.
+const DRAIN_AFTER: Span = Span::from_secs(60);
+/// The most blocks that drain at the same time.
+const DRAINS_MAX: usize = 2;
+/// Time between two searches for a block.
+const PLAN_INTERVAL: Span = Span::from_secs(3);
+/// Run time that moving a job may lose.
+const MOVE_LOSS_MAX: Span = Span::from_secs(60);
+/// Jobs that are expected to end sooner than this aren't moved.
+const MOVE_SAVES_MIN: Span = Span::from_secs(15);
+/// The most times that one job is moved.
+const MOVES_MAX: u8 = 2;
+/// Time that moving a job takes.
+const MOVE_TIME: Span = Span::from_secs(8);
+
+/// A block that drains for its owner.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct Drain {
+    pub(super) owner: JobIx,
+    /// The block is expected to be free then.
+    ready: Moment,
+}
+
+/// A part of a worker and the time until it is free.
+struct Window {
+    wait: Span,
+    place: Place,
+}
+
+impl Scheduler {
+    /// Starts the owners whose blocks are free, moves work away, and begins new drains.
+    pub(super) fn tend_drains(&mut self) {
+        self.settle_drains();
+        if !self.is_in() {
+            return;
+        }
+        for drain in self.drains.clone() {
+            self.tend_drain(drain.owner);
+        }
+        let due = self.now.0 / PLAN_INTERVAL.0 != self.planned.0 / PLAN_INTERVAL.0;
+        if self.drains.len() < DRAINS_MAX && due {
+            self.planned = self.now;
+            self.begin_drain();
+        }
+    }
+
+    /// Starts the owners of blocks that are free.
+    pub(super) fn settle_drains(&mut self) {
+        if !self.is_in() {
+            return;
+        }
+        for drain in self.drains.clone() {
+            let ix = drain.owner;
+            let places = self.jobs.get(ix).places.clone();
+            if !self.is_startable(ix, &places) {
+                continue;
+            }
+            self.begin(ix, places, Reason::Unheld);
+        }
+    }
+
+    /// Tells whether a job may start on `places` right now.
+    fn is_startable(&self, ix: JobIx, places: &[Place]) -> bool {
+        let firm = !self.jobs.get(ix).preemptible();
+        let clear = |place: &Place| {
+            let worker = self.fleet.worker(place.worker);
+            let held = firm && worker.reserved.overlaps(place.set);
+            !held && worker.is_usable() && self.is_ready(place)
+        };
+        if !places.iter().all(clear) {
+            return false;
+        }
+        places.iter().all(|place| {
+            let wanted: u16 =
+                places.iter().filter(|p| p.worker == place.worker).map(|p| p.tasks).sum();
+            let worker = self.fleet.worker(place.worker);
+            let bind = !firm || worker.slots(View::Bind) >= wanted;
+            bind && worker.is_free(AcceleratorSet::EMPTY, wanted)
+        })
+    }
+
+    /// Lets the owner go elsewhere when that has become possible.
+    fn tend_drain(&mut self, ix: JobIx) {
+        let job = self.jobs.get(ix);
+        let shape = job.spec.shape;
+        let view = if job.preemptible() { View::Soft } else { View::Hard };
+        if let Some(places) = fit::find(&self.fleet, view, shape, &job.failed_on) {
+            return self.begin(ix, places, Reason::Unheld);
+        }
+        if self.guarantee_is_open(ix) {
+            return self.requeue(ix, Reason::Queued);
+        }
+        self.move_borrowers(ix);
+    }
+
+    /// Chooses a block for the job that has waited beyond the bound and is first in order.
+    fn begin_drain(&mut self) {
+        let lanes = self.queue.lanes().iter();
+        let heads = lanes.map(|lane| lane.entries[0].job).filter(|ix| {
+            let job = self.jobs.get(*ix);
+            job.age(self.now) >= DRAIN_AFTER && job.spec.shape.total() > 1
+        });
+        let mut heads: Vec<_> = heads.map(|ix| (self.jobs.get(ix).submitted(), ix)).collect();
+        heads.sort_unstable();
+        for (_, ix) in heads.into_iter().take(DRAINS_MAX) {
+            let Some((ready, places)) = self.plan(ix) else { continue };
+            self.unlist(ix);
+            self.count_waiting(ix, true);
+            for place in &places {
+                self.fleet.close(place.worker, ix, place.set, place.tasks);
+            }
+            let now = self.now;
+            let job = self.jobs.get_mut(ix);
+            job.places = places;
+            job.enter(Phase::Claiming, Reason::Draining, now);
+            self.drains.push(Drain { owner: ix, ready });
+            self.move_borrowers(ix);
+            return;
+        }
+    }
+
+    /// Finds the block that is free first.
+    fn plan(&self, ix: JobIx) -> Option<(Moment, Vec<Place>)> {
+        let shape = self.jobs.get(ix).spec.shape;
+        let racks = self.fleet.racks.iter().map(|rack| rack.workers.as_slice());
+        if is_block(shape) || shape.adjacency == Adjacency::Domain {
+            let all: Vec<_> = self.fleet.present().collect();
+            return self.plan_within(ix, &all);
+        }
+        racks.filter_map(|workers| self.plan_within(ix, workers)).min_by_key(|plan| plan.0)
+    }
+
+    fn plan_within(&self, ix: JobIx, workers: &[WorkerIx]) -> Option<(Moment, Vec<Place>)> {
+        let shape = self.jobs.get(ix).spec.shape;
+        let block = is_block(shape);
+        let count = if block { 1 } else { shape.tasks as usize };
+        let mut windows: Vec<_> =
+            workers.iter().flat_map(|worker| self.windows(ix, *worker)).collect();
+        windows.sort_by_key(|w| (w.wait, w.place.worker, w.place.set));
+        let mut places: Vec<Place> = Vec::with_capacity(count);
+        for window in windows {
+            let clash = places
+                .iter()
+                .any(|p| p.worker == window.place.worker && p.set.overlaps(window.place.set));
+            if clash {
+                continue;
+            }
+            places.push(window.place);
+            if places.len() == count {
+                return Some((self.now + window.wait, places));
+            }
+        }
+        None
+    }
+
+    /// Lists the aligned parts of a worker that a task of the job could get, and when.
+    fn windows(&self, ix: JobIx, at: WorkerIx) -> Vec<Window> {
+        let job = self.jobs.get(ix);
+        let Shape { tasks, accelerators, .. } = job.spec.shape;
+        let block = is_block(job.spec.shape);
+        let (size, tasks) = match block {
+            true => (job.spec.shape.total() as u8, tasks),
+            false => (accelerators, 1),
+        };
+        let worker = self.fleet.worker(at);
+        if !worker.is_usable() || size > worker.info.accelerators || job.failed_on.contains(&at) {
+            return Vec::new();
+        }
+        let mut open = worker.total().without(worker.closed).without(worker.foreign);
+        if !job.preemptible() {
+            open = open.without(worker.reserved).without(self.guaranteed_use(at));
+        }
+        let starts = (0..=worker.info.accelerators - size).step_by(size as usize);
+        let sets = starts.map(|first| AcceleratorSet::run(first, size));
+        let sets = sets.filter(|set| open.contains(*set));
+        sets.map(|set| Window { wait: self.wait(at, set), place: Place { worker: at, set, tasks } })
+            .collect()
+    }
+
+    /// Returns the accelerators of a worker that jobs use within guarantees.
+    fn guaranteed_use(&self, at: WorkerIx) -> AcceleratorSet {
+        let seats = self.fleet.worker(at).seats.iter();
+        let held = seats.filter(|s| self.jobs.get(s.job).guarantee.is_some());
+        held.fold(AcceleratorSet::EMPTY, |sum, s| sum.with(s.set))
+    }
+
+    /// Returns the time until `set` is free.
+    fn wait(&self, at: WorkerIx, set: AcceleratorSet) -> Span {
+        let seats = self.fleet.worker(at).seats.iter().filter(|s| s.set.overlaps(set));
+        let waits = seats.map(|seat| match self.is_movable(seat.job) {
+            true => MOVE_TIME.min(self.remaining(seat.job)),
+            false => self.remaining(seat.job),
+        });
+        waits.max().unwrap_or_default()
+    }
+
+    /// Returns the run time that a live job is expected to need yet.
+    fn remaining(&self, ix: JobIx) -> Span {
+        let job = self.jobs.get(ix);
+        let expected = self.kinds.expect(job.space, &job.spec.kind, job.spec.declared);
+        let ran = job.unsaved(self.now) + job.saved;
+        match expected.median.0.checked_sub(ran.0) {
+            Some(rest) if rest > 0 => Span(rest),
+            _ => Span(expected.high.0.saturating_sub(ran.0).max(ran.0 / 4)),
+        }
+    }
+
+    fn is_movable(&self, ix: JobIx) -> bool {
+        let job = self.jobs.get(ix);
+        let cheap = job.spec.checkpoint || job.unsaved(self.now) <= MOVE_LOSS_MAX;
+        let runs = matches!(job.phase, Phase::Starting | Phase::Running);
+        runs && !job.firm && job.preemptible() && job.moves < MOVES_MAX && cheap
+    }
+
+    /// Stops the work in a draining block that is cheap to move and would hold it for long.
+    fn move_borrowers(&mut self, owner: JobIx) {
+        let places = self.jobs.get(owner).places.clone();
+        for victim in self.victims(&places) {
+            if self.is_movable(victim) && self.remaining(victim) >= MOVE_SAVES_MIN {
+                self.stop(victim, StopReason::Defragmented);
+            }
+        }
+    }
+
+    /// Starts a small job inside a block that drains, when it is expected to end before the block
+    /// is free.
+    pub(super) fn try_backfill(&mut self, ix: JobIx) -> bool {
+        if self.drains.is_empty() {
+            return false;
+        }
+        let job = self.jobs.get(ix);
+        let shape = job.spec.shape;
+        let expected = self.kinds.expect(job.space, &job.spec.kind, job.spec.declared);
+        if shape.tasks != 1 || shape.accelerators == 0 || !job.preemptible() {
+            return false;
+        }
+        let fitting = self.drains.iter().filter(|d| self.now + expected.high <= d.ready);
+        let places = fitting.flat_map(|d| self.jobs.get(d.owner).places.iter());
+        let found = places.copied().find_map(|place| {
+            let worker = self.fleet.worker(place.worker);
+            let free = place.set.without(worker.busy).without(worker.foreign);
+            let set = pick(free, shape.accelerators)?;
+            let place = Place { worker: place.worker, set, tasks: 1 };
+            let avoided = job.failed_on.contains(&place.worker) || !worker.is_usable();
+            (!avoided && self.is_ready(&place)).then_some(place)
+        });
+        let Some(place) = found else { return false };
+        self.begin(ix, vec![place], Reason::Backfill);
+        true
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/fit.rs
@@ -0,0 +1,184 @@
+//! Searches room for a gang: all of its tasks or none.
+//!
+//! Small work is packed into the smallest run that holds it, and gangs into the rack that they
+//! leave the least room in, so that whole workers and whole racks stay for large shapes. The cost
+//! is that small jobs share racks, and a rack that fails takes more of them.
+
+use crate::job::{Adjacency, Shape};
+use crate::sched::fleet::{Fleet, Rack, View, WorkerIx};
+use crate::units::AcceleratorSet;
+
+/// Workers of one run length that are looked at before the first that fits is taken.
+const LOOK_MAX: usize = 32;
+
+/// A task's place while it is being decided.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize)]
+pub(super) struct Place {
+    pub(super) worker: WorkerIx,
+    pub(super) set: AcceleratorSet,
+    /// Tasks that share the set: one, or all of a gang that needs one worker.
+    pub(super) tasks: u16,
+}
+
+/// Finds room for `shape` under `view`, on no worker of `avoid`.
+pub(super) fn find(
+    fleet: &Fleet,
+    view: View,
+    shape: Shape,
+    avoid: &[WorkerIx],
+) -> Option<Vec<Place>> {
+    if fleet.fit(view, shape.accelerators) < u32::from(shape.tasks) {
+        return None;
+    }
+    if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
+        return find_block(fleet, view, shape, avoid).map(|place| vec![place]);
+    }
+    let size = shape.accelerators;
+    let want = u32::from(shape.tasks);
+    let room = |rack: &Rack| rack_room(fleet, rack, view, size, avoid);
+    let fitting = fleet.racks.iter().filter(|r| r.fit(view, size) >= want && room(r) >= want);
+    if let Some(rack) = fitting.min_by_key(|r| room(r)) {
+        let mut places = Vec::with_capacity(shape.tasks as usize);
+        fill_rack(fleet, rack, view, size, shape.tasks, avoid, &mut places);
+        return Some(places);
+    }
+    match shape.adjacency {
+        Adjacency::Domain => find_across(fleet, view, shape, avoid),
+        Adjacency::Rack | Adjacency::Worker => None,
+    }
+}
+
+/// Fills racks beginning with the one that has the most room, so that a gang spans few of them.
+fn find_across(fleet: &Fleet, view: View, shape: Shape, avoid: &[WorkerIx]) -> Option<Vec<Place>> {
+    let size = shape.accelerators;
+    let mut racks: Vec<_> = fleet.racks.iter().filter(|r| r.fit(view, size) > 0).collect();
+    racks.sort_by_key(|r| std::cmp::Reverse(r.fit(view, size)));
+    let mut places = Vec::with_capacity(shape.tasks as usize);
+    let mut left = shape.tasks;
+    for rack in racks {
+        left -= fill_rack(fleet, rack, view, size, left, avoid, &mut places);
+        if left == 0 {
+            return Some(places);
+        }
+    }
+    None
+}
+
+fn rack_room(fleet: &Fleet, rack: &Rack, view: View, size: u8, avoid: &[WorkerIx]) -> u32 {
+    let lost = avoid.iter().filter(|ix| rack.workers.binary_search(ix).is_ok());
+    rack.fit(view, size) - lost.map(|ix| u32::from(fleet.worker(*ix).fit(view, size))).sum::<u32>()
+}
+
+/// Places up to `want` tasks in a rack and returns how many: workers that are filled whole come
+/// first, then the one that is left with the least room.
+fn fill_rack(
+    fleet: &Fleet,
+    rack: &Rack,
+    view: View,
+    size: u8,
+    want: u16,
+    avoid: &[WorkerIx],
+    places: &mut Vec<Place>,
+) -> u16 {
+    let mut open: Vec<_> = rack
+        .workers
+        .iter()
+        .filter(|ix| !avoid.contains(ix))
+        .map(|ix| (fleet.worker(*ix).fit(view, size), *ix))
+        .filter(|(fit, _)| *fit > 0)
+        .collect();
+    open.sort_unstable();
+    let mut left = want;
+    while left > 0 && !open.is_empty() {
+        let whole = open.partition_point(|(fit, _)| *fit <= left);
+        let (fit, ix) = open.remove(whole.saturating_sub(1));
+        let count = fit.min(left);
+        fill_worker(fleet, ix, view, size, count, places);
+        left -= count;
+    }
+    want - left
+}
+
+fn fill_worker(
+    fleet: &Fleet,
+    ix: WorkerIx,
+    view: View,
+    size: u8,
+    count: u16,
+    places: &mut Vec<Place>,
+) {
+    let mut mask = fleet.worker(ix).mask(view);
+    for _ in 0..count {
+        let set = pick(mask, size).expect("the count of room is exact");
+        mask = mask.without(set);
+        places.push(Place { worker: ix, set, tasks: 1 });
+    }
+}
+
+/// Finds one block on one worker: the smallest run that holds it, in the first rack.
+fn find_block(fleet: &Fleet, view: View, shape: Shape, avoid: &[WorkerIx]) -> Option<Place> {
+    let size = shape.total();
+    for run in size..=64 {
+        let list = fleet.with_run(view, run as usize);
+        for entry in list.iter().take(LOOK_MAX + avoid.len()) {
+            let worker = fleet.worker(entry.worker);
+            if avoid.contains(&entry.worker) || worker.slots(view) < shape.tasks {
+                continue;
+            }
+            let set = pick(worker.mask(view), size as u8)?;
+            return Some(Place { worker: entry.worker, set, tasks: shape.tasks });
+        }
+    }
+    None
+}
+
+/// Picks `size` neighbouring positions out of `mask`: in the shortest run that holds them, aligned
+/// like a buddy block where that is possible, and at the run's edge.
+pub(super) fn pick(mask: AcceleratorSet, size: u8) -> Option<AcceleratorSet> {
+    if size == 0 {
+        return Some(AcceleratorSet::EMPTY);
+    }
+    let last = 64 - size;
+    let fits = (0..=last).filter(|first| mask.contains(AcceleratorSet::run(*first, size)));
+    let best = fits.min_by_key(|first| {
+        let below = (mask.0 << (63 - first) << 1).leading_ones();
+        let below = if *first == 0 { 0 } else { below };
+        let above = mask.0.checked_shr(u32::from(first + size)).unwrap_or(0).trailing_ones();
+        (below + above, !first.is_multiple_of(size), below.min(above), *first)
+    })?;
+    Some(AcceleratorSet::run(best, size))
+}
+
+/// Tells whether the hardware could hold `shape` if nothing else ran, now or when workers that
+/// are away for a moment return.
+pub(super) fn ever_fits(fleet: &Fleet, shape: Shape) -> bool {
+    let size = shape.accelerators;
+    if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
+        let holds = |ix| {
+            let info = &fleet.worker(ix).info;
+            u32::from(info.accelerators) >= shape.total() && info.slots >= shape.tasks
+        };
+        return fleet.present().any(holds);
+    }
+    let most = |ix: &WorkerIx| {
+        let info = &fleet.worker(*ix).info;
+        let by_size = info.accelerators.checked_div(size).map_or(info.slots, u16::from);
+        u32::from(by_size.min(info.slots))
+    };
+    let sum = |rack: &Rack| rack.workers.iter().map(most).sum::<u32>();
+    let want = u32::from(shape.tasks);
+    match shape.adjacency {
+        Adjacency::Domain => fleet.racks.iter().map(sum).sum::<u32>() >= want,
+        Adjacency::Rack | Adjacency::Worker => fleet.racks.iter().any(|r| sum(r) >= want),
+    }
+}
+
+/// Finds room for one more task of a gang, within `rack` if there is one.
+pub(super) fn find_one(fleet: &Fleet, view: View, size: u8, rack: Option<u16>) -> Option<Place> {
+    let shape = Shape { tasks: 1, accelerators: size, adjacency: Adjacency::Domain };
+    let Some(rack) = rack else { return find_block(fleet, view, shape, &[]) };
+    let rack = &fleet.racks[rack as usize];
+    let mut places = Vec::new();
+    fill_rack(fleet, rack, view, size, 1, &[], &mut places);
+    places.pop()
+}
--- /dev/null
+++ b/crates/core/src/sched/health.rs
@@ -0,0 +1,152 @@
+//! Tells bad workers from bad jobs.
+//!
+//! A worker's failure counts against it only while jobs of the same kind don't fail elsewhere too;
+//! it counts twice once the same job has completed elsewhere. A wave of bad jobs therefore leaves
+//! good workers alone, and a worker that fails all it starts is found within a few starts. The
+//! cost is that two workers that turn bad at the same time cover for each other until one job has
+//! completed somewhere else.
+
+use serde::Serialize;
+
+use crate::ids::KindId;
+use crate::sched::jobs::JobIx;
+use crate::sched::spaces::SpaceIx;
+use crate::units::{Moment, Span};
+
+/// Score at which a worker is quarantined.
+pub(super) const SCORE_MAX: u32 = 3;
+/// Strikes kept for each worker.
+const STRIKES_MAX: usize = 8;
+/// Time until the first probe of a quarantined worker.
+const PROBE_FIRST: Span = Span::from_secs(30);
+/// The longest time between two probes.
+const PROBE_MAX: Span = Span::from_secs(900);
+
+/// One failure that may be the worker's fault.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Strike {
+    /// The job, until it has ended.
+    pub(super) job: Option<JobIx>,
+    pub(super) space: SpaceIx,
+    pub(super) kind: KindId,
+    pub(super) weight: Weight,
+}
+
+/// How much a failure says about the worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(super) enum Weight {
+    /// Nothing of the kind has completed since; all such failures of a kind count once.
+    Alone,
+    /// Another job of the kind has completed on another worker since.
+    Kind,
+    /// The same job has completed on another worker.
+    Job,
+}
+
+/// What is known of a worker's health.
+#[derive(Clone, Debug, Default, Serialize)]
+pub(super) struct Health {
+    /// Failures of different jobs since the last job that it completed.
+    pub(super) strikes: Vec<Strike>,
+    quarantine: Option<Quarantine>,
+}
+
+/// State of a quarantined worker.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(super) struct Quarantine {
+    pub(super) since: Moment,
+    /// The next probe is due then.
+    pub(super) probe: Moment,
+    interval: Span,
+    /// The job that probes it now.
+    pub(super) prober: Option<JobIx>,
+}
+
+impl Health {
+    pub(super) const fn is_quarantined(&self) -> bool {
+        self.quarantine.is_some()
+    }
+
+    pub(super) const fn quarantine(&self) -> Option<&Quarantine> {
+        self.quarantine.as_ref()
+    }
+
+    /// Notes a failure; one job counts once.
+    pub(super) fn strike(&mut self, strike: Strike) {
+        if self.strikes.iter().any(|s| s.job == strike.job) {
+            return;
+        }
+        if self.strikes.len() == STRIKES_MAX {
+            self.strikes.remove(0);
+        }
+        self.strikes.push(strike);
+    }
+
+    /// Notes that a job of the kind has completed elsewhere; `job` is that job.
+    pub(super) fn confirm(&mut self, space: SpaceIx, kind: &KindId, job: JobIx) {
+        for strike in &mut self.strikes {
+            if strike.job == Some(job) {
+                strike.weight = Weight::Job;
+            } else if strike.space == space && strike.kind == *kind {
+                strike.weight = strike.weight.max(Weight::Kind);
+            }
+        }
+    }
+
+    /// Lets go of a job that has ended; unless the worker is to blame, its failure is forgotten.
+    pub(super) fn release(&mut self, job: JobIx, blame: bool) {
+        self.strikes.retain(|s| blame || s.job != Some(job));
+        for strike in self.strikes.iter_mut().filter(|s| s.job == Some(job)) {
+            strike.job = None;
+        }
+    }
+
+    /// Adds up the failures; `lone` tells whether a kind of job fails on no other worker.
+    pub(super) fn score(&self, lone: impl Fn(SpaceIx, &KindId) -> bool) -> u32 {
+        let mut sum = 0;
+        let mut alone: Vec<(SpaceIx, &KindId)> = Vec::new();
+        for strike in &self.strikes {
+            let kind = (strike.space, &strike.kind);
+            match strike.weight {
+                Weight::Job => sum += 2,
+                Weight::Kind => sum += 1,
+                Weight::Alone if lone(kind.0, kind.1) && !alone.contains(&kind) => {
+                    alone.push(kind);
+                    sum += 1;
+                }
+                Weight::Alone => {}
+            }
+        }
+        sum
+    }
+
+    pub(super) fn enter(&mut self, now: Moment) {
+        let probe = now + PROBE_FIRST;
+        self.quarantine =
+            Some(Quarantine { since: now, probe, interval: PROBE_FIRST, prober: None });
+    }
+
+    pub(super) fn leave(&mut self) {
+        self.quarantine = None;
+        self.strikes.clear();
+    }
+
+    pub(super) fn begin_probe(&mut self, job: JobIx) {
+        if let Some(quarantine) = &mut self.quarantine {
+            quarantine.prober = Some(job);
+        }
+    }
+
+    /// Ends a probe that didn't succeed; the next one comes after twice the time if the worker is
+    /// to blame.
+    pub(super) fn end_probe(&mut self, blame: bool, now: Moment) {
+        if let Some(quarantine) = &mut self.quarantine {
+            quarantine.prober = None;
+            if blame {
+                let doubled = Span(quarantine.interval.0 * 2);
+                quarantine.interval = doubled.min(PROBE_MAX);
+            }
+            quarantine.probe = now + quarantine.interval;
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/sched/report.rs
@@ -0,0 +1,231 @@
+//! Tells people what the scheduler knows: why a job is where it is, the load, and the whole state.
+
+use serde::Serialize;
+
+use crate::ids::{Attempt, JobKey, KindId, RackId, WorkerId, WorkspaceId};
+use crate::job::{Placement, Shape};
+use crate::sched::Scheduler;
+use crate::sched::event::{Load, Why};
+use crate::sched::fleet::{View, WorkerIx};
+use crate::sched::jobs::Job;
+use crate::sched::learn::Kind;
+use crate::sched::share::level;
+use crate::units::{AcceleratorSet, Span};
+
+/// The whole state of a scheduler.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct State {
+    /// Load that other daemons route by.
+    pub load: Load,
+    /// Sorted by worker.
+    pub workers: Vec<WorkerState>,
+    /// Sorted by job.
+    pub jobs: Vec<JobState>,
+    /// Workspaces that were ever named.
+    pub workspaces: Vec<WorkspaceState>,
+    /// Run times learned so far.
+    pub kinds: Vec<KindState>,
+    /// Guarantees that the healthy hardware doesn't hold now; empty when all is well.
+    pub degraded: Vec<Shortfall>,
+}
+
+/// A worker in the ledger.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct WorkerState {
+    /// The worker.
+    pub id: WorkerId,
+    /// Its rack.
+    pub rack: RackId,
+    /// Whether it finishes what runs and gets nothing new.
+    pub leaving: bool,
+    /// Whether it gets no work but probes.
+    pub quarantined: bool,
+    /// Time until the next probe of a quarantined worker.
+    pub probe: Option<Span>,
+    /// Failures of different jobs since the last job that it completed.
+    pub strikes: u32,
+    /// Tasks on it.
+    pub tasks: u32,
+    /// Accelerators in use.
+    pub busy: AcceleratorSet,
+    /// Accelerators held back for guarantees.
+    pub reserved: AcceleratorSet,
+    /// Accelerators reported busy that the ledger holds free.
+    pub foreign: AcceleratorSet,
+}
+
+/// A job that hasn't ended.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct JobState {
+    /// The job.
+    pub key: JobKey,
+    /// The last attempt.
+    pub attempt: Attempt,
+    /// Attempts that failed.
+    pub failures: u8,
+    /// Whether it runs within its workspace's guarantee.
+    pub guaranteed: bool,
+    /// Why it is where it is.
+    pub why: Why,
+}
+
+/// A workspace's use of the failure domain.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct WorkspaceState {
+    /// The workspace.
+    pub id: WorkspaceId,
+    /// Jobs that wait.
+    pub waiting: u32,
+    /// Accelerators in use outside of its guarantees.
+    pub borrowed: u32,
+    /// Guaranteed shapes.
+    pub guarantees: u32,
+    /// Guaranteed shapes in use.
+    pub used: u32,
+}
+
+/// What was learned of a kind of job.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct KindState {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The kind.
+    pub kind: KindId,
+    /// Half of its jobs take less; `None` while too few were seen.
+    pub median: Option<Span>,
+    /// Nine of ten of its jobs take less.
+    pub high: Option<Span>,
+}
+
+/// A guarantee that the healthy hardware doesn't hold.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct Shortfall {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// The guaranteed shape.
+    pub shape: Shape,
+    /// What falls short, for people.
+    pub level: String,
+}
+
+impl Scheduler {
+    /// Tells why a job waits or where it was placed; `None` for a job it doesn't know.
+    pub fn why(&self, key: &JobKey) -> Option<Why> {
+        self.jobs.find(key).map(|ix| self.explain(self.jobs.get(ix)))
+    }
+
+    fn explain(&self, job: &Job) -> Why {
+        let placement = match job.phase.is_live() {
+            true => job.placement(&self.fleet),
+            false => Placement::new(),
+        };
+        Why {
+            phase: job.phase.text().to_string(),
+            text: job.reason.to_string(),
+            placement,
+            age: self.now.since(job.since),
+            decided: job.decided,
+        }
+    }
+
+    /// Returns the load that other daemons route by.
+    pub fn load(&self) -> Load {
+        let mut load = Load { queued: self.queued, waiting: self.waiting, ..Load::default() };
+        for rack in &self.fleet.racks {
+            let mut free = 0;
+            for ix in rack.workers.iter().filter(|ix| self.fleet.worker(**ix).is_usable()) {
+                let worker = self.fleet.worker(*ix);
+                load.total += u32::from(worker.info.accelerators);
+                free += worker.mask(View::Soft).len();
+            }
+            load.free += free;
+            load.block = load.block.max(free);
+        }
+        load
+    }
+
+    /// Returns the whole state, for people who look for what went wrong.
+    pub fn dump(&self) -> State {
+        State {
+            load: self.load(),
+            workers: self.workers(),
+            jobs: self.jobs.iter().map(|(_, job)| self.job_state(job)).collect(),
+            workspaces: self.workspaces(),
+            kinds: self.kinds.iter().map(|kind| self.kind_state(kind)).collect(),
+            degraded: self.degraded(),
+        }
+    }
+
+    /// Returns the workers of the ledger, sorted.
+    pub fn workers(&self) -> Vec<WorkerState> {
+        self.fleet.present().map(|ix| self.worker_state(ix)).collect()
+    }
+
+    /// Returns the guarantees that the healthy hardware doesn't hold now.
+    pub fn degraded(&self) -> Vec<Shortfall> {
+        let broken = self.guarantees.iter().filter(|(_, instance)| !instance.is_bound());
+        broken
+            .map(|(_, instance)| Shortfall {
+                workspace: self.spaces.get(instance.space).id.clone(),
+                shape: instance.shape,
+                level: format!("no {}", level(instance.shape)),
+            })
+            .collect()
+    }
+
+    fn worker_state(&self, ix: WorkerIx) -> WorkerState {
+        let worker = self.fleet.worker(ix);
+        WorkerState {
+            id: worker.info.id.clone(),
+            rack: worker.info.rack.clone(),
+            leaving: worker.info.leaving,
+            quarantined: worker.health.is_quarantined(),
+            probe: worker.health.quarantine().map(|q| q.probe.since(self.now)),
+            strikes: worker.health.strikes.len() as u32,
+            tasks: worker.seats.len() as u32,
+            busy: worker.busy,
+            reserved: worker.reserved,
+            foreign: worker.foreign,
+        }
+    }
+
+    fn kind_state(&self, kind: &Kind) -> KindState {
+        KindState {
+            workspace: self.spaces.get(kind.space).id.clone(),
+            kind: kind.id.clone(),
+            median: kind.quantile(0.5),
+            high: kind.quantile(0.9),
+        }
+    }
+
+    fn job_state(&self, job: &Job) -> JobState {
+        JobState {
+            key: job.spec.key.clone(),
+            attempt: job.attempt,
+            failures: job.failures,
+            guaranteed: job.guarantee.is_some(),
+            why: self.explain(job),
+        }
+    }
+
+    fn workspaces(&self) -> Vec<WorkspaceState> {
+        let mut list: Vec<_> = self
+            .spaces
+            .iter()
+            .map(|space| WorkspaceState {
+                id: space.id.clone(),
+                waiting: space.waiting,
+                borrowed: space.borrowed,
+                guarantees: 0,
+                used: 0,
+            })
+            .collect();
+        for (_, instance) in self.guarantees.iter() {
+            let state = &mut list[instance.space.0 as usize];
+            state.guarantees += 1;
+            state.used += u32::from(!instance.is_unused());
+        }
+        list.sort_by(|a, b| a.id.cmp(&b.id));
+        list
+    }
+}
--- /dev/null
+++ b/crates/core/tests/decisions.rs
@@ -0,0 +1,203 @@
+//! The scheduler's decisions, one situation at a time.
+
+mod table;
+
+use bulrushlink_core::{Adjacency, Code, Ending, Event, Service, Span, StopReason, Urgency};
+use table::{Table, shape, spec, workspace};
+
+const DOMAIN: Adjacency = Adjacency::Domain;
+/// Bound on the start of an urgent or guaranteed job.
+const START_MAX: Span = Span(8_300);
+
+fn secs(secs: u64) -> Span {
+    Span::from_secs(secs)
+}
+
+#[test]
+fn a_job_runs_to_its_end() {
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[])]);
+    table.submit(spec("a", "j", shape(1, 4, DOMAIN)), secs(60));
+    table.advance(secs(70));
+    let ending = table.named("j").ended.clone();
+    assert_eq!(ending, Some(Ending::Completed { output: vec!["done".to_string()] }));
+}
+
+#[test]
+fn a_guarantee_is_reclaimed_from_borrowers() {
+    let eight = shape(1, 8, DOMAIN);
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[(eight, 2)]), workspace("b", &[])]);
+    for i in 0..16 {
+        table.submit(spec("b", &format!("b{i}"), shape(1, 1, DOMAIN)), secs(3600));
+    }
+    table.advance(secs(10));
+    assert_eq!(table.live.len(), 16);
+    table.submit(spec("a", "a", eight), secs(60));
+    let asked = table.now;
+    table.advance(START_MAX);
+    let started = table.named("a").started.expect("starts in time");
+    assert!(started.since(asked) <= START_MAX);
+    assert_eq!(table.live.len(), 9, "only one worker is reclaimed");
+}
+
+#[test]
+fn work_that_cannot_be_stopped_never_borrows() {
+    let eight = shape(1, 8, DOMAIN);
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[(eight, 2)]), workspace("b", &[])]);
+    let mut job = spec("b", "b", shape(1, 1, DOMAIN));
+    job.idempotent = false;
+    table.submit(job.clone(), secs(60));
+    table.advance(secs(30));
+    assert!(table.live.is_empty());
+    let why = table.sched.why(&job.key).unwrap();
+    assert!(why.text.contains("held back"), "{why}");
+}
+
+#[test]
+fn a_shape_that_never_fits_is_refused() {
+    let mut table = Table::open(1, 2, 1, vec![workspace("a", &[])]);
+    table.submit(spec("a", "j", shape(2, 8, Adjacency::Rack)), secs(1));
+    let Some(Ending::Refused(refusal)) = table.named("j").ended.clone() else { panic!("refused") };
+    assert_eq!((refusal.code, refusal.retry), (Code::NeverFits, None));
+}
+
+#[test]
+fn a_full_queue_refuses_with_a_time_to_come_back() {
+    let mut own = workspace("a", &[]);
+    own.queue = 3;
+    let mut table = Table::open(1, 1, 1, vec![own]);
+    for i in 0..5 {
+        table.submit(spec("a", &format!("j{i}"), shape(1, 8, DOMAIN)), secs(100));
+    }
+    let Some(Ending::Refused(refusal)) = table.named("j4").ended.clone() else { panic!("refused") };
+    assert_eq!(refusal.code, Code::QueueFull);
+    assert!(refusal.retry.is_some());
+}
+
+#[test]
+fn half_of_the_queue_is_cancelled_at_once() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    for i in 0..100 {
+        table.submit(spec("a", &format!("j{i}"), shape(1, 8, DOMAIN)), secs(100));
+    }
+    table.advance(secs(5));
+    for i in 0..50 {
+        let key = table.named(&format!("j{i}")).spec.key.clone();
+        table.tell(Event::Cancel(key));
+    }
+    table.advance(secs(5));
+    assert_eq!(table.named("j0").ended, Some(Ending::Cancelled { ran: true }));
+    assert_eq!(table.named("j1").ended, Some(Ending::Cancelled { ran: false }));
+    assert!(table.named("j50").ended.is_none());
+}
+
+#[test]
+fn a_domain_that_leaves_starts_nothing_and_hands_over() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let mut firm = spec("a", "firm", shape(1, 4, DOMAIN));
+    firm.idempotent = false;
+    table.submit(firm, secs(60));
+    table.submit(spec("a", "runs", shape(1, 4, DOMAIN)), secs(100));
+    table.submit(spec("a", "waits", shape(1, 8, DOMAIN)), secs(100));
+    table.advance(secs(5));
+    table.service(Service::Out);
+    table.advance(secs(10));
+    assert!(table.named("waits").handed && table.named("runs").handed);
+    table.submit(spec("a", "late", shape(1, 1, DOMAIN)), secs(1));
+    assert!(table.named("late").handed);
+    table.advance(secs(60));
+    assert!(matches!(table.named("firm").ended, Some(Ending::Completed { .. })));
+}
+
+#[test]
+fn an_unfit_note_names_the_level() {
+    let gang = shape(3, 8, Adjacency::Rack);
+    let table = Table::open(1, 4, 2, vec![workspace("a", &[])]);
+    let mut share = table.share.clone();
+    share.workspaces = vec![workspace("a", &[(shape(2, 8, Adjacency::Rack), 2)])];
+    assert!(table.sched.fits(&share).is_ok());
+    share.workspaces = vec![workspace("a", &[(gang, 1)])];
+    let error = table.sched.fits(&share).unwrap_err();
+    assert_eq!(error.code(), Code::NoteUnfit);
+    assert!(error.text().contains("rack"), "{error}");
+}
+
+#[test]
+fn a_bad_worker_is_quarantined_probed_and_trusted_again() {
+    let mut table = Table::open(1, 8, 4, vec![workspace("a", &[])]);
+    table.broken = vec![table::worker_id(0)];
+    for i in 0..200 {
+        table.submit(spec("a", &format!("j{i}"), shape(1, 1, DOMAIN)), secs(20));
+        table.advance(secs(1));
+    }
+    table.advance(secs(30));
+    assert_eq!(table.quarantined, vec![table::worker_id(0)]);
+    table.broken.clear();
+    for i in 200..300 {
+        table.submit(spec("a", &format!("j{i}"), shape(1, 1, DOMAIN)), secs(20));
+        table.advance(secs(1));
+    }
+    table.advance(secs(600));
+    assert!(table.quarantined.is_empty());
+    assert!(table.records.iter().all(|r| matches!(r.ended, Some(Ending::Completed { .. }))));
+}
+
+#[test]
+fn a_wave_of_bad_jobs_leaves_good_workers_alone() {
+    let mut table = Table::open(1, 8, 4, vec![workspace("a", &[])]);
+    for i in 0..100 {
+        table.submit_as(spec("a", &format!("j{i}"), shape(1, 2, DOMAIN)), secs(20), true);
+        table.advance(secs(1));
+    }
+    table.advance(secs(600));
+    assert!(table.quarantined.is_empty(), "{:?}", table.quarantined);
+    assert!(table.records.iter().all(|r| matches!(r.ended, Some(Ending::Failed { .. }))));
+}
+
+#[test]
+fn a_large_gang_is_not_starved_by_small_jobs() {
+    let mut table = Table::open(1, 8, 4, vec![workspace("a", &[]), workspace("b", &[])]);
+    for i in 0..64 {
+        table.submit(spec("b", &format!("s{i}"), shape(1, 1, DOMAIN)), secs(60 + i));
+    }
+    table.advance(secs(5));
+    table.submit(spec("a", "gang", shape(4, 8, Adjacency::Rack)), secs(100));
+    for i in 64..900 {
+        table.submit(spec("b", &format!("s{i}"), shape(1, 1, DOMAIN)), secs(90));
+        table.advance(secs(1));
+    }
+    let (asked, started) = (table.named("gang").submitted, table.named("gang").started);
+    let waited = started.expect("starts").since(asked);
+    assert!(waited <= secs(300), "{waited}");
+}
+
+#[test]
+fn an_urgent_job_takes_the_guarantee_of_its_own_batch_work() {
+    let eight = shape(1, 8, DOMAIN);
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[(eight, 1)])]);
+    let mut batch = spec("a", "batch", eight);
+    batch.urgency = Urgency::Batch;
+    batch.checkpoint = true;
+    table.submit(batch, secs(1000));
+    table.advance(secs(10));
+    let mut urgent = spec("a", "urgent", eight);
+    urgent.urgency = Urgency::Urgent;
+    table.submit(urgent, secs(10));
+    let asked = table.now;
+    table.advance(START_MAX);
+    assert!(table.named("urgent").started.expect("starts").since(asked) <= START_MAX);
+    table.advance(secs(1200));
+    assert!(matches!(table.named("batch").ended, Some(Ending::Completed { .. })));
+}
+
+#[test]
+fn a_lost_worker_ends_a_gang_whole() {
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[])]);
+    let gang = spec("a", "gang", shape(2, 8, Adjacency::Rack));
+    table.submit(gang.clone(), secs(60));
+    table.advance(secs(10));
+    let actions = table.sched.decide(Event::WorkerLost(table::worker_id(0)), table.now);
+    let stopped = actions.iter().any(|action| {
+        matches!(action, bulrushlink_core::Action::Stop { reason: StopReason::GangIncomplete, .. })
+    });
+    assert!(stopped, "{actions:?}");
+}
