Check the fit of guarantees, tell the placer by gossip, and test nodes in memory

A note whose guarantees exceed the healthy hardware is refused with its level; one that touches no workspace passes with a warning, so that a domain can be taken out in an emergency. Heartbeats name the placer of the sender's domain: any contact with a domain then tells who places there, and the fixed fan-out is enough for routing. Three domains of nodes run against a store that is late, mute or down, with cuts, freezes and restarts.

--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -71,6 +71,9 @@
     pub code: Code,
     /// The version that the note would get.
     pub would_be: NoteVersion,
+    /// What the operator should know before applying it.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warning: Option<String>,
 }
 
 /// A desired state and what would change it.
@@ -111,6 +114,9 @@
     pub pending: Vec<DaemonId>,
     /// Time after which the pending ones surely start nothing on the older version.
     pub settled_in: Option<Span>,
+    /// What the operator should know although the note is accepted.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub warning: Option<String>,
 }
 
 /// One worker in the table of failure domains.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,8 +39,8 @@
     TASK_MAX_ACCELERATORS, TaskPlace, Urgency,
 };
 pub use note::{
-    Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, ReleaseNote, Removals,
-    Service, WorkspaceShare, WorkspaceSpec,
+    Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, RackStock, ReleaseNote,
+    Removals, Service, WorkspaceShare, WorkspaceSpec,
 };
 pub use route::{DomainView, route};
 pub use sched::{
--- a/crates/core/src/note.rs
+++ b/crates/core/src/note.rs
@@ -3,6 +3,8 @@
 //! The store holds the [`DesiredState`], never the notes. A [`ReleaseNote`] names the version it is
 //! based on, so that two operators who race get one winner and one clear conflict.
 
+mod fit;
+
 use derive_more::{Display, FromStr};
 use serde::{Deserialize, Serialize};
 
@@ -11,6 +13,8 @@
 use crate::job::Shape;
 use crate::units::Span;
 
+pub use fit::RackStock;
+
 /// Whether work may start in a failure domain.
 #[derive(Clone, Copy, Debug, Default, Display, FromStr, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -18,6 +18,8 @@
 /// Allowance beyond the lease before a silent worker is taken for lost: the time between two
 /// signs of life of a worker that lives.
 const LOST_MARGIN: Span = Span::from_secs(15);
+/// Time between two searches for workers that have become silent.
+const SWEEP_PERIOD: Span = Span::from_secs(1);
 
 /// What is known of one worker of the own failure domain.
 #[derive(Debug)]
@@ -45,6 +47,10 @@
     /// What `entries` show to others; lost workers are not in it.
     own: Vec<Host>,
     generation: u64,
+    /// Grows with every change of the set of `entries`.
+    roster: u64,
+    /// When the next search for silent workers is due.
+    sweep: Moment,
     /// Whether this daemon hears of all workers of the domain, and so may take one for lost.
     hears: bool,
     rng: fastrand::Rng,
@@ -61,6 +67,8 @@
             entries: Vec::new(),
             own: Vec::new(),
             generation: 0,
+            roster: 0,
+            sweep: now,
             hears: false,
             rng: fastrand::Rng::with_seed(seed),
         }
@@ -73,7 +81,10 @@
             let call = cx.out.hosts();
             self.read.sent(call, cx.now);
         }
-        self.refresh(cx.now);
+        if cx.now >= self.sweep {
+            self.sweep = cx.now + SWEEP_PERIOD;
+            self.refresh(cx.now);
+        }
     }
 
     /// Takes a list. A fault changes nothing: the last list goes on.
@@ -113,6 +124,7 @@
                     let entry =
                         Entry { host: host.clone(), listed: true, leaving: false, seen: now };
                     self.entries.insert(i, entry);
+                    self.roster += 1;
                 }
             }
         }
@@ -123,9 +135,14 @@
     /// list that says that it leaves: new work stays away from a worker of which either says so.
     pub(crate) fn on_leaving(&mut self, worker: &WorkerId, leaving: bool, now: Moment) {
         if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
-            self.entries[i].seen = now;
-            self.entries[i].leaving = leaving;
-            self.refresh(now);
+            let entry = &mut self.entries[i];
+            let back = now.since(entry.seen) > self.lapse;
+            let news = entry.leaving != leaving;
+            entry.seen = now;
+            entry.leaving = leaving;
+            if news || back {
+                self.refresh(now);
+            }
         }
     }
 
@@ -143,7 +160,9 @@
     fn refresh(&mut self, now: Moment) {
         let (lapse, hears) = (self.lapse, self.hears);
         let silent = |entry: &Entry| now.since(entry.seen) > lapse;
+        let before = self.entries.len();
         self.entries.retain(|entry| entry.listed || !silent(entry));
+        self.roster += (before - self.entries.len()) as u64;
         let shown = self.entries.iter().filter(|entry| !(hears && silent(entry)));
         let own: Vec<_> = shown.map(Entry::shown).collect();
         if own != self.own {
@@ -162,6 +181,17 @@
         self.entries.iter().map(|entry| &entry.host)
     }
 
+    /// Returns a worker that [`Self::known`] lists.
+    pub(crate) fn find(&self, worker: &WorkerId) -> Option<&Host> {
+        let i = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)).ok()?;
+        Some(&self.entries[i].host)
+    }
+
+    /// Grows with every change of the set of workers that [`Self::known`] lists.
+    pub(crate) fn roster(&self) -> u64 {
+        self.roster
+    }
+
     /// Lists the workers of all failure domains, sorted by worker.
     pub(crate) fn all(&self) -> &[Host] {
         &self.all
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -8,7 +8,7 @@
 #[cfg(test)]
 mod tests;
 
-use bulrushlink_api::{EdgeFault, Host, WorkerBatch, WorkerOp, WorkerReply};
+use bulrushlink_api::{EdgeFault, WorkerBatch, WorkerOp, WorkerReply};
 use bulrushlink_core::{DaemonId, Moment, Span, WorkerId};
 
 use crate::edge::{CallId, Context, Duty};
@@ -43,6 +43,8 @@
     id: DaemonId,
     /// The workers of this daemon's share, sorted.
     charges: Vec<Charge>,
+    /// What `charges` were chosen from: the live daemons and the roster of the hosts.
+    chosen: (Vec<DaemonId>, u64),
     reports: Reports,
     placer: Option<DaemonId>,
     rng: fastrand::Rng,
@@ -54,6 +56,7 @@
         Self {
             id: settings.daemon.clone(),
             charges: Vec::new(),
+            chosen: (Vec::new(), 0),
             reports: Reports::open(incarnation),
             placer: None,
             rng: fastrand::Rng::with_seed(seed),
@@ -77,11 +80,12 @@
                 charge.full = cx.now;
             }
         }
-        self.share(hosts, live, cx);
-        for host in hosts.known() {
-            if let Ok(i) = self.charges.binary_search_by(|c| c.worker.cmp(&host.id)) {
-                self.renew(i, host, cx);
-            }
+        if self.chosen.0 != live || self.chosen.1 != hosts.roster() {
+            self.chosen = (live.to_vec(), hosts.roster());
+            self.share(hosts, live, cx);
+        }
+        for charge in &mut self.charges {
+            charge.renew(hosts, &self.id, cx);
         }
         if let Some(placer) = &self.placer {
             self.reports.repeat(placer, cx);
@@ -119,23 +123,6 @@
         }
     }
 
-    fn renew(&mut self, i: usize, host: &Host, cx: &mut Context<'_>) {
-        let timing = cx.settings.timing;
-        let charge = &mut self.charges[i];
-        if !charge.renew.is_due(cx.now, timing.worker + timing.worker) {
-            return;
-        }
-        charge.asked = cx.now >= charge.full;
-        let batch = WorkerBatch {
-            from: self.id.clone(),
-            ops: vec![WorkerOp::RenewAll { lease: timing.lease }],
-            all: charge.asked,
-        };
-        let to = (&host.id, host.addr);
-        let call = cx.out.worker(Duty::Keeper, to, batch, timing.worker);
-        charge.renew.sent(call, cx.now);
-    }
-
     /// Takes a worker's answer.
     pub(crate) fn on_worker(
         &mut self,
@@ -209,3 +196,23 @@
         })
     }
 }
+
+impl Charge {
+    /// Renews the leases of the worker if that is due.
+    fn renew(&mut self, hosts: &Hosts, from: &DaemonId, cx: &mut Context<'_>) {
+        let timing = cx.settings.timing;
+        if !self.renew.is_due(cx.now, timing.worker + timing.worker) {
+            return;
+        }
+        let Some(host) = hosts.find(&self.worker) else { return };
+        self.asked = cx.now >= self.full;
+        let batch = WorkerBatch {
+            from: from.clone(),
+            ops: vec![WorkerOp::RenewAll { lease: timing.lease }],
+            all: self.asked,
+        };
+        let to = (&host.id, host.addr);
+        let call = cx.out.worker(Duty::Keeper, to, batch, timing.worker);
+        self.renew.sent(call, cx.now);
+    }
+}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -156,6 +156,7 @@
 
     fn send(&self, i: usize, ask: bool, cx: &mut Context<'_>) {
         let peer = &self.peers[i];
+        let placer = self.placer(&self.domain, cx.now);
         let echo = peer.stamp.map(|stamp| Echo { incarnation: peer.incarnation, stamp });
         let heartbeat = Heartbeat {
             incarnation: self.incarnation,
@@ -165,7 +166,8 @@
             version: self.own.version,
             phase: self.own.phase,
             placing: self.own.placing,
-            load: self.own.load,
+            load: placer.as_ref().map(|id| self.load(id)).unwrap_or_default(),
+            placer,
             contact: self.contact.map(|contact| cx.now.since(contact)),
         };
         cx.out.peer(&peer.id, PeerMessage::Heartbeat(heartbeat));
--- a/crates/daemon/src/members/peer.rs
+++ b/crates/daemon/src/members/peer.rs
@@ -24,6 +24,9 @@
     pub(super) since: Moment,
     pub(super) phase: Phase,
     pub(super) placing: bool,
+    /// Who places in its failure domain, as it knows.
+    pub(super) placer: Option<DaemonId>,
+    /// Load of its failure domain, as it knows.
     pub(super) load: Load,
     /// The contact that it vouches with, on this daemon's clock or earlier; `None` while it
     /// vouches for nothing.
@@ -43,6 +46,7 @@
             since: Moment::default(),
             phase: Phase::Joining,
             placing: false,
+            placer: None,
             load: Load::default(),
             contact: None,
         }
@@ -70,6 +74,7 @@
         self.echoed = self.echoed.max(echoed);
         self.phase = beat.phase;
         self.placing = beat.placing;
+        self.placer.clone_from(&beat.placer);
         self.load = beat.load;
         // The sender's age of its contact was taken after it had the echoed stamp.
         let contact = beat.contact.zip(echoed).map(|(age, stamp)| stamp - age);
--- a/crates/daemon/src/members/permit.rs
+++ b/crates/daemon/src/members/permit.rs
@@ -51,7 +51,7 @@
     /// Tells whether this daemon has heard recently enough to start work under `grace`.
     pub(crate) fn permit(&self, now: Moment, grace: Span) -> bool {
         let Some(contact) = self.contact else { return false };
-        let held = self.woke.is_some_and(|woke| contact <= woke && now.since(woke) < WAKE_HOLD);
+        let held = self.woke.is_some_and(|woke| contact < woke && now.since(woke) < WAKE_HOLD);
         !held && now.since(contact) <= grace
     }
 
--- a/crates/daemon/src/members/roles.rs
+++ b/crates/daemon/src/members/roles.rs
@@ -18,19 +18,32 @@
         live
     }
 
-    /// Names the daemon that places work in a failure domain. In the own one, who places already
-    /// goes on, so that a return or a new daemon moves nothing; among equals the rendezvous hash
-    /// decides. A daemon that hasn't made sure of its version can't start work and comes last.
+    /// Names the daemon that places work in a failure domain.
     pub(crate) fn placer(&self, domain: &DomainId, now: Moment) -> Option<DaemonId> {
-        let own = *domain == self.domain;
-        let rank = |id: &DaemonId| rank(domain.as_str(), id.as_str());
-        let peers = self.serving(domain, now).filter(|peer| own || peer.placing);
-        let mut ranked: Vec<_> =
-            peers.map(|p| ((p.vouches(), p.placing, rank(&p.id)), &p.id)).collect();
-        if own && self.own.phase == Phase::Ready && self.may_claim(now) {
-            ranked.push(((self.vouches(), self.own.placing, rank(&self.id)), &self.id));
+        if *domain == self.domain {
+            return self.choose(now);
         }
-        ranked.into_iter().max().map(|(_, id)| id.clone())
+        let source = self.source(domain, now)?;
+        source.placer.clone()
+    }
+
+    /// Chooses the placer of the own failure domain. Who places already goes on, so that a return
+    /// or a new daemon moves nothing; among equals the rendezvous hash decides. A daemon that
+    /// hasn't made sure of its version can't start work and comes last.
+    fn choose(&self, now: Moment) -> Option<DaemonId> {
+        let rank = |id: &DaemonId| rank(self.domain.as_str(), id.as_str());
+        let peers = self.serving(&self.domain, now);
+        let peers = peers.map(|p| ((p.vouches(), p.placing, rank(&p.id)), &p.id));
+        let able = self.own.phase == Phase::Ready && self.may_claim(now);
+        let own = ((self.vouches(), self.own.placing, rank(&self.id)), &self.id);
+        peers.chain(able.then_some(own)).max().map(|(_, id)| id.clone())
+    }
+
+    /// Returns the daemon of another failure domain whose word about that domain is the latest.
+    /// Any daemon of it knows the placer, so that one contact in turn with any tells enough.
+    fn source<'a>(&'a self, domain: &'a DomainId, now: Moment) -> Option<&'a Peer> {
+        let known = self.serving(domain, now).filter(|peer| peer.placer.is_some());
+        known.max_by_key(|peer| (peer.echoed, peer.placing))
     }
 
     /// Lists the failure domains for routing.
@@ -39,13 +52,18 @@
     }
 
     fn view(&self, domain: &DomainId, now: Moment) -> DomainView {
-        let placer = self.placer(domain, now);
-        let load = placer.as_ref().map(|id| self.load(id)).unwrap_or_default();
-        DomainView { id: domain.clone(), load, reachable: placer.is_some() }
+        let load = if *domain == self.domain {
+            self.choose(now).map(|id| self.load(&id))
+        } else {
+            self.source(domain, now).map(|peer| peer.load)
+        };
+        let reachable = load.is_some();
+        DomainView { id: domain.clone(), load: load.unwrap_or_default(), reachable }
     }
 
-    fn load(&self, id: &DaemonId) -> Load {
-        let peer = self.peers.binary_search_by(|peer| peer.id.cmp(id));
+    /// Returns the load of the own failure domain as its placer told it.
+    pub(super) fn load(&self, placer: &DaemonId) -> Load {
+        let peer = self.peers.binary_search_by(|peer| peer.id.cmp(placer));
         peer.map(|i| self.peers[i].load).unwrap_or(self.own.load)
     }
 
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -16,6 +16,8 @@
 use crate::settings::Settings;
 
 mod domains;
+#[cfg(test)]
+pub(crate) mod tests;
 
 /// The longest time between two inputs of a process that runs; ticks come far more often.
 const PAUSE_LIMIT: Span = Span(1500);
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -10,16 +10,16 @@
 #[cfg(test)]
 mod tests;
 
-use bulrushlink_api::{EdgeFault, Record, Revision, StoreReply, StoreRequest};
+use bulrushlink_api::{EdgeFault, Host, Record, Revision, StoreReply, StoreRequest};
 use bulrushlink_core::{DaemonId, DesiredState, Moment, NoteVersion, Span};
 
-use crate::edge::{CallId, Context, Duty, Token};
+use crate::edge::{CallId, Context, Duty};
 use crate::hash::rank;
 use crate::members::Members;
 use crate::peer::PeerMessage;
 use crate::settings::Settings;
 use crate::timer::{Repeat, jitter};
-use apply::Apply;
+use apply::{Acceptance, Apply};
 pub use head::{Accepted, Head};
 
 /// Key of the head.
@@ -45,7 +45,7 @@
     /// Operators' notes on their way to the store, bounded.
     applies: Vec<Apply>,
     /// Operators who get the acceptance of a version at the end of the present input.
-    accepted: Vec<(Token, NoteVersion)>,
+    accepted: Vec<Acceptance>,
     rng: fastrand::Rng,
 }
 
@@ -230,5 +230,5 @@
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Surroundings<'a> {
     /// The workers of all failure domains.
-    pub(crate) hosts: &'a [bulrushlink_api::Host],
+    pub(crate) hosts: &'a [Host],
 }
--- a/crates/daemon/src/notes/answer.rs
+++ b/crates/daemon/src/notes/answer.rs
@@ -1,7 +1,9 @@
 //! Answers operators from what is in force on this daemon.
 
-use bulrushlink_api::{ApplyAnswer, CheckAnswer, OperatorAnswer, OperatorCall, PlanAnswer};
-use bulrushlink_core::{Code, DesiredState, Error, NoteVersion, ReleaseNote};
+use bulrushlink_api::{ApplyAnswer, CheckAnswer, Host, OperatorAnswer, OperatorCall, PlanAnswer};
+use bulrushlink_core::{
+    Code, DesiredState, DomainId, Error, NoteVersion, RackStock, ReleaseNote, Service,
+};
 
 use super::apply::refuse;
 use super::{Notes, Surroundings};
@@ -32,8 +34,9 @@
 
     fn check(&self, note: &ReleaseNote, world: Surroundings<'_>) -> Result<OperatorAnswer, Error> {
         let next = self.base().try_apply(note)?;
-        check_fit(note, &next, world)?;
-        Ok(OperatorAnswer::Check(CheckAnswer { code: Code::Done, would_be: next.version }))
+        let warning = check_fit(note, &next, world.hosts)?;
+        let check = CheckAnswer { code: Code::Done, would_be: next.version, warning };
+        Ok(OperatorAnswer::Check(check))
     }
 
     fn diff(&self, note: &ReleaseNote) -> Result<OperatorAnswer, Error> {
@@ -54,13 +57,19 @@
 
     /// Answers the operators whose notes are accepted with what is in force where.
     pub(crate) fn answer_accepted(&mut self, members: &Members, cx: &mut Context<'_>) {
-        for (token, version) in std::mem::take(&mut self.accepted) {
-            let answer = self.acceptance(version, members, cx);
-            cx.out.push(Output::Operator(token, OperatorAnswer::Apply(answer)));
+        for accepted in std::mem::take(&mut self.accepted) {
+            let answer = self.acceptance(accepted.version, accepted.warning, members, cx);
+            cx.out.push(Output::Operator(accepted.token, OperatorAnswer::Apply(answer)));
         }
     }
 
-    fn acceptance(&self, version: NoteVersion, members: &Members, cx: &Context<'_>) -> ApplyAnswer {
+    fn acceptance(
+        &self,
+        version: NoteVersion,
+        warning: Option<String>,
+        members: &Members,
+        cx: &Context<'_>,
+    ) -> ApplyAnswer {
         let lapse = self.head.as_ref().map(|head| head.lapse).unwrap_or_default();
         let settlement = members.settlement(version, lapse, cx.now);
         ApplyAnswer {
@@ -69,15 +78,43 @@
             in_force: members.in_force(cx.now),
             pending: settlement.pending,
             settled_in: settlement.within,
+            warning,
         }
     }
 }
 
-/// Refuses a note whose guarantees don't fit the hardware.
+/// Refuses a note that promises guarantees which don't fit the hardware. A note that touches no
+/// workspace is let through with a warning: a failure domain has to be taken out in an emergency
+/// although the rest can't hold all guarantees then.
 pub(super) fn check_fit(
-    _note: &ReleaseNote,
-    _next: &DesiredState,
-    _world: Surroundings<'_>,
-) -> Result<(), Error> {
-    Ok(())
+    note: &ReleaseNote,
+    next: &DesiredState,
+    hosts: &[Host],
+) -> Result<Option<String>, Error> {
+    if hosts.is_empty() {
+        let text = "no host list yet: the guarantees were not compared with the hardware";
+        return Ok(Some(text.to_string()));
+    }
+    let shares = next.domains.iter().filter(|spec| spec.service == Service::In);
+    let mut shares = shares.filter_map(|spec| next.share(&spec.id));
+    let fit = shares.try_for_each(|share| share.fit(&stock(&share.domain, hosts)));
+    let Err(error) = fit else { return Ok(None) };
+    if note.added.workspaces.is_empty() && note.changed.workspaces.is_empty() {
+        return Ok(Some(error.to_string()));
+    }
+    Err(error)
+}
+
+fn stock(domain: &DomainId, hosts: &[Host]) -> Vec<RackStock> {
+    let mut racks: Vec<RackStock> = Vec::new();
+    for host in hosts.iter().filter(|host| host.domain == *domain && !host.leaving) {
+        match racks.binary_search_by(|stock| stock.rack.cmp(&host.rack)) {
+            Ok(i) => racks[i].workers.push(host.accelerators),
+            Err(i) => {
+                let workers = vec![host.accelerators];
+                racks.insert(i, RackStock { rack: host.rack.clone(), workers });
+            }
+        }
+    }
+    racks
 }
--- a/crates/daemon/src/notes/apply.rs
+++ b/crates/daemon/src/notes/apply.rs
@@ -7,6 +7,7 @@
 use bulrushlink_api::{EdgeFault, Expect, OperatorAnswer, Record, StoreReply, StoreRequest};
 use bulrushlink_core::{Code, Error, Moment, NoteVersion, ReleaseNote, Span};
 
+use super::answer::check_fit;
 use super::{FAULT_WAIT, HEAD_KEY, Head, Notes, Surroundings};
 use crate::edge::{CallId, Context, Duty, Output, Token};
 use crate::members::Members;
@@ -19,11 +20,20 @@
 /// Time to come back after the store was out of reach.
 const STORE_RETRY: Span = Span::from_secs(2);
 
+/// An operator who gets the acceptance of a note.
+#[derive(Debug)]
+pub(super) struct Acceptance {
+    pub(super) token: Token,
+    pub(super) version: NoteVersion,
+    pub(super) warning: Option<String>,
+}
+
 /// A write of the head.
 #[derive(Clone, Debug)]
 struct Write {
     head: Head,
     expect: Expect,
+    warning: Option<String>,
 }
 
 #[derive(Debug)]
@@ -60,7 +70,7 @@
     /// Begins to apply a note. One that was accepted before gets the same acceptance again.
     pub(super) fn begin(&mut self, token: Token, note: ReleaseNote, cx: &mut Context<'_>) {
         match self.head.as_ref().map_or(Ok(None), |head| head.find(&note)) {
-            Ok(Some(version)) => return self.accepted.push((token, version)),
+            Ok(Some(version)) => return self.accept(token, version, None),
             Ok(None) => {}
             Err(error) => return refuse(token, &error, cx),
         }
@@ -74,6 +84,10 @@
         self.applies.push(Apply { token, note, stage, until, doubtful: false });
     }
 
+    fn accept(&mut self, token: Token, version: NoteVersion, warning: Option<String>) {
+        self.accepted.push(Acceptance { token, version, warning });
+    }
+
     /// Takes a store's answer to a call for an operator's note.
     pub(super) fn on_apply(
         &mut self,
@@ -116,7 +130,7 @@
         };
         self.learn_record(record.as_ref());
         match next_write(&apply.note, record.as_ref(), members, world, cx.now) {
-            Ok(Step::Accepted(version)) => self.accepted.push((apply.token, version)),
+            Ok(Step::Accepted(version)) => self.accept(apply.token, version, None),
             Ok(Step::Write(write)) => self.write(apply, write, cx),
             Err(error) => refuse(apply.token, &error, cx),
         }
@@ -144,7 +158,7 @@
         let pause = match result {
             Ok(StoreReply::Done { at }) => {
                 self.revision = self.revision.max(at);
-                self.accepted.push((apply.token, write.head.state.version));
+                self.accept(apply.token, write.head.state.version, write.warning);
                 return self.learn(write.head);
             }
             Ok(StoreReply::Conflict { record }) => return self.on_conflict(apply, record, cx),
@@ -168,7 +182,7 @@
         self.learn_record(record.as_ref());
         match record.as_ref().map(Head::try_from).transpose() {
             Ok(head) => match head.unwrap_or_default().decide(&apply.note) {
-                Ok(version) => self.accepted.push((apply.token, version)),
+                Ok(version) => self.accept(apply.token, version, None),
                 Err(error) => refuse(apply.token, &error, cx),
             },
             Err(error) => refuse(apply.token, &error, cx),
@@ -222,8 +236,8 @@
     }
     let settled = members.settlement(head.state.version, head.lapse, now).done;
     let next = head.try_apply(note, settled)?;
-    super::answer::check_fit(note, &next.state, world)?;
-    Ok(Step::Write(Write { head: next, expect }))
+    let warning = check_fit(note, &next.state, world.hosts)?;
+    Ok(Step::Write(Write { head: next, expect, warning }))
 }
 
 fn give_up(apply: &Apply, cx: &mut Context<'_>) {
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,8 +5,8 @@
 
 use bulrushlink_api::TaskReport;
 use bulrushlink_core::{
-    Attempt, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal, Span, Why,
-    WorkerId,
+    Attempt, DaemonId, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal, Span,
+    Why, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
@@ -52,7 +52,9 @@
     pub phase: Phase,
     /// Whether the sender places work in its failure domain.
     pub placing: bool,
-    /// Load of the sender's failure domain, if it places there.
+    /// Who places work in the sender's failure domain, as the sender knows it.
+    pub placer: Option<DaemonId>,
+    /// Load of the sender's failure domain, as the sender knows it.
     pub load: Load,
     /// Age of the sender's latest contact: then, surely, there was no version above `version`.
     /// `None` while the sender hasn't made sure of its version since its start.
