Read settings and foreign JSON with the path of the wrong field

serde_json tells where in the text it gave up; following the text to there gives the path, so no further deserialiser is needed.

--- /dev/null
+++ b/crates/api/src/json/tests.rs
@@ -0,0 +1,53 @@
+use super::*;
+use crate::SubmitBody;
+
+const GOOD: &str = r#"{
+    "workspace": "rosters", "request": "r-1", "kind": "roster",
+    "shape": { "tasks": 2, "accelerators": 4, "adjacency": "rack" },
+    "declared": 60000
+}"#;
+
+fn path_of(text: &str) -> (Code, String) {
+    let error = from_json::<SubmitBody>(text).unwrap_err();
+    (error.code(), error.field().unwrap_or_default().to_string())
+}
+
+#[test]
+fn good_text_is_read() {
+    assert!(from_json::<SubmitBody>(GOOD).is_ok());
+}
+
+#[test]
+fn the_path_names_the_field_that_is_wrong() {
+    let cases = [
+        ("\"tasks\": 2", "\"tasks\": \"two\"", "/shape/tasks"),
+        ("\"tasks\": 2", "\"tasks\": 70000", "/shape/tasks"),
+        ("\"tasks\": 2, ", "", "/shape/tasks"),
+        ("\"tasks\": 2", "\"tasks\": 2, \"size\": 1", "/shape/size"),
+        ("\"rack\"", "\"row\"", "/shape/adjacency"),
+        ("\"r-1\"", "\"r 1\"", "/request"),
+        ("\"r-1\"", "17", "/request"),
+        ("60000", "-1", "/declared"),
+        ("60000", "60000, \"input\": [1, 2]", "/input"),
+        ("60000", "60000, \"colour\": 1", "/colour"),
+        ("\"workspace\": \"rosters\",", "", "/workspace"),
+    ];
+    for (from, to, path) in cases {
+        let text = GOOD.replace(from, to);
+        assert_eq!(path_of(&text), (Code::FieldInvalid, path.to_string()), "{text}");
+    }
+}
+
+#[test]
+fn elements_of_lists_are_numbered() {
+    let error = from_json::<Vec<Vec<u8>>>("[[1, 2], [3], [4, 300]]").unwrap_err();
+    assert_eq!(error.field(), Some("/2/1"));
+}
+
+#[test]
+fn what_is_not_json_is_malformed() {
+    for text in ["", "{", "{\"workspace\": }", "nonsense", "{\"a\": 1} trailing"] {
+        let error = from_json::<serde_json::Value>(text).unwrap_err();
+        assert_eq!(error.code(), Code::Malformed, "{text}");
+    }
+}
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -6,12 +6,14 @@
 
 mod caller;
 mod http;
+mod json;
 mod operator;
 mod platform;
 mod worker;
 
 pub use caller::{JobAnswer, JobList, JobState, ListQuery, StatusQuery, SubmitBody};
 pub use http::{Client, HttpReply};
+pub use json::from_json;
 pub use operator::{
     ApplyAnswer, CheckAnswer, DomainRow, DomainsAnswer, Dump, DumpSection, InForce, OperatorAnswer,
     OperatorCall, PlanAnswer, WorkerRow,
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -4,6 +4,11 @@
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
+mod check;
+mod span;
+#[cfg(test)]
+mod tests;
+
 /// A daemon of the deployment.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -47,29 +52,39 @@
     }
 }
 
-/// Periods and time-outs of a daemon, in milliseconds.
+/// Periods and time-outs of a daemon: text with a unit, such as `8s`, or a number of milliseconds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Timing {
     /// Between two heartbeats to each daemon of the own failure domain.
+    #[serde(deserialize_with = "span::read")]
     pub heartbeat: Span,
     /// Silence after which a daemon is taken for dead.
+    #[serde(deserialize_with = "span::read")]
     pub suspect: Span,
     /// Between two readings of the host list.
+    #[serde(deserialize_with = "span::read")]
     pub hosts: Span,
     /// Between two renewals of a worker's leases.
+    #[serde(deserialize_with = "span::read")]
     pub renew: Span,
     /// Lease of a confirmed task.
+    #[serde(deserialize_with = "span::read")]
     pub lease: Span,
     /// Lease of a reservation, and of a task until its confirmation.
+    #[serde(deserialize_with = "span::read")]
     pub reserve: Span,
     /// The longest wait of a store watch.
+    #[serde(deserialize_with = "span::read")]
     pub watch: Span,
     /// Time-out of a store call.
+    #[serde(deserialize_with = "span::read")]
     pub store: Span,
     /// Time-out of a worker call.
+    #[serde(deserialize_with = "span::read")]
     pub worker: Span,
     /// Longest time of a graceful stop.
+    #[serde(deserialize_with = "span::read")]
     pub drain: Span,
 }
 
