Put real edges around the node: HTTP, store, workers, hosts, peers

Thin but whole: stakker's loop with mio, bounded thread pools for the libraries that block, datagrams and TCP with a keyed MAC between daemons, bulrushlinkd as a program and as a handle.

--- a/crates/api/src/http.rs
+++ b/crates/api/src/http.rs
@@ -80,6 +80,26 @@
         Self::read(request.send_json(body))
     }
 
+    /// Sends a POST with a JSON body that has to be on its way within `within`.
+    ///
+    /// The connection is made, and the request handed to the operating system, within that time;
+    /// how long the network then takes can't be bounded here.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::get`].
+    pub fn post_within<T: Serialize>(
+        &self,
+        url: &str,
+        body: &T,
+        within: Span,
+    ) -> Result<HttpReply, Error> {
+        let connect = within.millis().min(CONNECT_TIMEOUT_MS);
+        let request = self.agent.post(url).config();
+        let request = request.timeout_connect(Some(Duration::from_millis(connect))).build();
+        Self::read(self.authorise(request).send_json(body))
+    }
+
     fn authorise<B>(&self, request: ureq::RequestBuilder<B>) -> ureq::RequestBuilder<B> {
         match &self.token {
             Some(token) => request.header("authorization", format!("Bearer {token}")),
--- /dev/null
+++ b/crates/daemon/src/caller_http.rs
@@ -0,0 +1,127 @@
+//! The listener for callers.
+
+use bulrushlink_api::{ListQuery, StatusQuery, SubmitBody, from_json};
+use bulrushlink_core::{Code, Error, JobKey, Span};
+use serde::Serialize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use tiny_http::{Method, Request};
+
+use crate::answers::Answer;
+use crate::edge::{CallerCall, Input};
+use crate::listener::{Front, Incoming, Outcome};
+
+#[cfg(test)]
+mod tests;
+
+/// Answer of `GET /ready`.
+#[derive(Debug, Serialize)]
+struct ReadyAnswer {
+    ready: bool,
+}
+
+/// Reads callers' requests.
+pub(crate) struct CallerFront {
+    ready: Arc<AtomicBool>,
+}
+
+impl CallerFront {
+    /// `ready` tells whether the balancer may send new work here.
+    pub(crate) fn open(ready: Arc<AtomicBool>) -> Self {
+        Self { ready }
+    }
+
+    fn ready(&self) -> Answer {
+        let ready = self.ready.load(Ordering::SeqCst);
+        let code = if ready { Code::Done } else { Code::Stopping };
+        Answer::json(code, &ReadyAnswer { ready }, None)
+    }
+}
+
+impl Front for CallerFront {
+    fn admit(&self, _request: &Request) -> Result<(), Error> {
+        Ok(())
+    }
+
+    fn read(&self, incoming: Incoming) -> Result<Outcome, Error> {
+        if incoming.method == Method::Get && incoming.path == "/ready" {
+            return Ok(Outcome::Answer(self.ready()));
+        }
+        let call = read_call(&incoming)?;
+        Ok(Outcome::Ask(Box::new(move |token| Input::Caller(token, call))))
+    }
+
+    fn refuse(&self, error: &Error, retry: Option<Span>) -> Answer {
+        Answer::caller_error(error, retry)
+    }
+}
+
+fn read_call(incoming: &Incoming) -> Result<CallerCall, Error> {
+    let unknown = || no_such_path(incoming);
+    let rest = incoming.path.strip_prefix("/v1/jobs").ok_or_else(unknown)?;
+    let parts: Vec<&str> = rest.split('/').skip(1).collect();
+    match (&incoming.method, parts.as_slice()) {
+        (Method::Post, []) if rest.is_empty() => submit(incoming),
+        (Method::Get, [workspace]) => list(workspace, incoming),
+        (Method::Get, [workspace, request]) => status(key(workspace, request)?, incoming),
+        (Method::Delete, [workspace, request]) => Ok(CallerCall::Cancel(key(workspace, request)?)),
+        _ => Err(unknown()),
+    }
+}
+
+fn submit(incoming: &Incoming) -> Result<CallerCall, Error> {
+    let body: SubmitBody = from_json(&incoming.body)?;
+    body.spec().check()?;
+    Ok(CallerCall::Submit(body))
+}
+
+fn list(workspace: &str, incoming: &Incoming) -> Result<CallerCall, Error> {
+    let mut query = ListQuery { workspace: field("/workspace", workspace.parse())?, after: None };
+    for (name, value) in pairs(&incoming.query) {
+        match name {
+            "after" => query.after = Some(field("?after", value.parse())?),
+            _ => return Err(unknown_parameter(name)),
+        }
+    }
+    Ok(CallerCall::List(query))
+}
+
+fn status(key: JobKey, incoming: &Incoming) -> Result<CallerCall, Error> {
+    let mut query = StatusQuery { key, wait: None, why: false };
+    for (name, value) in pairs(&incoming.query) {
+        match (name, value) {
+            ("wait", value) => query.wait = Some(field("?wait", value.parse())?),
+            ("why", "1") => query.why = true,
+            ("why", "0") => query.why = false,
+            ("why", _) => return Err(Error::at(Code::FieldInvalid, "?why", "must be 0 or 1")),
+            _ => return Err(unknown_parameter(name)),
+        }
+    }
+    Ok(CallerCall::Status(query))
+}
+
+fn key(workspace: &str, request: &str) -> Result<JobKey, Error> {
+    Ok(JobKey {
+        workspace: field("/workspace", workspace.parse())?,
+        request: field("/request", request.parse())?,
+    })
+}
+
+fn field<T>(path: &str, parsed: Result<T, Error>) -> Result<T, Error> {
+    parsed.map_err(|error| error.under(path))
+}
+
+/// Identifiers and times need no escapes in URLs, so that none are read.
+fn pairs(query: &str) -> impl Iterator<Item = (&str, &str)> {
+    let parts = query.split('&').filter(|part| !part.is_empty());
+    parts.map(|part| part.split_once('=').unwrap_or((part, "")))
+}
+
+fn unknown_parameter(name: &str) -> Error {
+    Error::at(Code::FieldInvalid, format!("?{name}"), "unknown parameter")
+}
+
+/// Answers a path or method that there isn't.
+pub(crate) fn no_such_path(incoming: &Incoming) -> Error {
+    Error::new(Code::NoSuchPath, format!("there is no {} {}", incoming.method, incoming.path))
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,205 @@
+//! A whole daemon: its loop, its edges and its graceful stop.
+
+use bulrushlink_core::{Code, Error};
+use signal_hook::consts::{SIGINT, SIGTERM};
+use signal_hook::iterator::Signals;
+use stakker::sync::{Channel, ChannelGuard};
+use stakker::{ActorOwn, Stakker, actor, actor_new, call, fwd_to, ret_nop, ret_shutdown};
+use stakker_mio::MioPoll;
+use stakker_mio::mio::{Events, Poll};
+use std::net::{SocketAddr, TcpListener};
+use std::sync::mpsc::{Sender, channel};
+use std::thread::JoinHandle;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use crate::calls::Results;
+use crate::edge::Input;
+use crate::edges::Edges;
+use crate::json_log;
+use crate::listener::{bind, bound_addr};
+use crate::node::Node;
+use crate::peer_link::PeerSockets;
+use crate::runtime::NodeActor;
+use crate::settings::Settings;
+
+/// The longest sleep of the loop, in milliseconds.
+const WAIT_MAX_MS: u64 = 1_000;
+/// Events taken from the operating system at a time.
+const EVENTS_MAX: usize = 1_024;
+/// Priority of wake-ups by other threads in the poll loop.
+const WAKE_PRIORITY: u32 = 10;
+
+/// All sockets of a daemon.
+pub(crate) struct Sockets {
+    pub(crate) callers: TcpListener,
+    pub(crate) operators: TcpListener,
+    pub(crate) peers: PeerSockets,
+}
+
+/// What other threads may tell a running daemon.
+#[derive(Clone)]
+struct Control {
+    inputs: Channel<Input>,
+    kills: Channel<()>,
+}
+
+/// A running daemon.
+pub struct Daemon {
+    callers: SocketAddr,
+    operators: SocketAddr,
+    control: Control,
+    thread: JoinHandle<Result<(), Error>>,
+}
+
+impl Sockets {
+    fn bind(settings: &Settings) -> Result<Self, Error> {
+        let member = settings.member(&settings.daemon);
+        let peers = member.expect("checked settings name their own daemon").addr;
+        let fault = |e| Error::new(Code::Unreachable, format!("{peers}: {e}"));
+        Ok(Self {
+            callers: bind(settings.callers)?,
+            operators: bind(settings.operators)?,
+            peers: PeerSockets::bind(peers).map_err(fault)?,
+        })
+    }
+}
+
+impl Daemon {
+    /// Starts a daemon in a thread of its own.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::SettingsInvalid`] when the settings can't work, and [`Code::Unreachable`] when an
+    /// address can't be bound.
+    pub fn spawn(mut settings: Settings) -> Result<Self, Error> {
+        settings.check()?;
+        settings.members.sort_by(|a, b| a.id.cmp(&b.id));
+        let sockets = Sockets::bind(&settings)?;
+        let callers = bound_addr(&sockets.callers)?;
+        let operators = bound_addr(&sockets.operators)?;
+        let (sender, receiver) = channel();
+        let name = settings.daemon.to_string();
+        let thread = std::thread::Builder::new()
+            .name(name)
+            .spawn(move || run_loop(settings, sockets, &sender))
+            .map_err(|e| Error::new(Code::Unreachable, e.to_string()))?;
+        let Ok(control) = receiver.recv() else {
+            let result = thread.join().unwrap_or_else(|e| std::panic::resume_unwind(e));
+            return Err(result.err().unwrap_or_else(|| Error::new(Code::Unreachable, "no start")));
+        };
+        Ok(Self { callers, operators, control, thread })
+    }
+
+    /// Runs a daemon until SIGTERM or SIGINT and its graceful stop.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::spawn`].
+    pub fn run(settings: Settings) -> Result<(), Error> {
+        json_log::open(&settings.log, &settings.daemon)?;
+        let signals = Signals::new([SIGTERM, SIGINT]);
+        let mut signals = signals.map_err(|e| Error::new(Code::Unreachable, e.to_string()))?;
+        let daemon = Self::spawn(settings)?;
+        let inputs = daemon.control.inputs.clone();
+        std::thread::spawn(move || {
+            for signal in signals.forever() {
+                log::info!("signal {signal}: graceful stop");
+                inputs.send(Input::Stop);
+            }
+        });
+        daemon.join()
+    }
+
+    /// Returns the address of the listener for callers.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Returns the address of the listener for operators.
+    pub fn operators(&self) -> SocketAddr {
+        self.operators
+    }
+
+    /// Stops gracefully: no request is cut, and owned work is handed on.
+    ///
+    /// # Errors
+    ///
+    /// What ended the daemon, if it wasn't this.
+    pub fn stop(self) -> Result<(), Error> {
+        self.control.inputs.send(Input::Stop);
+        self.join()
+    }
+
+    /// Ends the daemon without any farewell, as the loss of its host does.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::stop`].
+    pub fn kill(self) -> Result<(), Error> {
+        self.control.kills.send(());
+        self.join()
+    }
+
+    fn join(self) -> Result<(), Error> {
+        self.thread.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))
+    }
+}
+
+/// Runs the loop until the edges shut it down.
+fn run_loop(settings: Settings, sockets: Sockets, ready: &Sender<Control>) -> Result<(), Error> {
+    let fault = |e: std::io::Error| Error::new(Code::Unreachable, e.to_string());
+    let origin = Instant::now();
+    let mut stakker = Stakker::new(origin);
+    let poll = Poll::new().map_err(fault)?;
+    let events = Events::with_capacity(EVENTS_MAX);
+    let miopoll = MioPoll::new(&mut stakker, poll, events, WAKE_PRIORITY).map_err(fault)?;
+    let daemon = start(&mut stakker, settings, sockets, origin, ready)?;
+    let mut idle_pending = stakker.run(Instant::now(), false);
+    let mut io_pending = false;
+    while stakker.not_shutdown() {
+        let longest = Duration::from_millis(WAIT_MAX_MS);
+        let busy = idle_pending || io_pending;
+        let wait = stakker.next_wait_max(Instant::now(), longest, busy);
+        let (active, pending) = miopoll.poll(wait).map_err(fault)?;
+        io_pending = pending;
+        idle_pending = stakker.run(Instant::now(), !active);
+    }
+    daemon.results.close();
+    let reason = stakker.shutdown_reason().map(|cause| cause.to_string()).unwrap_or_default();
+    log::info!("daemon has stopped: {reason}");
+    Ok(())
+}
+
+/// Keeps the actors alive.
+struct Running {
+    _node: ActorOwn<NodeActor>,
+    _edges: ActorOwn<Edges>,
+    _guards: [ChannelGuard; 2],
+    results: Results,
+}
+
+fn start(
+    stakker: &mut Stakker,
+    settings: Settings,
+    sockets: Sockets,
+    origin: Instant,
+    ready: &Sender<Control>,
+) -> Result<Running, Error> {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let (wall, incarnation) = (wall.as_millis() as u64, wall.as_nanos() as u64);
+    let node = actor_new!(stakker, NodeActor, ret_shutdown!(stakker));
+    let input = fwd_to!([node], input() as (Input));
+    let (inputs, inputs_guard) = Channel::new(stakker, input);
+    let results = Results::open(settings.daemon.clone(), inputs.clone());
+    let edges = Edges::open(&settings, sockets, incarnation, results.clone(), origin)?;
+    let edges = actor!(stakker, Edges::init(edges, node.clone()), ret_nop!());
+    let (kills, kills_guard) = Channel::new(stakker, fwd_to!([edges], kill() as (())));
+    let state = Node::open(settings, Default::default(), wall, incarnation);
+    let outputs = fwd_to!([edges], output() as (crate::edge::Output));
+    let views = fwd_to!([edges], view() as (crate::runtime::NodeView));
+    call!([node], NodeActor::init(state, origin, outputs, views));
+    ready
+        .send(Control { inputs, kills })
+        .map_err(|_| Error::new(Code::Unreachable, "the starter is gone"))?;
+    Ok(Running { _node: node, _edges: edges, _guards: [inputs_guard, kills_guard], results })
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -6,19 +6,38 @@
 //! vertical slice with its state, messages and tests: [`members`], [`notes`], [`hosts`],
 //! [`intake`], [`placer`], [`journal`] and [`keeper`].
 
+mod answers;
+mod caller_http;
+mod calls;
+mod command;
+mod daemon;
 mod edge;
+mod edges;
 mod hosts;
+mod hosts_edge;
 mod intake;
 mod journal;
+mod json_log;
 mod keeper;
+mod listener;
 mod members;
+mod metrics_page;
 mod node;
 mod notes;
+mod operator_http;
 mod peer;
+mod peer_link;
 mod placer;
+mod pool;
+mod runtime;
 mod settings;
+mod store_edge;
+mod worker_edge;
 
+pub use command::run;
+pub use daemon::Daemon;
 pub use edge::{CallId, CallerCall, CallerReply, Duty, Input, Outbox, Output, Token};
 pub use node::Node;
 pub use peer::{Echo, Heartbeat, JobStatus, PeerMessage, Phase};
+pub use runtime::{NodeActor, NodeView, moment};
 pub use settings::{Limits, Member, Settings, Timing};
--- /dev/null
+++ b/crates/daemon/src/listener/body.rs
@@ -0,0 +1,46 @@
+//! Bodies of requests, within bounds that the library doesn't have.
+
+use bulrushlink_core::{Code, Error};
+use std::io::Read;
+use tiny_http::{Request, Response};
+
+/// The library has read bodies up to this size before it hands a request on, in bytes.
+const BUFFERED_MAX_BYTES: usize = 1_024;
+/// The largest announced body that the library may discard, in bytes.
+const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
+
+/// Tells whether the body is there already, so that reading it can't wait for the client.
+pub(super) fn is_buffered(request: &Request) -> bool {
+    let chunked = request.headers().iter().any(|h| h.field.equiv("Transfer-Encoding"));
+    !chunked && request.body_length().is_none_or(|length| length <= BUFFERED_MAX_BYTES)
+}
+
+/// Reads the body as text.
+pub(super) fn read(request: &mut Request, limit: usize) -> Result<String, Error> {
+    let too_large = || Error::new(Code::TooLarge, format!("the body is over {limit} bytes"));
+    if request.body_length().is_some_and(|length| length > limit) {
+        return Err(too_large());
+    }
+    let mut bytes = Vec::new();
+    let read = request.as_reader().take(limit as u64 + 1).read_to_end(&mut bytes);
+    read.map_err(|error| Error::new(Code::Malformed, format!("the body broke off: {error}")))?;
+    if bytes.len() > limit {
+        return Err(too_large());
+    }
+    String::from_utf8(bytes).map_err(|_| Error::new(Code::Malformed, "the body is not UTF-8"))
+}
+
+/// Tells whether the announced body is too large for the library to discard.
+pub(super) fn is_abandoned(request: &Request, limit: usize) -> bool {
+    request.body_length().is_some_and(|length| length > limit.max(DISCARD_MAX_BYTES))
+}
+
+/// Answers a request and leaves its connection alone for good.
+///
+/// The library discards an unread body through a buffer as long as the announced length, so that
+/// one header could end the process for lack of memory. The reader is leaked instead, which costs
+/// the connection and its thread, as an idle connection does.
+pub(super) fn abandon(request: Request, status: u16, body: String) {
+    let response = Response::from_string(body).with_status_code(status);
+    std::mem::forget(request.upgrade("none", response));
+}
--- /dev/null
+++ b/crates/daemon/src/peer_link.rs
@@ -0,0 +1,277 @@
+//! Messages between daemons: small ones as datagrams, larger ones over TCP.
+//!
+//! Delivery is never promised: whatever can't be sent now is dropped and counted, because every
+//! exchange is repeated by the side that wants something. That keeps all queues bounded.
+
+use bulrushlink_core::{Code, DaemonId};
+use stakker::{CX, Fwd, after, fwd_to};
+use stakker_mio::mio::Interest;
+use stakker_mio::mio::net::{TcpListener, UdpSocket};
+use stakker_mio::{MioPoll, MioSource, ReadStatus, Ready};
+use std::io::ErrorKind;
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use crate::peer::PeerMessage;
+use crate::settings::Settings;
+use frame::{Frames, Rejection, Way};
+use inbound::Inbound;
+use outbound::Outbound;
+
+mod frame;
+mod inbound;
+mod outbound;
+#[cfg(test)]
+mod tests;
+
+/// The largest frame that goes as a datagram, in bytes; it fits every usual path unfragmented.
+const DATAGRAM_MAX_BYTES: usize = 1_200;
+/// The largest frame over TCP, in bytes.
+const FRAME_MAX_BYTES: usize = 4 * 1024 * 1024;
+/// Period of looking for stalled connections, in milliseconds.
+const SWEEP_MS: u64 = 500;
+/// Priority of the sockets in the poll loop.
+const POLL_PRIORITY: u32 = 5;
+/// Pause after so many datagrams, in milliseconds.
+const TURN_PAUSE_MS: u64 = 1;
+/// Datagrams read before other work gets its turn.
+const DATAGRAMS_PER_TURN: usize = 256;
+
+/// A message from a peer whose MAC was right.
+#[derive(Debug)]
+pub(crate) struct Heard {
+    pub(crate) from: DaemonId,
+    pub(crate) message: PeerMessage,
+}
+
+/// The sockets of a link, bound before the loop runs so that a failure is told at once.
+#[derive(Debug)]
+pub(crate) struct PeerSockets {
+    udp: std::net::UdpSocket,
+    tcp: std::net::TcpListener,
+}
+
+impl PeerSockets {
+    /// Binds UDP and TCP on the same address.
+    pub(crate) fn bind(addr: SocketAddr) -> std::io::Result<Self> {
+        let tcp = std::net::TcpListener::bind(addr)?;
+        let udp = std::net::UdpSocket::bind(addr)?;
+        tcp.set_nonblocking(true)?;
+        udp.set_nonblocking(true)?;
+        Ok(Self { udp, tcp })
+    }
+}
+
+/// The actor that owns the sockets.
+pub(crate) struct PeerLink {
+    own: DaemonId,
+    frames: Frames,
+    udp: MioSource<UdpSocket>,
+    tcp: MioSource<TcpListener>,
+    /// One for each other member, sorted by id.
+    outbound: Vec<Outbound>,
+    /// Sorted by ordinal.
+    inbound: Vec<Inbound>,
+    /// Ordinal of the latest inbound connection.
+    accepted: u64,
+    inbound_max: usize,
+    heard: Fwd<Heard>,
+}
+
+impl PeerLink {
+    pub(crate) fn init(
+        cx: CX![],
+        settings: Settings,
+        incarnation: u64,
+        sockets: PeerSockets,
+        heard: Fwd<Heard>,
+    ) -> Option<Self> {
+        let miopoll = cx.anymap_get::<MioPoll>();
+        let udp = UdpSocket::from_std(sockets.udp);
+        let tcp = TcpListener::from_std(sockets.tcp);
+        let datagrams = fwd_to!([cx], datagrams_ready() as (Ready));
+        let accept = fwd_to!([cx], accept_ready() as (Ready));
+        let udp = miopoll.add(udp, Interest::READABLE, POLL_PRIORITY, datagrams);
+        let tcp = miopoll.add(tcp, Interest::READABLE, POLL_PRIORITY, accept);
+        let others = || settings.members.iter().filter(|m| m.id != settings.daemon);
+        let names = others().map(|m| m.id.clone());
+        let frames = Frames::open(settings.daemon.clone(), incarnation, &settings.peer_key, names);
+        let outbound = others().map(|m| Outbound::open(m.id.clone(), m.addr, cx.now())).collect();
+        let inbound_max = 2 * settings.members.len();
+        after!(Duration::from_millis(SWEEP_MS), [cx], sweep());
+        Some(Self {
+            frames,
+            udp: udp.expect("a bound socket can be polled"),
+            tcp: tcp.expect("a bound socket can be polled"),
+            outbound,
+            inbound: Vec::new(),
+            accepted: 0,
+            inbound_max,
+            heard,
+            own: settings.daemon,
+        })
+    }
+
+    /// Sends a message if that is possible now.
+    pub(crate) fn send(&mut self, cx: CX![], to: DaemonId, message: PeerMessage) {
+        let Ok(i) = self.outbound.binary_search_by(|o| o.id.cmp(&to)) else {
+            return self.drop_one("unknown");
+        };
+        let Some(frame) = self.frames.seal(&to, Way::Datagram, &message) else {
+            return self.drop_one("unknown");
+        };
+        if frame.len() <= DATAGRAM_MAX_BYTES {
+            if self.udp.send_to(&frame, self.outbound[i].addr).is_err() {
+                self.drop_one("datagram");
+            }
+            return;
+        }
+        let frame = self.frames.seal(&to, Way::Stream, &message).unwrap_or_default();
+        if frame.len() > FRAME_MAX_BYTES {
+            log::error!(daemon:% = self.own, peer:% = to; "message of {} bytes", frame.len());
+            return self.drop_one("oversize");
+        }
+        let connected = self.connect(cx, i);
+        let target = &mut self.outbound[i];
+        if connected.is_err() || !target.push(&frame, cx.now()) {
+            self.drop_one("stream");
+        }
+    }
+
+    fn connect(&mut self, cx: CX![], i: usize) -> std::io::Result<()> {
+        let ready = fwd_to!([cx], outbound_ready(i) as (Ready));
+        let miopoll = cx.anymap_get::<MioPoll>();
+        self.outbound[i].connect(&miopoll, cx.now(), ready)
+    }
+
+    fn datagrams_ready(&mut self, cx: CX![], _: Ready) {
+        self.datagrams(cx);
+    }
+
+    fn datagrams(&mut self, cx: CX![]) {
+        let mut buffer = [0; DATAGRAM_MAX_BYTES + 1];
+        for _ in 0..DATAGRAMS_PER_TURN {
+            match self.udp.recv_from(&mut buffer) {
+                Ok((len, from)) if len > DATAGRAM_MAX_BYTES => {
+                    self.reject(Rejection::Oversize, from);
+                }
+                Ok((len, from)) => {
+                    self.take(&buffer[..len], Way::Datagram, from);
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                // Such as the answer of a host where nobody listens; the next one may be good.
+                Err(_) => {}
+            }
+        }
+        // The poll loop tells of more only after the socket was read empty.
+        after!(Duration::from_millis(TURN_PAUSE_MS), [cx], datagrams());
+    }
+
+    fn accept_ready(&mut self, cx: CX![], _: Ready) {
+        loop {
+            let (stream, from) = match self.tcp.accept() {
+                Ok(accepted) => accepted,
+                Err(error) if error.kind() == ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(error) => {
+                    log::warn!(daemon:% = self.own; "accept of a peer failed: {error}");
+                    return;
+                }
+            };
+            if self.inbound.len() >= self.inbound_max {
+                log::warn!(daemon:% = self.own; "too many connections of peers; closed {from}");
+                continue;
+            }
+            self.accepted += 1;
+            let ordinal = self.accepted;
+            let ready = fwd_to!([cx], inbound_ready(ordinal) as (Ready));
+            let miopoll = cx.anymap_get::<MioPoll>();
+            let interest = Interest::READABLE | Interest::WRITABLE;
+            match miopoll.add(stream, interest, POLL_PRIORITY, ready) {
+                Ok(source) => self.inbound.push(Inbound::open(ordinal, from, source, cx.now())),
+                Err(error) => log::warn!(daemon:% = self.own; "peer can't be polled: {error}"),
+            }
+        }
+    }
+
+    fn inbound_ready(&mut self, cx: CX![], ordinal: u64, _: Ready) {
+        let Ok(i) = self.inbound.binary_search_by(|c| c.ordinal.cmp(&ordinal)) else { return };
+        let open = loop {
+            let status = self.inbound[i].read();
+            if !self.take_frames(i, cx.now()) {
+                break false;
+            }
+            match status {
+                ReadStatus::NewData => {}
+                ReadStatus::WouldBlock => break true,
+                ReadStatus::EndOfStream | ReadStatus::Error(_) => break false,
+            }
+        };
+        if !open || !self.inbound[i].flush() {
+            self.inbound.remove(i);
+        }
+    }
+
+    /// Takes all whole frames of a connection, and tells whether all of them were good.
+    fn take_frames(&mut self, i: usize, now: Instant) -> bool {
+        let from = self.inbound[i].from;
+        loop {
+            match self.inbound[i].next_frame() {
+                Ok(None) => return true,
+                Ok(Some(frame)) if self.take(&frame, Way::Stream, from) => {
+                    self.inbound[i].acknowledge(now);
+                }
+                Ok(Some(_)) => return false,
+                Err(rejection) => {
+                    self.reject(rejection, from);
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// The members never change, so that the index of one is good for ever.
+    fn outbound_ready(&mut self, cx: CX![], i: usize, _: Ready) {
+        self.outbound[i].ready(cx.now());
+    }
+
+    fn sweep(&mut self, cx: CX![]) {
+        let now = cx.now();
+        self.inbound.retain(|c| !c.is_overdue(now));
+        self.outbound.iter_mut().for_each(|o| o.sweep(now));
+        after!(Duration::from_millis(SWEEP_MS), [cx], sweep());
+    }
+
+    /// Checks a frame and passes its message on; tells whether its sender can be trusted.
+    fn take(&mut self, frame: &[u8], way: Way, from: SocketAddr) -> bool {
+        match self.frames.unseal(frame, way) {
+            Ok((from, message)) => {
+                self.heard.fwd(Heard { from, message });
+                true
+            }
+            Err(rejection) => {
+                self.reject(rejection, from);
+                rejection == Rejection::Replayed
+            }
+        }
+    }
+
+    fn reject(&self, rejection: Rejection, from: SocketAddr) {
+        let daemon = self.own.to_string();
+        metrics::counter!(
+            "bulrushlink_peer_rejected_total",
+            "daemon" => daemon, "reason" => rejection.to_string()
+        )
+        .increment(1);
+        let code = Code::PeerRejected.number();
+        log::warn!(daemon:% = self.own, code = code; "frame of {from} rejected: {rejection}");
+    }
+
+    fn drop_one(&self, reason: &'static str) {
+        let daemon = self.own.to_string();
+        metrics::counter!(
+            "bulrushlink_peer_dropped_total", "daemon" => daemon, "reason" => reason
+        )
+        .increment(1);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer_link/tests.rs
@@ -0,0 +1,1 @@
+use super::*;
--- /dev/null
+++ b/src/bin/bulrushlinkd.rs
@@ -0,0 +1,19 @@
+//! One daemon of bulrushlink.
+
+use bulrushlink_core::Code;
+use std::process::ExitCode;
+
+/// Exit status of a wrong command line or wrong settings.
+const EXIT_USAGE: u8 = 2;
+
+fn main() -> ExitCode {
+    let args: Vec<String> = std::env::args().skip(1).collect();
+    match bulrushlink_daemon::run(&args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error}");
+            let usage = matches!(error.code(), Code::Usage | Code::SettingsInvalid);
+            if usage { ExitCode::from(EXIT_USAGE) } else { ExitCode::FAILURE }
+        }
+    }
+}
