--- /dev/null
+++ b/crates/daemon/src/intake/dump.rs
@@ -0,0 +1,28 @@
+//! The state of intake as JSON.
+
+use serde::Serialize;
+
+use super::Intake;
+use super::hold::Hold;
+
+#[derive(Serialize)]
+struct Dump<'a> {
+    holds: &'a [Hold],
+    submissions: u64,
+    store_down: bool,
+    /// Store calls since the start of the process.
+    store_calls: u64,
+}
+
+impl Intake {
+    /// Returns the state for a dump.
+    pub(crate) fn dump(&self) -> serde_json::Value {
+        let dump = Dump {
+            holds: &self.holds,
+            submissions: self.submissions,
+            store_down: self.journal.is_down(),
+            store_calls: self.journal.calls(),
+        };
+        serde_json::to_value(dump).unwrap_or_default()
+    }
+}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,8 @@
 mod settings;
 
 pub use edge::{CallId, CallerCall, CallerReply, Duty, Input, Outbox, Output, Token};
+pub use journal::SpecDigest;
 pub use node::Node;
 pub use peer::{Echo, Heartbeat, JobStatus, PeerMessage, Phase};
+pub use placer::{broken_gang_bound, partial_gang_bound};
 pub use settings::{Limits, Member, Settings, Timing};
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -10,6 +10,8 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::journal::SpecDigest;
+
 /// Life cycle of a daemon, as it tells others.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -77,8 +79,11 @@
     NotHere,
     /// The daemon doesn't place in this domain; ask the one that does.
     NotPlacing,
-    /// Refused for now, not run.
+    /// Refused for now, not run; the store has no trace of an earlier submission either.
     Refused(Refusal),
+    /// This submission is refused and won't run, but the store couldn't be asked whether an
+    /// earlier one with the same identifier was taken.
+    Unsure(Refusal),
 }
 
 /// A message between daemons.
@@ -105,6 +110,8 @@
         attempt: Attempt,
         /// Time since the submission.
         age: Span,
+        /// Names this submission in a refusal; the same in each repeat.
+        seq: u64,
     },
     /// Asks for the state of a job, now and on every change; answered by `Update`.
     Follow {
@@ -132,6 +139,10 @@
         status: JobStatus,
         /// The reason, if it was asked for.
         why: Option<Why>,
+        /// Digest of the job that the state is of; `None` when the state is of no job.
+        digest: Option<SpecDigest>,
+        /// The submission that is refused.
+        seq: Option<u64>,
     },
     /// Reports of tasks from a keeper of leases to the placer; answered by `ReportsTaken`.
     Reports {
--- /dev/null
+++ b/crates/daemon/src/placer/ending.rs
@@ -0,0 +1,163 @@
+//! The end of a job: durable first, then told, then forgotten by the workers.
+
+use bulrushlink_api::{Expect, StoreRequest, WorkerOp};
+use bulrushlink_core::{Attempt, Ending, JobKey, Moment, Span};
+
+use super::Placer;
+use super::job::{Claim, End, EndStep, Place, Said};
+use crate::edge::Context;
+use crate::journal::{DONE_RETENTION, DoneRecord, Outcome};
+use crate::placer::records::Tag;
+
+/// Time for which an ended job is remembered here.
+const ENDED_KEEP: Span = Span::from_secs(60);
+
+impl Placer {
+    /// Takes the scheduler's word that a job has ended.
+    pub(super) fn finish(&mut self, key: &JobKey, ending: Ending, cx: &mut Context<'_>) {
+        let Ok(i) = self.find(key) else { return };
+        let job = &mut self.jobs[i];
+        if job.gone || job.end.is_some() || matches!(job.place, Place::Out) {
+            return;
+        }
+        job.place = Place::Out;
+        job.cancel = None;
+        let ending = truthful(ending, job.attempt);
+        let step = EndStep::Open;
+        job.end = Some(End { ending, step, since: cx.now, unsure: false });
+        self.drive_end(i, cx);
+    }
+
+    /// Takes the next step of a job's end into the store.
+    pub(super) fn drive_end(&mut self, i: usize, cx: &mut Context<'_>) {
+        let job = &mut self.jobs[i];
+        let Some(end) = &mut job.end else { return };
+        if end.step != EndStep::Open {
+            return;
+        }
+        match job.claim {
+            Claim::Memory if !matches!(end.ending, Ending::Refused(_)) => {
+                end.step = EndStep::Settled;
+                self.forget_old(i, cx);
+            }
+            Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
+            Claim::Owned if job.writing.is_none() => self.write_done(i, cx),
+            _ => {}
+        }
+    }
+
+    /// Drops a record that was not sent yet, of a job that came to nothing.
+    fn take_back_record(&mut self, i: usize, cx: &mut Context<'_>) {
+        let tag = Tag::Record(self.jobs[i].key().clone());
+        if !self.journal.take_back(|other| *other == tag) {
+            return;
+        }
+        let job = &mut self.jobs[i];
+        job.writing = None;
+        job.claim = Claim::Memory;
+        if matches!(job.end.as_ref().map(|end| &end.ending), Some(Ending::Refused(_))) {
+            self.probe(i, cx);
+        } else {
+            self.drive_end(i, cx);
+        }
+    }
+
+    fn write_done(&mut self, i: usize, cx: &mut Context<'_>) {
+        self.seq += 1;
+        let job = &mut self.jobs[i];
+        let Some(end) = &mut job.end else { return };
+        end.step = EndStep::Writing;
+        let record = DoneRecord {
+            digest: job.digest.clone(),
+            ending: end.ending.clone(),
+            owner: self.own.clone(),
+            seq: self.seq,
+        };
+        let key = job.key().clone();
+        let request = StoreRequest::Put {
+            key: DoneRecord::path(&key),
+            value: record.text(),
+            expect: Expect::Absent,
+            lease: Some(DONE_RETENTION),
+        };
+        self.journal.call(Tag::Done(key), request, None, cx);
+    }
+
+    pub(super) fn on_done(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        let earlier = match outcome {
+            Outcome::Conflict(Some(record)) => DoneRecord::read(&record.value),
+            Outcome::Written(_) | Outcome::Conflict(None) => None,
+            _ => return,
+        };
+        let job = &mut self.jobs[i];
+        let Some(end) = &mut job.end else { return };
+        end.step = EndStep::Removing;
+        if let Some(done) = earlier {
+            if done.digest == job.digest && job.said != Some(Said::Ended) {
+                end.ending = done.ending;
+            }
+        }
+        self.remove(i, cx);
+    }
+
+    pub(super) fn remove(&mut self, i: usize, cx: &mut Context<'_>) {
+        let job = &self.jobs[i];
+        let key = job.key().clone();
+        let Some(kept) = &job.kept else { return self.on_removed(i, cx) };
+        let request =
+            StoreRequest::Delete { key: crate::journal::JobRecord::path(&key), at: kept.at };
+        self.journal.call(Tag::Remove(key), request, None, cx);
+    }
+
+    pub(super) fn on_removed(&mut self, i: usize, cx: &mut Context<'_>) {
+        if let Some(end) = &mut self.jobs[i].end {
+            end.step = EndStep::Settled;
+        }
+        self.forget_old(i, cx);
+    }
+
+    /// Lets the workers forget the tasks of attempts that are over.
+    pub(super) fn forget_old(&mut self, i: usize, cx: &mut Context<'_>) {
+        let mut old = std::mem::take(&mut self.jobs[i].old);
+        old.sort();
+        for chunk in old.chunk_by(|a, b| a.0 == b.0) {
+            let ops = chunk.iter().map(|(_, id)| WorkerOp::Forget { id: id.clone() }).collect();
+            self.send_plain(&chunk[0].0, ops, cx);
+        }
+    }
+
+    /// Drops jobs that nothing is left of here.
+    pub(super) fn drop_gone(&mut self, cx: &Context<'_>) {
+        let (journal, active) = (&self.journal, self.is_active());
+        let now = cx.now;
+        self.jobs.retain(|job| {
+            let over =
+                job.gone || job.end.as_ref().is_some_and(|e| is_over(e, job.claim, active, now));
+            !over || journal.has(|tag| tag.key() == Some(job.key()))
+        });
+    }
+}
+
+/// Tells whether an ended job may be dropped. A refusal that left no record doesn't bind a later
+/// submission of the same request.
+fn is_over(end: &End, claim: Claim, active: bool, now: Moment) -> bool {
+    let loose = claim == Claim::Memory && matches!(end.ending, Ending::Refused(_));
+    end.step == EndStep::Settled && (loose || !active || now.since(end.since) > ENDED_KEEP)
+}
+
+/// Tells whether an ending says that nothing ran.
+const fn is_unrun(ending: &Ending) -> bool {
+    matches!(ending, Ending::Refused(_) | Ending::Cancelled { ran: false })
+}
+
+/// Never says "not run" of a job of which an earlier attempt may have run.
+fn truthful(ending: Ending, attempt: Attempt) -> Ending {
+    match ending {
+        Ending::Cancelled { ran } => Ending::Cancelled { ran: ran || attempt > Attempt(0) },
+        Ending::Refused(refusal) if attempt > Attempt(0) => {
+            let reason = format!("an earlier start may have run; given up: {}", refusal.reason);
+            Ending::Unknown { reason }
+        }
+        ending => ending,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/placer/job.rs
@@ -0,0 +1,222 @@
+//! A job as its placer knows it: what the store holds of it, and where it is on the workers.
+
+use bulrushlink_api::TaskId;
+use bulrushlink_core::{Attempt, DaemonId, Ending, JobKey, JobSpec, Moment, Span, WorkerId};
+use serde::Serialize;
+
+use crate::journal::{JobRecord, Kept, SpecDigest};
+use crate::peer::JobStatus;
+use crate::placer::gang::{Gang, Phase};
+
+/// Time for which a follower hears of changes without asking again.
+const FOLLOW_SPAN: Span = Span::from_secs(15);
+/// Time for which an idempotent job with a waiting caller waits for the store.
+pub(super) const STORE_PATIENCE: Span = Span(500);
+
+/// What the store holds of a job.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub(super) enum Claim {
+    /// Nothing that this owner knows of.
+    Memory,
+    /// Looks whether an earlier submission left a trace, to refuse this one truthfully.
+    Probing,
+    /// The record is being created.
+    Creating,
+    /// The record of another owner is being taken over.
+    Taking,
+    /// The record is this owner's; it reads whether the job has ended before.
+    Checking,
+    /// The record is this owner's, and the job is open.
+    Owned,
+}
+
+/// Where a job is.
+#[derive(Clone, Debug, Serialize)]
+pub(super) enum Place {
+    /// The scheduler doesn't know it.
+    Out,
+    /// Can't start in this domain any more; another one has to take it.
+    Leaving,
+    /// The scheduler has it.
+    Waiting,
+    /// On workers, or on its way there.
+    Placed(Box<Gang>),
+}
+
+/// How far the end of a job is on its way into the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub(super) enum EndStep {
+    /// Not written yet.
+    Open,
+    /// Being written.
+    Writing,
+    /// Durable; the open record is being removed.
+    Removing,
+    /// Nothing is left to do.
+    Settled,
+}
+
+/// The end of a job.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct End {
+    /// How it ended.
+    pub(super) ending: Ending,
+    /// How far it is.
+    pub(super) step: EndStep,
+    /// Moment of the end.
+    pub(super) since: Moment,
+    /// Whether the store couldn't be asked for earlier submissions.
+    pub(super) unsure: bool,
+}
+
+/// A state of a job in short, to see whether it has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Said {
+    Waiting(bool),
+    Running(bool),
+    Ended,
+}
+
+/// A daemon that wants to hear of a job.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Follower {
+    /// The daemon.
+    pub(super) daemon: DaemonId,
+    /// Moment up to which it hears of changes.
+    pub(super) until: Moment,
+    /// Its submissions, sorted.
+    pub(super) seqs: Vec<u64>,
+}
+
+/// A job.
+#[derive(Clone, Debug, Serialize)]
+pub(super) struct Job {
+    /// The job.
+    pub(super) spec: JobSpec,
+    /// Digest of `spec`.
+    pub(super) digest: SpecDigest,
+    /// Moment of the submission, as far as it lies within this process.
+    pub(super) submitted: Moment,
+    /// Age at `submitted`.
+    pub(super) age: Span,
+    /// Whether a caller keeps waiting on a connection somewhere.
+    pub(super) held: bool,
+    /// Last attempt that may have started.
+    pub(super) attempt: Attempt,
+    /// What the store holds.
+    pub(super) claim: Claim,
+    /// The last settled record.
+    #[serde(skip)]
+    pub(super) kept: Option<Kept>,
+    /// The record as it has to become.
+    #[serde(skip)]
+    pub(super) wanted: JobRecord,
+    /// The record that is being written.
+    #[serde(skip)]
+    pub(super) writing: Option<JobRecord>,
+    /// Where it is.
+    pub(super) place: Place,
+    /// Whether a start of it was sent that no checkpoint has undone.
+    pub(super) committed: bool,
+    /// Moment of a wish to cancel it that the scheduler hasn't heard of yet.
+    pub(super) cancel: Option<Moment>,
+    /// Its end, if it has ended.
+    pub(super) end: Option<End>,
+    /// Whether this owner has nothing to do with it any more.
+    pub(super) gone: bool,
+    /// Sorted by daemon.
+    pub(super) followers: Vec<Follower>,
+    /// What the followers heard last.
+    #[serde(skip)]
+    pub(super) said: Option<Said>,
+    /// Ended tasks that their workers still remember.
+    pub(super) old: Vec<(WorkerId, TaskId)>,
+}
+
+impl Job {
+    pub(super) const fn key(&self) -> &JobKey {
+        &self.spec.key
+    }
+
+    /// Returns the time since the submission.
+    pub(super) fn age(&self, now: Moment) -> Span {
+        self.age + now.since(self.submitted)
+    }
+
+    /// Tells whether the job may run without a record in the store.
+    pub(super) const fn is_light(&self) -> bool {
+        self.spec.idempotent && self.held
+    }
+
+    pub(super) fn follow(&mut self, daemon: &DaemonId, seq: Option<u64>, now: Moment) {
+        let until = now + FOLLOW_SPAN;
+        let found = self.followers.binary_search_by(|f| f.daemon.cmp(daemon));
+        let i = found.unwrap_or_else(|i| {
+            let seqs = Vec::new();
+            self.followers.insert(i, Follower { daemon: daemon.clone(), until, seqs });
+            i
+        });
+        let follower = &mut self.followers[i];
+        follower.until = until;
+        if let Some(seq) = seq
+            && let Err(at) = follower.seqs.binary_search(&seq)
+        {
+            follower.seqs.insert(at, seq);
+        }
+    }
+
+    /// Returns in short what followers may hear.
+    pub(super) fn said(&self, down: bool, now: Moment) -> Said {
+        let durable = self.claim == Claim::Owned;
+        if self.end.as_ref().is_some_and(|end| self.may_tell(end, down, now)) {
+            return Said::Ended;
+        }
+        match &self.place {
+            Place::Placed(gang) if gang.committed && !matches!(gang.phase, Phase::Committing) => {
+                Said::Running(durable)
+            }
+            _ => Said::Waiting(durable),
+        }
+    }
+
+    /// Returns what followers may hear.
+    pub(super) fn status(&self, down: bool, now: Moment) -> JobStatus {
+        let durable = self.claim == Claim::Owned;
+        match (self.said(down, now), &self.end) {
+            (Said::Ended, Some(end)) => match &end.ending {
+                Ending::Refused(refusal) if end.unsure => JobStatus::Unsure(refusal.clone()),
+                Ending::Refused(refusal) => JobStatus::Refused(refusal.clone()),
+                ending => JobStatus::Ended(ending.clone()),
+            },
+            (Said::Running(_), _) => JobStatus::Running { durable },
+            _ => JobStatus::Waiting { durable },
+        }
+    }
+
+    /// Tells whether its end was told to anybody.
+    pub(super) fn is_told(&self) -> bool {
+        self.said == Some(Said::Ended)
+    }
+
+    /// Tells whether an end may be told: what a later owner can't contradict doesn't wait for the
+    /// store when that is down.
+    fn may_tell(&self, end: &End, down: bool, now: Moment) -> bool {
+        let firm = matches!(
+            end.ending,
+            Ending::Completed { .. } | Ending::Failed { .. } | Ending::Unknown { .. }
+        );
+        let late = down || now.since(end.since) > STORE_PATIENCE;
+        end.step >= EndStep::Removing || firm && late
+    }
+
+    /// Tells whether tasks may start now as far as the store is concerned.
+    pub(super) fn is_recorded(&self, attempt: Attempt, down: bool, now: Moment) -> bool {
+        let intent = self.kept.as_ref().and_then(|kept| kept.record.intent.as_ref());
+        let waited = down || now.since(self.submitted) > STORE_PATIENCE;
+        match self.claim {
+            Claim::Owned if self.spec.idempotent => true,
+            Claim::Owned => intent.is_some_and(|intent| intent.attempt == attempt),
+            _ => self.is_light() && waited,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/placer/records.rs
@@ -0,0 +1,304 @@
+//! The placer's records in the store: who may start what, settled one write at a time.
+
+use bulrushlink_api::{Expect, Record, Revision, StoreRequest};
+use bulrushlink_core::{Ending, Event, JobKey, Moment, Span};
+
+use super::Placer;
+use super::gang::Verdict;
+use super::job::{Claim, End, EndStep, Place, Said};
+use crate::edge::Context;
+use crate::journal::{DoneRecord, JobRecord, Kept, OPEN_PREFIX, Outcome};
+use crate::peer::JobStatus;
+
+/// Time that the store has to say whether a refused job is known to it.
+const PROBE_BOUND: Span = Span::from_secs(1);
+
+/// What a store call of the placer is for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Tag {
+    /// Writes the record of an open job.
+    Record(JobKey),
+    /// Reads whether a job has ended before.
+    Check(JobKey),
+    /// Reads whether a refused job is open.
+    ProbeOpen(JobKey),
+    /// Reads whether a refused job has ended.
+    ProbeDone(JobKey),
+    /// Writes the end of a job.
+    Done(JobKey),
+    /// Removes the record of a job that has ended.
+    Remove(JobKey),
+    /// Lists open jobs.
+    Sweep,
+    /// Finds out whether the store answers again.
+    Health,
+}
+
+impl Tag {
+    pub(super) const fn key(&self) -> Option<&JobKey> {
+        match self {
+            Self::Record(key)
+            | Self::Check(key)
+            | Self::ProbeOpen(key)
+            | Self::ProbeDone(key)
+            | Self::Done(key)
+            | Self::Remove(key) => Some(key),
+            Self::Sweep | Self::Health => None,
+        }
+    }
+}
+
+impl Placer {
+    pub(super) fn on_outcome(&mut self, tag: Tag, outcome: Outcome, cx: &mut Context<'_>) {
+        if tag == Tag::Sweep {
+            return self.on_page(outcome, cx);
+        }
+        let Some(i) = tag.key().and_then(|key| self.find(key).ok()) else { return };
+        if self.jobs[i].gone {
+            return;
+        }
+        match tag {
+            Tag::Record(_) => self.on_record(i, outcome, cx),
+            Tag::Check(_) => self.on_check(i, outcome, cx),
+            Tag::ProbeOpen(_) => self.on_probe_open(i, outcome, cx),
+            Tag::ProbeDone(_) => self.on_probe_done(i, outcome, cx),
+            Tag::Done(_) => self.on_done(i, outcome, cx),
+            Tag::Remove(_) => self.on_removed(i, cx),
+            Tag::Sweep | Tag::Health => {}
+        }
+    }
+
+    /// Finds out whether the store answers again, if nothing else does.
+    pub(super) fn tick_store(&mut self, cx: &mut Context<'_>) {
+        if self.journal.is_down() && self.journal.open_calls() == 0 {
+            let request = StoreRequest::Get { key: OPEN_PREFIX.to_string() };
+            self.journal.call(Tag::Health, request, None, cx);
+        }
+    }
+
+    /// Begins to make a job durable.
+    pub(super) fn create(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+        self.jobs[i].claim = Claim::Creating;
+        self.put(i, until, cx);
+    }
+
+    /// Writes the record if it isn't yet as wanted.
+    pub(super) fn sync(&mut self, i: usize, cx: &mut Context<'_>) {
+        let job = &self.jobs[i];
+        let stale = job.kept.as_ref().is_some_and(|kept| kept.record != job.wanted);
+        if job.writing.is_none() && job.claim == Claim::Owned && stale {
+            self.put(i, None, cx);
+        }
+    }
+
+    fn put(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+        self.seq += 1;
+        let job = &mut self.jobs[i];
+        job.wanted.seq = self.seq;
+        job.writing = Some(job.wanted.clone());
+        let expect = job.kept.as_ref().map_or(Expect::Absent, |kept| Expect::At(kept.at));
+        let request = StoreRequest::Put {
+            key: JobRecord::path(job.key()),
+            value: job.wanted.text(),
+            expect,
+            lease: None,
+        };
+        let tag = Tag::Record(job.key().clone());
+        self.journal.call(tag, request, until, cx);
+    }
+
+    fn on_record(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        let writing = self.jobs[i].writing.take();
+        match (outcome, writing) {
+            (Outcome::Written(at), Some(record)) => self.on_kept(i, Kept { at, record }, cx),
+            (Outcome::Conflict(record), _) => self.on_conflict(i, record, cx),
+            (Outcome::Lost, _) if self.jobs[i].is_light() => self.jobs[i].claim = Claim::Memory,
+            (Outcome::Lost, _) => self.refuse_undurable(i, cx),
+            _ => {}
+        }
+    }
+
+    fn on_kept(&mut self, i: usize, kept: Kept, cx: &mut Context<'_>) {
+        let job = &mut self.jobs[i];
+        job.kept = Some(kept);
+        if matches!(job.claim, Claim::Creating | Claim::Taking) {
+            job.claim = Claim::Checking;
+            self.check(i, cx);
+            return;
+        }
+        self.sync(i, cx);
+        self.press_cancel(i, cx);
+        self.proceed(i, cx);
+        self.drive_end(i, cx);
+    }
+
+    /// Reads whether the job has ended before; it must not start until that is known.
+    fn check(&mut self, i: usize, cx: &mut Context<'_>) {
+        let key = self.jobs[i].key().clone();
+        let request = StoreRequest::Get { key: DoneRecord::path(&key) };
+        self.journal.call(Tag::Check(key), request, None, cx);
+    }
+
+    fn on_check(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        let Outcome::Found(found) = outcome else { return };
+        match found.and_then(|record| DoneRecord::read(&record.value)) {
+            Some(done) => self.end_as_done(i, done, cx),
+            None if self.jobs[i].kept.is_none() => self.abandon(i, JobStatus::NotPlacing, cx),
+            None => {
+                self.jobs[i].claim = Claim::Owned;
+                let key = self.jobs[i].key().clone();
+                self.enter(&key, cx);
+                self.sync(i, cx);
+                self.proceed(i, cx);
+                self.drive_end(i, cx);
+            }
+        }
+    }
+
+    /// Takes an end that another owner, or this one in an earlier life, has written.
+    fn end_as_done(&mut self, i: usize, done: DoneRecord, cx: &mut Context<'_>) {
+        self.withdraw(i, cx);
+        let same = self.jobs[i].digest == done.digest;
+        let job = &mut self.jobs[i];
+        job.claim = Claim::Owned;
+        let step = EndStep::Removing;
+        match &mut job.end {
+            Some(end) if job.said == Some(Said::Ended) => end.step = step,
+            _ => {
+                let (ending, since) = (done.ending, cx.now);
+                job.end = Some(End { ending, step, since, unsure: false });
+            }
+        }
+        if !same {
+            self.notify(i, &JobStatus::Conflict, cx);
+        }
+        self.remove(i, cx);
+        self.jobs[i].gone = !same;
+    }
+
+    /// Somebody else has changed the record.
+    fn on_conflict(&mut self, i: usize, found: Option<Record>, cx: &mut Context<'_>) {
+        let Some((at, record)) = found.and_then(|r| Some((r.at, JobRecord::read(&r.value)?)))
+        else {
+            self.jobs[i].kept = None;
+            self.jobs[i].claim = Claim::Checking;
+            return self.check(i, cx);
+        };
+        let job = &self.jobs[i];
+        if record.spec != job.spec {
+            return self.abandon(i, JobStatus::Conflict, cx);
+        }
+        if record.domain != self.domain {
+            return self.abandon(i, JobStatus::Elsewhere(record.domain), cx);
+        }
+        if job.claim == Claim::Creating || record.owner == self.own {
+            return self.take(i, at, record, cx);
+        }
+        self.abandon(i, JobStatus::NotPlacing, cx);
+    }
+
+    /// Takes over the record of an earlier owner: from then on its writes fail, and so it can't
+    /// settle the intent to start.
+    pub(super) fn take(&mut self, i: usize, at: Revision, record: JobRecord, cx: &mut Context<'_>) {
+        if record.intent.is_some() {
+            self.withdraw(i, cx);
+        }
+        let job = &mut self.jobs[i];
+        let cancelled = job.wanted.cancelled || record.cancelled;
+        job.attempt = job.attempt.max(record.attempt);
+        job.committed |= record.intent.is_some();
+        job.wanted = JobRecord {
+            owner: self.own.clone(),
+            epoch: record.epoch + 1,
+            attempt: job.attempt,
+            cancelled,
+            ..record.clone()
+        };
+        if cancelled && job.cancel.is_none() {
+            job.cancel = Some(cx.now);
+        }
+        job.kept = Some(Kept { at, record });
+        job.claim = Claim::Taking;
+        self.put(i, None, cx);
+    }
+
+    /// Gives a job up to another owner. What runs of it goes on for that one to find.
+    pub(super) fn abandon(&mut self, i: usize, status: JobStatus, cx: &mut Context<'_>) {
+        self.withdraw(i, cx);
+        self.notify(i, &status, cx);
+        self.jobs[i].gone = true;
+        let key = self.jobs[i].key().clone();
+        self.journal.take_back(|tag| tag.key() == Some(&key));
+    }
+
+    /// Makes the scheduler forget a job, and drops what is reserved for it.
+    pub(super) fn withdraw(&mut self, i: usize, cx: &mut Context<'_>) {
+        let key = self.jobs[i].key().clone();
+        match std::mem::replace(&mut self.jobs[i].place, Place::Out) {
+            Place::Out | Place::Leaving => {}
+            Place::Waiting => self.events.push_back(Event::Cancel(key)),
+            Place::Placed(gang) if gang.committed => {
+                self.events.push_back(Event::Unsettled(key, gang.attempt));
+            }
+            Place::Placed(gang) => {
+                self.release(&key, &gang, cx);
+                let fault = bulrushlink_core::StartFault::NotPermitted;
+                self.report_verdict(&key, gang.attempt, Verdict::NotStarted(None, fault));
+                self.events.push_back(Event::Cancel(key));
+            }
+        }
+    }
+
+    /// Looks whether an earlier submission left a trace, before "not run" may be said.
+    pub(super) fn probe(&mut self, i: usize, cx: &mut Context<'_>) {
+        let key = self.jobs[i].key().clone();
+        if self.journal.is_down() {
+            return self.settle_refusal(i, true);
+        }
+        self.jobs[i].claim = Claim::Probing;
+        let request = StoreRequest::Get { key: JobRecord::path(&key) };
+        self.journal.call(Tag::ProbeOpen(key), request, Some(cx.now + PROBE_BOUND), cx);
+    }
+
+    fn on_probe_open(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        match outcome {
+            Outcome::Found(Some(record)) => {
+                self.jobs[i].end = None;
+                self.jobs[i].claim = Claim::Creating;
+                self.on_conflict(i, Some(record), cx);
+            }
+            Outcome::Found(None) => {
+                let key = self.jobs[i].key().clone();
+                let request = StoreRequest::Get { key: DoneRecord::path(&key) };
+                let until = Some(cx.now + PROBE_BOUND);
+                self.journal.call(Tag::ProbeDone(key), request, until, cx);
+            }
+            _ => self.settle_refusal(i, true),
+        }
+    }
+
+    fn on_probe_done(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        match outcome {
+            Outcome::Found(Some(record)) => match DoneRecord::read(&record.value) {
+                Some(done) if done.digest == self.jobs[i].digest => {
+                    let (ending, since) = (done.ending, cx.now);
+                    let step = EndStep::Settled;
+                    self.jobs[i].end = Some(End { ending, step, since, unsure: false });
+                    self.jobs[i].claim = Claim::Memory;
+                }
+                _ => self.abandon(i, JobStatus::Conflict, cx),
+            },
+            Outcome::Found(None) => self.settle_refusal(i, false),
+            _ => self.settle_refusal(i, true),
+        }
+    }
+
+    fn settle_refusal(&mut self, i: usize, unsure: bool) {
+        let job = &mut self.jobs[i];
+        job.claim = Claim::Memory;
+        if let Some(end) = &mut job.end {
+            end.step = EndStep::Settled;
+            end.unsure = unsure && matches!(end.ending, Ending::Refused(_));
+        }
+    }
+}
