--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 //! [`intake`], [`placer`], [`journal`] and [`keeper`].
 
 mod edge;
+mod hash;
 mod hosts;
 mod intake;
 mod journal;
@@ -17,10 +18,12 @@
 mod peer;
 mod placer;
 mod settings;
+mod timer;
 
 pub use edge::{CallId, CallerCall, CallerReply, Duty, Input, Outbox, Output, Token};
 pub use journal::SpecDigest;
 pub use node::Node;
+pub use notes::{Accepted, Head};
 pub use peer::{Echo, Heartbeat, JobStatus, PeerMessage, Phase};
 pub use placer::{broken_gang_bound, partial_gang_bound};
 pub use settings::{Limits, Member, Settings, Timing};
--- /dev/null
+++ b/crates/daemon/src/notes/answer.rs
@@ -0,0 +1,120 @@
+//! Answers operators from what is in force on this daemon.
+
+use bulrushlink_api::{ApplyAnswer, CheckAnswer, Host, OperatorAnswer, OperatorCall, PlanAnswer};
+use bulrushlink_core::{
+    Code, DesiredState, DomainId, Error, NoteVersion, RackStock, ReleaseNote, Service,
+};
+
+use super::apply::refuse;
+use super::{Notes, Surroundings};
+use crate::edge::{Context, Output, Token};
+use crate::members::Members;
+
+impl Notes {
+    /// Handles `Check`, `Diff`, `Apply` and `Show`. All but `Apply` look at what is in force
+    /// here, which may be behind the head by the time that a note travels.
+    pub(crate) fn on_operator(
+        &mut self,
+        token: Token,
+        call: OperatorCall,
+        world: Surroundings<'_>,
+        cx: &mut Context<'_>,
+    ) {
+        let answer = match call {
+            OperatorCall::Apply(note) => return self.begin(token, note, cx),
+            OperatorCall::Check(note) => self.check(&note, world),
+            OperatorCall::Diff(note) => self.diff(&note),
+            _ => Ok(self.show()),
+        };
+        match answer {
+            Ok(answer) => cx.out.push(Output::Operator(token, answer)),
+            Err(error) => refuse(token, &error, cx),
+        }
+    }
+
+    fn check(&self, note: &ReleaseNote, world: Surroundings<'_>) -> Result<OperatorAnswer, Error> {
+        let next = self.base().try_apply(note)?;
+        let warning = check_fit(note, &next, world.hosts)?;
+        let check = CheckAnswer { code: Code::Done, would_be: next.version, warning };
+        Ok(OperatorAnswer::Check(check))
+    }
+
+    fn diff(&self, note: &ReleaseNote) -> Result<OperatorAnswer, Error> {
+        let base = self.base();
+        let desired = base.try_apply(note)?;
+        let changes = base.diff(&desired);
+        Ok(OperatorAnswer::Plan(PlanAnswer { code: Code::Done, desired, changes }))
+    }
+
+    fn show(&self) -> OperatorAnswer {
+        let plan = PlanAnswer { code: Code::Done, desired: self.base(), changes: Vec::new() };
+        OperatorAnswer::Plan(plan)
+    }
+
+    fn base(&self) -> DesiredState {
+        self.state().cloned().unwrap_or_default()
+    }
+
+    /// Answers the operators whose notes are accepted with what is in force where.
+    pub(crate) fn answer_accepted(&mut self, members: &Members, cx: &mut Context<'_>) {
+        for accepted in std::mem::take(&mut self.accepted) {
+            let answer = self.acceptance(accepted.version, accepted.warning, members, cx);
+            cx.out.push(Output::Operator(accepted.token, OperatorAnswer::Apply(answer)));
+        }
+    }
+
+    fn acceptance(
+        &self,
+        version: NoteVersion,
+        warning: Option<String>,
+        members: &Members,
+        cx: &Context<'_>,
+    ) -> ApplyAnswer {
+        let lapse = self.head.as_ref().map(|head| head.lapse).unwrap_or_default();
+        let settlement = members.settlement(version, lapse, cx.now);
+        ApplyAnswer {
+            code: if settlement.done { Code::Done } else { Code::NotePending },
+            version,
+            in_force: members.in_force(cx.now),
+            pending: settlement.pending,
+            settled_in: settlement.within,
+            warning,
+        }
+    }
+}
+
+/// Refuses a note that promises guarantees which don't fit the hardware. A note that touches no
+/// workspace is let through with a warning: a failure domain has to be taken out in an emergency
+/// although the rest can't hold all guarantees then.
+pub(super) fn check_fit(
+    note: &ReleaseNote,
+    next: &DesiredState,
+    hosts: &[Host],
+) -> Result<Option<String>, Error> {
+    if hosts.is_empty() {
+        let text = "no host list yet: the guarantees were not compared with the hardware";
+        return Ok(Some(text.to_string()));
+    }
+    let shares = next.domains.iter().filter(|spec| spec.service == Service::In);
+    let mut shares = shares.filter_map(|spec| next.share(&spec.id));
+    let fit = shares.try_for_each(|share| share.fit(&stock(&share.domain, hosts)));
+    let Err(error) = fit else { return Ok(None) };
+    if note.added.workspaces.is_empty() && note.changed.workspaces.is_empty() {
+        return Ok(Some(error.to_string()));
+    }
+    Err(error)
+}
+
+fn stock(domain: &DomainId, hosts: &[Host]) -> Vec<RackStock> {
+    let mut racks: Vec<RackStock> = Vec::new();
+    for host in hosts.iter().filter(|host| host.domain == *domain && !host.leaving) {
+        match racks.binary_search_by(|stock| stock.rack.cmp(&host.rack)) {
+            Ok(i) => racks[i].workers.push(host.accelerators),
+            Err(i) => {
+                let workers = vec![host.accelerators];
+                racks.insert(i, RackStock { rack: host.rack.clone(), workers });
+            }
+        }
+    }
+    racks
+}
