Measure policies in virtual time against two baselines

The core is to be judged on completion time, fragmentation and the work done while a failure domain is out. The example drives it, first fit in arrival order and best fit without borrowing through the same fake workers on the same seeded input, and asserts what holds for every policy.

--- /dev/null
+++ b/examples/policy/run.rs
@@ -0,0 +1,362 @@
+//! One policy through one workload, in virtual time.
+
+mod act;
+mod sample;
+
+use bulrushlink_core::{
+    Attempt, DesiredState, DomainView, Ending, Entries, Event, JobKey, Load, Moment, ReleaseNote,
+    Scheduler, Service, Span, route,
+};
+
+use crate::agenda::{Agenda, Happening};
+use crate::baseline::{Baseline, Policy, Rule};
+use crate::table::Table;
+use crate::workload::{Deployment, ENTRY_HOSTS, Workload};
+
+pub(crate) use sample::{SAMPLE_EVERY, Sample};
+
+const ANNOUNCE_EVERY: Span = Span::from_secs(1);
+const OBSERVE_EVERY: Span = Span::from_secs(10);
+const OBSERVE_AGE: Span = Span::from_secs(3);
+const LOSS_NOTICE: Span = Span::from_secs(2);
+const ROUTE_RETRY: Span = Span::from_secs(5);
+/// Time after the last arrival by which all jobs must have ended.
+const DRAIN: Span = Span::from_secs(24 * 3600);
+
+/// What decides.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Contender {
+    Core,
+    FirstFit,
+    BestFit,
+}
+
+impl Contender {
+    pub(crate) const ALL: [Self; 3] = [Self::Core, Self::FirstFit, Self::BestFit];
+
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::Core => "core",
+            Self::FirstFit => "first-fit",
+            Self::BestFit => "best-fit",
+        }
+    }
+
+    fn open(self, seed: u64) -> Box<dyn Policy> {
+        match self {
+            Self::Core => Box::new(Scheduler::open(seed)),
+            Self::FirstFit => Box::new(Baseline::open(Rule::FirstFit)),
+            Self::BestFit => Box::new(Baseline::open(Rule::BestFit)),
+        }
+    }
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum State {
+    /// With the caller or between domains.
+    Outside,
+    /// In a domain.
+    Inside(usize),
+    Ended,
+}
+
+/// What became of a job.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Outcome {
+    pub(crate) first_start: Option<Moment>,
+    pub(crate) end: Option<(Moment, Option<Ending>)>,
+    /// Longest time without accelerators, between arrival and end.
+    pub(crate) longest_wait: Span,
+    pub(crate) starts: u32,
+}
+
+/// What a run leaves behind.
+#[derive(Debug)]
+pub(crate) struct Trace {
+    pub(crate) outcomes: Vec<Outcome>,
+    pub(crate) samples: Vec<Sample>,
+    /// Useful accelerator-milliseconds, by domain and minute.
+    pub(crate) useful: Vec<Vec<f64>>,
+    pub(crate) stops: u32,
+}
+
+struct Run<'a> {
+    deployment: &'a Deployment,
+    workload: &'a Workload,
+    policies: Vec<Box<dyn Policy>>,
+    /// Tick that is planned, by domain.
+    ticks: Vec<Option<Moment>>,
+    state: DesiredState,
+    table: Table<'a>,
+    agenda: Agenda,
+    jobs: Vec<State>,
+    last: Vec<Attempt>,
+    /// Since when a job has had no accelerators.
+    idle: Vec<Option<Moment>>,
+    outcomes: Vec<Outcome>,
+    announced: Vec<Load>,
+    /// What each entry host has routed since the last announcement, by host and domain.
+    routed: Vec<Vec<Load>>,
+    samples: Vec<Sample>,
+    left: usize,
+    stops: u32,
+}
+
+/// Runs the workload to its end.
+///
+/// # Panics
+///
+/// When the policy breaks a rule that holds for every policy.
+pub(crate) fn run(
+    deployment: &Deployment,
+    workload: &Workload,
+    contender: Contender,
+    seed: u64,
+) -> Trace {
+    let domains = workload.domains.len();
+    let count = workload.jobs.len();
+    let mut run = Run {
+        deployment,
+        workload,
+        policies: (0..domains).map(|i| contender.open(seed + i as u64)).collect(),
+        ticks: vec![None; domains],
+        state: DesiredState::default(),
+        table: Table::open(workload, seed),
+        agenda: Agenda::default(),
+        jobs: vec![State::Outside; count],
+        last: vec![Attempt(0); count],
+        idle: vec![None; count],
+        outcomes: vec![Outcome::default(); count],
+        announced: vec![Load::default(); domains],
+        routed: vec![vec![Load::default(); domains]; ENTRY_HOSTS],
+        samples: Vec::new(),
+        left: count,
+        stops: 0,
+    };
+    run.open();
+    run.go();
+    run.close()
+}
+
+impl Run<'_> {
+    fn open(&mut self) {
+        for info in &self.workload.workers {
+            let domain = self.workload.domains.iter().position(|id| *id == info.domain);
+            let domain = domain.expect("every worker is in a domain");
+            self.decide(domain, Event::Worker(info.clone()), Moment(0));
+        }
+        self.accept(&self.deployment.first_note(), Moment(0));
+        self.announce(Moment(0));
+        let (domain, from, to) = self.workload.out;
+        self.agenda.add(from, Happening::Serve(domain, false));
+        self.agenda.add(to, Happening::Serve(domain, true));
+        for loss in &self.workload.losses {
+            self.agenda.add(loss.from, Happening::Lose(loss.worker));
+            self.agenda.add(loss.to, Happening::Restore(loss.worker));
+        }
+        for (i, job) in self.workload.jobs.iter().enumerate() {
+            self.agenda.add(job.arrives, Happening::Arrive(i));
+            if let Some(cancel) = job.cancel {
+                self.agenda.add(cancel, Happening::Cancel(i));
+            }
+        }
+        self.agenda.add(Moment(0), Happening::Observe);
+        self.agenda.add(Moment(0), Happening::Sample);
+    }
+
+    fn go(&mut self) {
+        while self.left > 0 {
+            let (now, what) = self.agenda.next().expect("announcements go on");
+            let late = self.workload.until + DRAIN;
+            assert!(now < late, "{} jobs never end, e.g. {:?}", self.left, self.stuck());
+            self.happen(what, now);
+        }
+    }
+
+    fn stuck(&self) -> Option<&JobKey> {
+        let found = self.jobs.iter().position(|state| *state != State::Ended);
+        found.map(|i| &self.workload.jobs[i].spec.key)
+    }
+
+    fn happen(&mut self, what: Happening, now: Moment) {
+        match what {
+            Happening::Arrive(job) => {
+                self.idle[job] = Some(now);
+                self.route(job, now);
+            }
+            Happening::Route(job) => self.route(job, now),
+            Happening::Cancel(job) => self.cancel(job, now),
+            Happening::Serve(domain, open) => self.serve(domain, open, now),
+            Happening::Lose(worker) => self.lose(worker, now),
+            Happening::Restore(worker) => self.restore(worker, now),
+            Happening::Begin(job, attempt) => {
+                let told = self.table.begin(job, attempt, now, &mut self.agenda);
+                self.tell(told, now);
+            }
+            Happening::End { job, attempt, change, failed } => {
+                self.table.end((job, attempt), change, failed, now, &mut self.agenda);
+                self.note_idle(job, now);
+            }
+            Happening::Vacate { job, attempt, saved } => {
+                let told = self.table.vacate(job, attempt, saved);
+                self.note_idle(job, now);
+                self.tell(told, now);
+            }
+            Happening::Deliver(domain, event) => self.decide(domain, *event, now),
+            Happening::Tick(domain) if self.ticks[domain] == Some(now) => {
+                self.ticks[domain] = None;
+                self.decide(domain, Event::Tick, now);
+            }
+            Happening::Tick(_) => {}
+            Happening::Announce => self.announce(now),
+            Happening::Observe => self.observe(now),
+            Happening::Sample => self.sample(now),
+        }
+    }
+
+    fn tell(&mut self, told: Option<(usize, Event)>, now: Moment) {
+        if let Some((domain, event)) = told {
+            self.decide(domain, event, now);
+        }
+    }
+
+    fn decide(&mut self, domain: usize, event: Event, now: Moment) {
+        let actions = self.policies[domain].decide(event, now);
+        for action in actions {
+            self.act(domain, action, now);
+        }
+        let next = self.policies[domain].next_tick().map(|at| at.max(now + Span(1)));
+        if let Some(at) = next.filter(|_| next != self.ticks[domain]) {
+            self.ticks[domain] = next;
+            self.agenda.add(at, Happening::Tick(domain));
+        }
+    }
+
+    fn note_busy(&mut self, job: usize, now: Moment) {
+        if let Some(since) = self.idle[job].take() {
+            let longest = &mut self.outcomes[job].longest_wait;
+            *longest = (*longest).max(now.since(since));
+        }
+    }
+
+    fn note_idle(&mut self, job: usize, now: Moment) {
+        if self.jobs[job] != State::Ended && !self.table.holds(job) {
+            self.idle[job].get_or_insert(now);
+        }
+    }
+
+    fn route(&mut self, job: usize, now: Moment) {
+        if self.jobs[job] != State::Outside {
+            return;
+        }
+        let truth = &self.workload.jobs[job];
+        let routed = &mut self.routed[truth.entry];
+        let view = |i: usize| DomainView {
+            id: self.workload.domains[i].clone(),
+            load: sum(self.announced[i], routed[i]),
+            reachable: true,
+        };
+        let views: Vec<_> = (0..routed.len()).map(view).collect();
+        let Ok(chosen) = route(&truth.spec, &self.state, &views) else {
+            self.agenda.add(now + ROUTE_RETRY, Happening::Route(job));
+            return;
+        };
+        let domain = self.workload.domains.iter().position(|id| *id == chosen);
+        let domain = domain.expect("the router chooses among the domains");
+        routed[domain].queued += truth.spec.shape.total();
+        routed[domain].waiting += 1;
+        self.jobs[job] = State::Inside(domain);
+        let (spec, attempt) = (truth.spec.clone(), self.last[job]);
+        let event = Event::Submit { spec, attempt, age: now.since(truth.arrives) };
+        self.decide(domain, event, now);
+    }
+
+    fn cancel(&mut self, job: usize, now: Moment) {
+        match self.jobs[job] {
+            State::Outside => self.end(job, None, now),
+            State::Inside(domain) => {
+                let key = self.workload.jobs[job].spec.key.clone();
+                self.decide(domain, Event::Cancel(key), now);
+            }
+            State::Ended => {}
+        }
+    }
+
+    fn serve(&mut self, domain: usize, open: bool, now: Moment) {
+        let service = if open { Service::In } else { Service::Out };
+        let spec = self.deployment.domain(self.workload.domains[domain].as_str(), service);
+        let note = ReleaseNote {
+            base: self.state.version,
+            id: format!("serve-{open}"),
+            added: Entries::default(),
+            changed: Entries { domains: vec![spec], workspaces: Vec::new() },
+            withdrawn: Default::default(),
+        };
+        self.table.open[domain] = open;
+        self.accept(&note, now);
+    }
+
+    fn accept(&mut self, note: &ReleaseNote, now: Moment) {
+        self.state = self.state.try_apply(note).expect("notes of the run are valid");
+        let shares: Vec<_> = self.workload.domains.iter().map(|id| self.state.share(id)).collect();
+        for (domain, share) in shares.into_iter().enumerate() {
+            let share = share.expect("no domain is ever removed");
+            self.decide(domain, Event::Share(share), now);
+        }
+    }
+
+    fn lose(&mut self, worker: usize, now: Moment) {
+        for job in self.table.lose(worker, now) {
+            self.note_idle(job, now);
+        }
+        let event = Event::WorkerLost(self.workload.workers[worker].id.clone());
+        let happening = Happening::Deliver(self.table.domain(worker), Box::new(event));
+        self.agenda.add(now + LOSS_NOTICE, happening);
+    }
+
+    fn restore(&mut self, worker: usize, now: Moment) {
+        self.table.restore(worker);
+        let event = Event::Worker(self.workload.workers[worker].clone());
+        self.decide(self.table.domain(worker), event, now);
+    }
+
+    fn announce(&mut self, now: Moment) {
+        self.announced = self.policies.iter().map(|policy| policy.load()).collect();
+        for routed in &mut self.routed {
+            routed.fill(Load::default());
+        }
+        self.agenda.add(now + ANNOUNCE_EVERY, Happening::Announce);
+    }
+
+    fn observe(&mut self, now: Moment) {
+        for domain in 0..self.policies.len() {
+            let event = Event::Usage(self.table.usage(domain, OBSERVE_AGE));
+            let happening = Happening::Deliver(domain, Box::new(event));
+            self.agenda.add(now + OBSERVE_AGE, happening);
+        }
+        self.agenda.add(now + OBSERVE_EVERY, Happening::Observe);
+    }
+
+    fn close(mut self) -> Trace {
+        assert!(self.jobs.iter().all(|state| *state == State::Ended), "every job ends");
+        for (outcome, record) in self.outcomes.iter_mut().zip(&self.table.records) {
+            outcome.first_start = record.first_start;
+            outcome.starts = record.starts;
+        }
+        Trace {
+            outcomes: self.outcomes,
+            samples: self.samples,
+            useful: self.table.useful,
+            stops: self.stops,
+        }
+    }
+}
+
+/// Requests are named by the number of their job.
+fn index(key: &JobKey) -> usize {
+    key.request.as_str()[1..].parse().expect("requests are numbered")
+}
+
+fn sum(a: Load, b: Load) -> Load {
+    Load { queued: a.queued + b.queued, waiting: a.waiting + b.waiting, ..a }
+}
