--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -3,14 +3,19 @@
 
 use crate::error::Code;
 use crate::ids::DomainId;
-use crate::job::{JobSpec, Refusal};
+use crate::job::{Adjacency, JobSpec, Refusal};
 use crate::note::{DesiredState, Service};
 use crate::sched::Load;
 use crate::units::Span;
+use siphasher::sip::SipHasher13;
+use std::hash::{Hash, Hasher};
 
 /// Time to come back when no failure domain can take a job.
 const NO_DOMAIN_RETRY: Span = Span::from_secs(5);
 
+/// Differences in pressure below this many thousandths don't count.
+const PRESSURE_STEP: u64 = 20;
+
 /// A failure domain as a daemon hears of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DomainView {
@@ -54,15 +59,34 @@
 }
 
 /// Orders domains: first those where the workspace holds a matching guarantee, then those that
-/// have the free accelerators, then by what waits there for each healthy accelerator.
-fn rank(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> (bool, bool, u64, DomainId) {
+/// have room now, then by what is busy or waits there for each healthy accelerator.
+///
+/// Equals are told apart by the job's key, so that a burst that many daemons route on the same
+/// news spreads over the domains instead of meeting in the first one by name.
+fn rank(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> (bool, bool, u64, u64) {
     let guaranteed = state.share(&view.id).is_some_and(|share| {
         let own = share.workspaces.iter().find(|w| w.id == spec.key.workspace);
         own.is_some_and(|w| w.guarantees.iter().any(|(shape, _)| *shape == spec.shape))
     });
-    let free = view.load.free >= view.load.queued + spec.shape.total();
-    let total = u64::from(view.load.total.max(1));
-    let busy = u64::from(view.load.total - view.load.free.min(view.load.total));
-    let pressure = (u64::from(view.load.queued) + busy) * 1000 / total;
-    (!guaranteed, !free, pressure, view.id.clone())
+    (!guaranteed, !has_room(spec, &view.load), pressure(&view.load), spread(spec, view))
+}
+
+/// Tells whether the job could start now, as far as the load tells.
+fn has_room(spec: &JobSpec, load: &Load) -> bool {
+    let total = spec.shape.total();
+    let block = spec.shape.adjacency == Adjacency::Domain || load.block >= total;
+    block && load.free >= load.queued + total
+}
+
+/// Accelerators that are busy or asked for, in coarse steps per thousand healthy ones.
+fn pressure(load: &Load) -> u64 {
+    let total = u64::from(load.total.max(1));
+    let busy = u64::from(load.total.saturating_sub(load.free));
+    (u64::from(load.queued) + busy) * 1000 / total / PRESSURE_STEP
+}
+
+fn spread(spec: &JobSpec, view: &DomainView) -> u64 {
+    let mut hasher = SipHasher13::new();
+    (&spec.key, &view.id).hash(&mut hasher);
+    hasher.finish()
 }
