--- a/crates/lab/src/operators.rs
+++ b/crates/lab/src/operators.rs
@@ -24,8 +24,9 @@
     /// Set for notes about one domain.
     pub(crate) change: Option<(DomainId, Service)>,
     pub(crate) token: Option<Token>,
-    /// When it was asked for last.
-    pub(crate) asked: Moment,
+    /// Whether it was ever sent; from then on it is based on the same version, unless a
+    /// conflict says that it was not accepted.
+    pub(crate) sent: bool,
     pub(crate) since: Moment,
 }
 
@@ -46,7 +47,10 @@
     pub(crate) fn request(&mut self) -> Option<OperatorCall> {
         let head = self.head;
         let wanted = self.wanted.first_mut()?;
-        wanted.note.base = wanted.note.base.max(head);
+        if !wanted.sent {
+            wanted.note.base = head;
+            wanted.sent = true;
+        }
         Some(OperatorCall::Apply(wanted.note.clone()))
     }
 
@@ -63,7 +67,7 @@
                 withdrawal.back = Some(now);
             }
         }
-        self.wanted.push(Wanted { note, change, token: None, asked: now, since: now });
+        self.wanted.push(Wanted { note, change, token: None, sent: false, since: now });
     }
 
     /// Takes an answer for the first wanted note.
@@ -99,5 +103,8 @@
         if let Some(head) = digits.and_then(|part| part.parse().ok()) {
             self.head = self.head.max(NoteVersion(head));
         }
+        if let Some(wanted) = self.wanted.first_mut() {
+            wanted.sent = false;
+        }
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_api::{StoreRequest, WorkerBatch};
 use bulrushlink_core::{DaemonId, DomainId, Moment, Service, Span, WorkerId};
-use bulrushlink_daemon::{CallId, Input, Output};
+use bulrushlink_daemon::{CallId, Input, Output, Token};
 use bulrushlink_standin::{Checkpoints, HostTable, Record, WorkerMode, WorkerSim};
 use fastrand::Rng;
 use std::collections::VecDeque;
@@ -30,7 +30,7 @@
 /// Latency between two hosts.
 const LATENCY: Span = Span(1);
 /// Events that a report of a violation shows.
-const TRACE_EVENTS: usize = 400;
+const TRACE_EVENTS: usize = 4000;
 /// Longest time for which a gang may run partially: the lease of a confirmed task, the time until
 /// its loss is seen, and a margin.
 const PARTIAL_MARGIN: Span = Span::from_secs(20);
@@ -54,6 +54,8 @@
     Caller { caller: usize, turn: Turn },
     /// The operator's turn.
     Operator,
+    /// The operator waits no longer for the answer to that token.
+    OperatorGivesUp(Token),
     /// Something goes wrong.
     Fault(Fault),
     /// Workers, watches and promises are looked at.
@@ -293,6 +295,7 @@
             Step::Hosts { daemon, incarnation, call } => self.at_hosts(daemon, incarnation, call),
             Step::Caller { caller, turn } => self.caller_turn(caller, turn),
             Step::Operator => self.operator_turn(),
+            Step::OperatorGivesUp(token) => self.operator_gives_up(token),
             Step::Fault(fault) => self.strike(fault),
             Step::Housekeeping => self.housekeeping(),
         }
--- a/crates/lab/src/world/people.rs
+++ b/crates/lab/src/world/people.rs
@@ -80,28 +80,38 @@
         }
     }
 
+    /// Operators choose a daemon by hand; one that is dead refuses the connection.
+    fn any_daemon(&mut self) -> Option<usize> {
+        let daemon = self.rng.usize(0..self.daemons.len());
+        self.daemons[daemon].is_up().then_some(daemon)
+    }
+
+    /// The operator asks for the first wanted note, unless an answer is still awaited.
     pub(super) fn operator_turn(&mut self) {
-        let Some(daemon) = self.balance() else {
+        if self.operator.wanted.first().is_none_or(|wanted| wanted.token.is_some()) {
+            return;
+        }
+        let Some(daemon) = self.any_daemon() else {
             self.timeline.after(OPERATOR_PAUSE, Step::Operator);
             return;
         };
-        let now = self.timeline.now();
-        let patient = self.operator.wanted.first().is_some_and(|wanted| {
-            wanted.token.is_some() && now.since(wanted.asked) < OPERATOR_TIMEOUT
-        });
-        if patient {
-            return;
-        }
         let Some(call) = self.operator.request() else { return };
         let token = self.token();
-        let wanted = &mut self.operator.wanted[0];
-        wanted.token = Some(token);
-        wanted.asked = now;
+        self.operator.wanted[0].token = Some(token);
         self.note(format!("{} hears {token:?} {call:?}", self.daemons[daemon].id()));
         let input = Box::new(Input::Operator(token, call));
         let incarnation = Some(self.daemons[daemon].incarnation);
         self.timeline.after(Span(3), Step::Arrive { daemon, incarnation, input });
-        self.timeline.after(OPERATOR_TIMEOUT, Step::Operator);
+        self.timeline.after(OPERATOR_TIMEOUT, Step::OperatorGivesUp(token));
+    }
+
+    /// The operator asks another daemon when an answer doesn't come.
+    pub(super) fn operator_gives_up(&mut self, token: Token) {
+        let awaited = self.operator.wanted.first().is_some_and(|w| w.token == Some(token));
+        if awaited {
+            self.operator.wanted[0].token = None;
+            self.operator_turn();
+        }
     }
 
     /// Takes a daemon's answer to the operator, who goes on until the note is in force.
