--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -19,6 +19,7 @@
 mod outcome;
 mod pass;
 mod queue;
+mod repack;
 mod report;
 mod share;
 mod spaces;
@@ -78,6 +79,8 @@
     ticked: Moment,
     /// Moment of the last search for a block to drain.
     planned: Moment,
+    /// Moment of the last packing of all guarantees.
+    repacked: Moment,
     rng: fastrand::Rng,
     actions: Vec<Action>,
 }
@@ -142,6 +145,7 @@
         self.ticked = self.now;
         self.freed |= self.fleet.expire(self.now);
         self.fleet.forget_foreign(self.now);
+        self.repack_broken();
         self.stop_again();
         self.tend_drains();
         self.freed |= self.waiting > 0;
@@ -152,7 +156,8 @@
         if self.unfinished {
             return Some(self.now);
         }
-        let busy = self.waiting > 0 || !self.stopping.is_empty();
+        let degraded = !self.guarantees.broken.is_empty();
+        let busy = self.waiting > 0 || !self.stopping.is_empty() || degraded;
         let regular = busy.then(|| self.ticked.max(self.now - TICK_INTERVAL) + TICK_INTERVAL);
         let delayed = self.delayed.first().map(|(at, _)| *at);
         [regular, delayed].into_iter().flatten().min()
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -104,7 +104,10 @@
         if let Some(places) = fit::find(&self.fleet, view, shape, &job.failed_on) {
             return self.begin(ix, places, Reason::Unheld);
         }
-        if self.guarantee_is_open(ix) {
+        let job = self.jobs.get(ix);
+        let held = |place: &Place| !self.held_back(place).is_empty();
+        let lost = !job.preemptible() && job.places.iter().any(held);
+        if lost || self.guarantee_is_open(ix) {
             return self.requeue(ix, Reason::Queued);
         }
         self.move_borrowers(ix);
@@ -121,6 +124,11 @@
         heads.sort_unstable();
         for (_, ix) in heads.into_iter().take(DRAINS_MAX) {
             let Some((ready, places)) = self.plan(ix) else { continue };
+            let firm = !self.jobs.get(ix).preemptible();
+            let held = firm && places.iter().any(|place| !self.held_back(place).is_empty());
+            if held && !self.repack_around(&places) {
+                continue;
+            }
             self.unlist(ix);
             self.count_waiting(ix, true);
             for place in &places {
@@ -185,7 +193,7 @@
         }
         let mut open = worker.total().without(worker.closed).without(worker.foreign);
         if !job.preemptible() {
-            open = open.without(worker.reserved).without(self.guaranteed_use(at));
+            open = open.without(self.guaranteed_use(at));
         }
         let starts = (0..=worker.info.accelerators - size).step_by(size as usize);
         let sets = starts.map(|first| AcceleratorSet::run(first, size));
--- a/crates/core/src/sched/guarantee.rs
+++ b/crates/core/src/sched/guarantee.rs
@@ -241,17 +241,20 @@
                 self.bind(ix, &places, fleet);
                 return true;
             }
-            self.rebind_part(ix, &old, fleet);
+            self.rebind(ix, &old, fleet);
             return false;
         }
         self.repair_cells(ix, fleet)
     }
 
-    /// Takes back what a failed repair gave up, so that a guarantee keeps what it can.
-    fn rebind_part(&mut self, ix: InstanceIx, old: &[Place], fleet: &mut Fleet) {
+    /// Takes back what a guarantee had given up; it may have been part of its shape only.
+    pub(super) fn rebind(&mut self, ix: InstanceIx, old: &[Place], fleet: &mut Fleet) {
         for (i, place) in old.iter().enumerate() {
             self.bind_cell(ix, i, *place, fleet);
         }
+        if self.get(ix).is_bound() {
+            self.broken.retain(|other| *other != ix);
+        }
     }
 
     fn bind_cell(&mut self, ix: InstanceIx, i: usize, place: Place, fleet: &mut Fleet) {
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -79,7 +79,8 @@
                 self.guarantees.add(*space, *shape);
             }
         }
-        bind_all(&mut self.guarantees, &mut self.fleet);
+        let broken = self.guarantees.broken.clone();
+        bind_all(&mut self.guarantees, broken, &mut self.fleet);
     }
 
     /// Lets a job go on outside of its guarantee, which is unused then.
@@ -295,7 +296,8 @@
                 }
             }
         }
-        bind_all(&mut guarantees, &mut fleet);
+        let broken = guarantees.broken.clone();
+        bind_all(&mut guarantees, broken, &mut fleet);
         let Some(first) = guarantees.broken.first() else { return Ok(()) };
         let missing = guarantees.get(*first);
         let (shape, id) = (missing.shape, &spaces.get(missing.space).id);
@@ -324,9 +326,12 @@
     }
 }
 
-/// Binds all broken guarantees, those that ask for the most first.
-fn bind_all(guarantees: &mut Guarantees, fleet: &mut Fleet) {
-    let mut broken = guarantees.broken.clone();
+/// Binds broken guarantees, those that ask for the most first.
+pub(super) fn bind_all(
+    guarantees: &mut Guarantees,
+    mut broken: Vec<InstanceIx>,
+    fleet: &mut Fleet,
+) {
     broken.sort_by_key(|ix| {
         let shape = guarantees.get(*ix).shape;
         let block = if is_block(shape) { shape.total() } else { u32::from(shape.accelerators) };
--- a/crates/core/tests/table/mod.rs
+++ b/crates/core/tests/table/mod.rs
@@ -298,11 +298,9 @@
                 self.record(key).spent = true;
                 self.live.retain(|l| l.key != *key);
             }
-            Event::Vacated { key, attempt, saved } => {
-                if self.find(key, *attempt).is_some() {
-                    self.record(key).spent = !saved;
-                    self.live.retain(|l| l.key != *key);
-                }
+            Event::Vacated { key, attempt, saved } if self.find(key, *attempt).is_some() => {
+                self.record(key).spent = !saved;
+                self.live.retain(|l| l.key != *key);
             }
             Event::StartFailed { key, attempt, .. } => {
                 if self.find(key, *attempt).is_some_and(|l| !l.started) {
