Let the control slices' fake store list records

The placer reads all open jobs when it takes up placing, so that the fake met a call it refused: ten tests of the node failed first, for that alone.

--- a/crates/daemon/src/node/tests/net.rs
+++ b/crates/daemon/src/node/tests/net.rs
@@ -83,6 +83,12 @@
         match request {
             StoreRequest::Get { key } => StoreReply::Found { record: self.find(&key).cloned() },
             StoreRequest::Put { key, value, expect, .. } => self.put(&key, value, expect),
+            StoreRequest::List { prefix, after, .. } => {
+                let own = |r: &&Record| r.key.starts_with(&prefix) && r.key > after;
+                let mut records: Vec<_> = self.records.iter().filter(own).cloned().collect();
+                records.sort_by(|a, b| a.key.cmp(&b.key));
+                StoreReply::Page { records, more: false }
+            }
             other => panic!("the control slices don't send {other:?}"),
         }
     }
