--- a/crates/api/src/json.rs
+++ b/crates/api/src/json.rs
@@ -24,6 +24,9 @@
 fn classify(text: &str, error: &serde_json::Error) -> Error {
     let full = error.to_string();
     let message = full.split(" at line ").next().unwrap_or(&full);
+    // The text of an error of ours, such as a wrong identifier, comes back as a whole.
+    let ours = format!("E{}: {}: ", Code::FieldInvalid.number(), Code::FieldInvalid);
+    let message = message.strip_prefix(&ours).unwrap_or(message);
     if error.classify() != Category::Data {
         return Error::new(Code::Malformed, full);
     }
--- a/crates/daemon/src/caller_http.rs
+++ b/crates/daemon/src/caller_http.rs
@@ -11,9 +11,6 @@
 use crate::edge::{CallerCall, Input};
 use crate::listener::{Front, Incoming, Outcome};
 
-#[cfg(test)]
-mod tests;
-
 /// Answer of `GET /ready`.
 #[derive(Debug, Serialize)]
 struct ReadyAnswer {
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -9,6 +9,9 @@
 
 use crate::edge::Input;
 
+#[cfg(test)]
+pub(crate) mod tests;
+
 /// Status of a good answer.
 const STATUS_OK: u16 = 200;
 
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -20,6 +20,8 @@
 
 mod bind;
 mod body;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use bind::bind;
 
@@ -300,7 +302,7 @@
     fn finish(&self, request: Request, answer: Answer) {
         if body::is_abandoned(&request, self.bounds.body) {
             log::warn!("abandoned a connection on {} that announces a huge body", self.name);
-            body::abandon(request, answer.status, answer.body);
+            body::abandon(request, &answer);
         } else {
             respond(request, answer);
         }
--- a/crates/daemon/src/listener/body.rs
+++ b/crates/daemon/src/listener/body.rs
@@ -1,11 +1,15 @@
 //! Bodies of requests, within bounds that the library doesn't have.
 
 use bulrushlink_core::{Code, Error};
-use std::io::Read;
+use std::io::{Read, Write};
 use tiny_http::{Request, Response};
 
+use crate::answers::Answer;
+
 /// The library has read bodies up to this size before it hands a request on, in bytes.
 const BUFFERED_MAX_BYTES: usize = 1_024;
+/// Status of an interim answer.
+const INTERIM_STATUS: u16 = 100;
 /// The largest announced body that the library may discard, in bytes.
 const DISCARD_MAX_BYTES: usize = 16 * 1024 * 1024;
 
@@ -39,8 +43,18 @@
 ///
 /// The library discards an unread body through a buffer as long as the announced length, so that
 /// one header could end the process for lack of memory. The reader is leaked instead, which costs
-/// the connection and its thread, as an idle connection does.
-pub(super) fn abandon(request: Request, status: u16, body: String) {
-    let response = Response::from_string(body).with_status_code(status);
-    std::mem::forget(request.upgrade("none", response));
+/// the connection and its thread, as an idle connection does. The library gives its reader away
+/// only with an answer without a body; an interim one is sent so, and the real one follows it.
+pub(super) fn abandon(request: Request, answer: &Answer) {
+    let mut stream = request.upgrade("none", Response::empty(INTERIM_STATUS));
+    let Answer { status, media, body, .. } = answer;
+    let head = format!(
+        "HTTP/1.1 {status} Refused\r\nConnection: close\r\nContent-Type: {media}\r\n\
+         Content-Length: {}\r\n\r\n",
+        body.len()
+    );
+    // A client that has gone away needs no answer.
+    let _ = stream.write_all(format!("{head}{body}").as_bytes());
+    let _ = stream.flush();
+    std::mem::forget(stream);
 }
--- /dev/null
+++ b/crates/daemon/src/listener/tests.rs
@@ -0,0 +1,74 @@
+use super::*;
+use crate::caller_http::CallerFront;
+use crate::calls::tests::Collector;
+use bulrushlink_api::{Client, HttpReply, JobAnswer, JobState};
+
+struct Bench {
+    collector: Collector,
+    listener: Listener,
+    url: String,
+}
+
+impl Bench {
+    fn open(waiting: usize) -> Self {
+        let collector = Collector::open();
+        let socket = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let url = format!("http://{}/v1/jobs/rosters/r-1", bound_addr(&socket).unwrap());
+        let front = Box::new(CallerFront::open(Arc::new(AtomicBool::new(true))));
+        let bounds = Bounds { body: 1_000, waiting, readers: 2 };
+        let (tokens, results) = (Arc::new(AtomicU64::new(0)), collector.results.clone());
+        let listener = Listener::spawn("test", socket, front, bounds, tokens, results).unwrap();
+        Self { collector, listener, url }
+    }
+
+    fn ask(&self) -> std::thread::JoinHandle<HttpReply> {
+        let url = self.url.clone();
+        std::thread::spawn(move || Client::open(Span::from_secs(20), None).get(&url).unwrap())
+    }
+
+    fn token(&mut self) -> Token {
+        match self.collector.next() {
+            Input::Caller(token, _) => token,
+            other => panic!("expected a caller's request, got {other:?}"),
+        }
+    }
+
+    fn refused(&self) -> (u16, Code, JobState) {
+        let reply = self.ask().join().unwrap();
+        let answer: JobAnswer = reply.json().unwrap();
+        assert!(answer.not_run && answer.retry.is_some());
+        (reply.status, answer.code, answer.state)
+    }
+}
+
+fn done(text: &str) -> Answer {
+    Answer::json(Code::Done, &text, None)
+}
+
+#[test]
+fn each_request_gets_its_own_answer_whatever_their_order() {
+    let mut bench = Bench::open(8);
+    let first = bench.ask();
+    let first_token = bench.token();
+    let second = bench.ask();
+    let second_token = bench.token();
+    bench.listener.answer(second_token, done("second"));
+    assert_eq!(second.join().unwrap().body, "\"second\"");
+    bench.listener.answer(first_token, done("first"));
+    assert_eq!(first.join().unwrap().body, "\"first\"");
+    bench.listener.stop();
+}
+
+#[test]
+fn over_the_bound_and_while_closing_requests_are_refused_at_once() {
+    let mut bench = Bench::open(1);
+    let held = bench.ask();
+    let token = bench.token();
+    assert_eq!(bench.refused(), (503, Code::Overloaded, JobState::Refused));
+    bench.listener.close();
+    assert_eq!(bench.refused(), (503, Code::Stopping, JobState::Refused));
+    assert!(!bench.listener.is_flushed());
+    bench.listener.answer(token, done("held"));
+    assert_eq!(held.join().unwrap().body, "\"held\"");
+    bench.listener.stop();
+}
--- a/crates/daemon/src/operator_http.rs
+++ b/crates/daemon/src/operator_http.rs
@@ -12,9 +12,6 @@
 use crate::listener::{Front, Incoming, Outcome};
 use crate::metrics_page::MetricsPage;
 
-#[cfg(test)]
-mod tests;
-
 /// Reads operators' requests.
 pub(crate) struct OperatorFront {
     /// Keyed with the operators' token.
--- a/crates/daemon/src/operator_http/tests.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-use super::*;
--- a/crates/daemon/src/store_edge/tests.rs
+++ b/crates/daemon/src/store_edge/tests.rs
@@ -1,4 +1,9 @@
 use super::*;
+use crate::calls::tests::{Collector, settings};
+use crate::edge::Duty;
+use bulrushlink_api::Revision;
+use bulrushlink_standin::Platform;
+use std::net::TcpListener;
 
 #[test]
 fn the_rate_refuses_until_its_window_is_over() {
@@ -10,3 +15,64 @@
     assert_eq!(rate.over(at(400)), Some(Span(600)));
     assert_eq!(rate.over(at(1_000)), None);
 }
+
+fn get(seq: u64) -> (CallId, StoreRequest) {
+    (CallId { duty: Duty::Notes, seq }, StoreRequest::Get { key: "head".into() })
+}
+
+fn call(edge: &mut StoreEdge, seq: u64) {
+    let (call, request) = get(seq);
+    edge.call(call, request, Instant::now());
+}
+
+#[test]
+fn a_store_that_refuses_is_unreachable_and_a_mute_one_silent() {
+    let closed = TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    let mute = TcpListener::bind("127.0.0.1:0").unwrap();
+    let cases = [(closed, EdgeFault::Unreachable), (mute.local_addr().unwrap(), EdgeFault::Silent)];
+    for (addr, fault) in cases {
+        let mut collector = Collector::open();
+        let settings = settings(&format!("http://{addr}"));
+        let mut edge = StoreEdge::spawn(&settings, collector.results.clone(), Instant::now());
+        call(&mut edge, 1);
+        assert_eq!(collector.next(), Input::Store(get(1).0, Err(fault)));
+    }
+}
+
+#[test]
+fn a_waiting_watch_delays_no_other_call() {
+    let platform = Platform::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let mut collector = Collector::open();
+    let settings = settings(&platform.url());
+    let mut edge = StoreEdge::spawn(&settings, collector.results.clone(), Instant::now());
+    let watch = CallId { duty: Duty::Notes, seq: 1 };
+    let (key, after) = ("head".to_string(), Revision(0));
+    let request = StoreRequest::Watch { key, after, wait: Span(300) };
+    edge.call(watch, request, Instant::now());
+    while platform.counts().watch == 0 {
+        std::thread::yield_now();
+    }
+    call(&mut edge, 2);
+    let empty = Ok(StoreReply::Found { record: None });
+    assert_eq!(collector.next(), Input::Store(get(2).0, empty.clone()));
+    assert_eq!(collector.next(), Input::Store(watch, empty));
+}
+
+#[test]
+fn calls_over_the_own_rate_never_leave() {
+    let platform = Platform::bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let mut collector = Collector::open();
+    let mut settings = settings(&platform.url());
+    settings.limits.store_rate = 1;
+    let mut edge = StoreEdge::spawn(&settings, collector.results.clone(), Instant::now());
+    let now = Instant::now();
+    for seq in [1, 2] {
+        let (call, request) = get(seq);
+        edge.call(call, request, now);
+    }
+    let mut results = [collector.next(), collector.next()];
+    results.sort_by_key(|input| matches!(input, Input::Store(call, _) if call.seq == 2));
+    assert!(matches!(&results[0], Input::Store(_, Ok(StoreReply::Found { .. }))));
+    assert!(matches!(&results[1], Input::Store(_, Ok(StoreReply::Limited { .. }))));
+    assert_eq!(platform.counts().get, 1);
+}
