--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,11 +5,14 @@
 
 use bulrushlink_api::TaskReport;
 use bulrushlink_core::{
-    Attempt, DesiredState, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal,
-    Span, Why, WorkerId,
+    Attempt, DaemonId, DomainId, Ending, JobKey, JobSpec, Load, Moment, NoteVersion, Refusal, Span,
+    Why, WorkerId,
 };
 use serde::{Deserialize, Serialize};
 
+use crate::journal::SpecDigest;
+use crate::notes::Head;
+
 /// Life cycle of a daemon, as it tells others.
 #[derive(
     Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
@@ -50,8 +53,13 @@
     pub phase: Phase,
     /// Whether the sender places work in its failure domain.
     pub placing: bool,
-    /// Load of the sender's failure domain, if it places there.
+    /// Who places work in the sender's failure domain, as the sender knows it.
+    pub placer: Option<DaemonId>,
+    /// Load of the sender's failure domain, as the sender knows it.
     pub load: Load,
+    /// Age of the sender's latest contact: then, surely, there was no version above `version`.
+    /// `None` while the sender hasn't made sure of its version since its start.
+    pub contact: Option<Span>,
 }
 
 /// Where a job is, as its placer tells.
@@ -77,8 +85,11 @@
     NotHere,
     /// The daemon doesn't place in this domain; ask the one that does.
     NotPlacing,
-    /// Refused for now, not run.
+    /// Refused for now, not run; the store has no trace of an earlier submission either.
     Refused(Refusal),
+    /// This submission is refused and won't run, but the store couldn't be asked whether an
+    /// earlier one with the same identifier was taken.
+    Unsure(Refusal),
 }
 
 /// A message between daemons.
@@ -91,8 +102,8 @@
         /// Version that the sender has.
         have: NoteVersion,
     },
-    /// The desired state of the sender.
-    Note(DesiredState),
+    /// The desired state of the sender, as the store holds it.
+    Note(Head),
     /// Hands a job to the placer of a failure domain; answered by `Update`. Repeated until then.
     Submit {
         /// The failure domain that has to run it.
@@ -105,6 +116,8 @@
         attempt: Attempt,
         /// Time since the submission.
         age: Span,
+        /// Names this submission in a refusal; the same in each repeat.
+        seq: u64,
     },
     /// Asks for the state of a job, now and on every change; answered by `Update`.
     Follow {
@@ -132,6 +145,10 @@
         status: JobStatus,
         /// The reason, if it was asked for.
         why: Option<Why>,
+        /// Digest of the job that the state is of; `None` when the state is of no job.
+        digest: Option<SpecDigest>,
+        /// The submission that is refused.
+        seq: Option<u64>,
     },
     /// Reports of tasks from a keeper of leases to the placer; answered by `ReportsTaken`.
     Reports {
@@ -149,4 +166,11 @@
         /// The message.
         seq: u64,
     },
+    /// A keeper of leases heard from a worker; tells the placer that the worker lives.
+    WorkerSeen {
+        /// The worker.
+        worker: WorkerId,
+        /// Whether the worker is about to leave.
+        leaving: bool,
+    },
 }
