Let the lab take a refusal that leaves the past open for what it says

Cause: with the store down a daemon can say that this submission is not run, but not whether the identifier was used before; it says just that, without not_run, with a time to come back. The check took every refusal for a word on the job. A domain counts as taken back from the moment at which the note that does it is sent.

--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -139,7 +139,8 @@
                 self.accepted = true;
                 Ok(Some((Span(1_000), Turn::Ask)))
             }
-            JobState::Refused => Ok(self.after_refusal(later)),
+            JobState::Refused if answer.not_run => Ok(self.after_refusal(later)),
+            JobState::Refused => Ok(Some((later, Turn::Submit))),
             JobState::Error if answer.code == Code::NoSuchJob && self.accepted => {
                 Err(format!("{} was accepted and is not known any more", self.key()))
             }
--- a/crates/lab/src/world/people.rs
+++ b/crates/lab/src/world/people.rs
@@ -95,7 +95,7 @@
             self.timeline.after(OPERATOR_PAUSE, Step::Operator);
             return;
         };
-        let Some(call) = self.operator.request() else { return };
+        let Some(call) = self.operator.request(self.timeline.now()) else { return };
         let token = self.token();
         self.operator.wanted[0].token = Some(token);
         self.note(format!("{} hears {token:?} {call:?}", self.daemons[daemon].id()));
