--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,8 @@
 //! [`intake`], [`placer`], [`journal`] and [`keeper`].
 
 mod edge;
+#[cfg(test)]
+mod harness;
 mod hash;
 mod hosts;
 mod intake;
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -257,7 +257,7 @@
         }
     }
 
-    fn dump(&self, now: Moment) -> Dump {
+    pub(crate) fn dump(&self, now: Moment) -> Dump {
         let section = |name: &str, state| DumpSection { name: name.to_string(), state };
         Dump {
             daemon: self.settings.daemon.clone(),
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -92,10 +92,9 @@
         let job = &mut self.jobs[i];
         let Some(end) = &mut job.end else { return };
         end.step = EndStep::Removing;
-        if let Some(done) = earlier {
-            if done.digest == job.digest && job.said != Some(Said::Ended) {
-                end.ending = done.ending;
-            }
+        let silent = job.said != Some(Said::Ended);
+        if let Some(done) = earlier.filter(|done| silent && done.digest == job.digest) {
+            end.ending = done.ending;
         }
         self.remove(i, cx);
     }
--- a/crates/daemon/src/placer/gang.rs
+++ b/crates/daemon/src/placer/gang.rs
@@ -94,8 +94,10 @@
 pub(super) enum Cause {
     /// The start failed.
     Start(Option<WorkerId>, StartFault),
-    /// A task failed or is lost.
+    /// A task failed by itself.
     Member(WorkerId, String),
+    /// A task is gone without any fault of its own.
+    Lost(WorkerId, String),
     /// The scheduler wants it stopped; tasks get until the moment for their checkpoints.
     Stop(StopReason, Moment),
 }
@@ -261,14 +263,17 @@
     /// Names the part that ended without completing, with the reason.
     pub(super) fn broken(&self) -> Option<Cause> {
         let part = self.parts.iter().find(|p| p.state.is_quiet() && !p.state.is_completed())?;
+        let worker = part.place.worker.clone();
         let reason = match &part.state {
-            PartState::Ended(TaskState::Failed { reason }) => reason.clone(),
-            PartState::Ended(TaskState::Stopped { lapsed: true, .. }) => "lease lapsed".to_string(),
-            PartState::Ended(_) => "stopped by its worker".to_string(),
-            PartState::Absent => "worker has lost the task".to_string(),
-            _ => "worker is silent".to_string(),
+            PartState::Ended(TaskState::Failed { reason }) => {
+                return Some(Cause::Member(worker, reason.clone()));
+            }
+            PartState::Ended(TaskState::Stopped { lapsed: true, .. }) => "lease lapsed",
+            PartState::Ended(_) => "stopped by its worker",
+            PartState::Absent => "worker has lost the task",
+            _ => "worker is silent",
         };
-        Some(Cause::Member(part.place.worker.clone(), reason))
+        Some(Cause::Lost(worker, reason.to_string()))
     }
 
     /// Marks parts whose leases have surely lapsed, for want of any sign of them.
@@ -300,7 +305,7 @@
         if !self.committed {
             return match cause {
                 Cause::Start(worker, fault) => Verdict::NotStarted(worker.clone(), *fault),
-                _ => Verdict::Vacated { saved: false },
+                _ => Verdict::NotStarted(None, StartFault::Busy),
             };
         }
         let never = !self.found && self.all(|state| *state == PartState::Absent);
@@ -311,11 +316,13 @@
             (Cause::Start(worker, fault), _) if idempotent || never => {
                 Verdict::NotStarted(worker.clone(), *fault)
             }
+            (Cause::Stop(..), _) if never => Verdict::NotStarted(None, StartFault::Busy),
             (Cause::Stop(..), _) if idempotent || cut.is_some() => self.vacated(),
             (Cause::Member(worker, reason), _) if idempotent => {
                 Verdict::Failed(worker.clone(), reason.clone())
             }
-            (Cause::Member(worker, reason), Some(_)) if traced => {
+            (Cause::Lost(..), _) if idempotent => Verdict::Unsettled,
+            (Cause::Member(worker, reason) | Cause::Lost(worker, reason), Some(_)) if traced => {
                 Verdict::Failed(worker.clone(), reason.clone())
             }
             (Cause::Start(..), Some(part)) if traced => {
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -238,7 +238,8 @@
             Place::Out | Place::Leaving => {}
             Place::Waiting => self.events.push_back(Event::Cancel(key)),
             Place::Placed(gang) if gang.committed => {
-                self.events.push_back(Event::Unsettled(key, gang.attempt));
+                self.events.push_back(Event::Unsettled(key.clone(), gang.attempt));
+                self.events.push_back(Event::Cancel(key));
             }
             Place::Placed(gang) => {
                 self.release(&key, &gang, cx);
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -232,7 +232,11 @@
         // A job that others had before may have run there, whatever the record says.
         let taken = job.spec.idempotent && job.wanted.epoch > 1;
         let least = Attempt(u32::from(taken));
-        job.attempt = job.attempt.max(seen).max(least);
+        job.attempt = match job.spec.idempotent {
+            true => job.attempt.max(seen).max(least),
+            // Without an intent in the store nothing of it was ever started.
+            false => Attempt(0),
+        };
         job.place = Place::Waiting;
         self.events.push_back(Event::Submit {
             spec: job.spec.clone(),
--- a/crates/daemon/src/placer/starts.rs
+++ b/crates/daemon/src/placer/starts.rs
@@ -140,7 +140,7 @@
             Some(cause) if gang.parts.iter().any(|p| own_end(&p.state)) => {
                 return self.fail(i, cause, cx);
             }
-            Some(Cause::Member(worker, _)) => {
+            Some(Cause::Member(worker, _) | Cause::Lost(worker, _)) => {
                 return self.fail(i, Cause::Start(Some(worker), StartFault::Silent), cx);
             }
             _ => {}
@@ -191,9 +191,14 @@
         let Ok(i) = self.find(key) else { return };
         let saves = self.jobs[i].spec.checkpoint && grace > Span::ZERO;
         let until = if saves { cx.now + grace } else { cx.now };
-        let Place::Placed(gang) = &self.jobs[i].place else { return };
-        if gang.attempt == attempt && !matches!(gang.phase, Phase::Failing(_)) {
-            self.fail(i, Cause::Stop(reason, until), cx);
+        let Place::Placed(gang) = &mut self.jobs[i].place else { return };
+        if gang.attempt != attempt {
+            return;
+        }
+        match &mut gang.phase {
+            Phase::Failing(Cause::Stop(_, earlier)) => *earlier = until.min(*earlier),
+            Phase::Failing(_) => {}
+            _ => self.fail(i, Cause::Stop(reason, until), cx),
         }
     }
 
@@ -279,14 +284,14 @@
         if undone {
             job.committed = false;
         }
+        if matches!(verdict, Verdict::NotStarted(..)) && !job.spec.idempotent {
+            job.attempt = Attempt(0);
+            job.wanted.attempt = Attempt(0);
+        }
         if undone && job.wanted.intent.is_some() {
             job.wanted.intent = None;
             self.sync(i, cx);
         }
-        let ran = matches!(verdict, Verdict::Completed(_) | Verdict::Failed(..));
-        if ran && !gang.announced && !gang.found {
-            self.events.push_back(Event::Started(key.clone(), gang.attempt));
-        }
         match verdict {
             Verdict::NotStarted(..) if matches!(cause, Cause::Start(..)) => {
                 let event = verdict_event(&key, gang.attempt, verdict);
