Prove ownership of jobs under single failures

Found by these tests and mended with them: an owner that had lost a record stopped the tasks of the new owner, for which it now asks the store first; a withdrawn job met its own delayed start failure and ended as cancelled; a reservation lapsed while the store was slow, and is now asked for anew; a record taken over in between stayed after the end of its job.

--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -29,7 +29,7 @@
 /// Pause between two questions for the state of a job that is known to be open.
 const FOLLOW_MS: u64 = 5_000;
 /// Time for a job without a waiting caller to be accepted.
-const ACCEPT_BOUND: Span = Span::from_secs(5);
+const ACCEPT_BOUND: Span = Span::from_secs(10);
 /// Time for a question about a job to be answered.
 const STATUS_BOUND: Span = Span::from_secs(5);
 /// Time for a cancellation to come to its end while its caller waits.
--- a/crates/daemon/src/intake/tests.rs
+++ b/crates/daemon/src/intake/tests.rs
@@ -1,1 +1,221 @@
+use bulrushlink_api::{JobState, SubmitBody};
+use bulrushlink_core::{Code, Span};
 
+use crate::edge::Input;
+use crate::harness::{Fate, Net, job, long_job};
+
+const ONE: &[(&str, usize)] = &[("cuenca", 1)];
+const TWO: &[(&str, usize)] = &[("cuenca", 3), ("norte", 2)];
+const LONG: Span = Span::from_secs(60);
+const AT_ONCE: Span = Span(1_500);
+
+fn down(net: &mut Net) {
+    net.store_rule = Box::new(|_, _| Fate::Refused);
+    net.run(Span::from_secs(5));
+}
+
+fn up(net: &mut Net) {
+    net.store_rule = Box::new(|_, _| Fate::Well);
+}
+
+#[test]
+fn without_the_store_only_idempotent_jobs_whose_callers_wait_are_served() {
+    let mut net = Net::open(TWO, 1);
+    down(&mut net);
+    let light = job("light", 2, true, Some(LONG));
+    let token = net.submit(0, &light);
+    assert_eq!(net.wait(token, LONG).code, Code::Completed);
+    let refused =
+        [job("b", 1, true, None), job("c", 1, false, None), job("d", 1, false, Some(LONG))];
+    for body in &refused {
+        let token = net.submit(1, body);
+        let answer = net.wait(token, AT_ONCE);
+        assert_eq!(answer.code, Code::StoreUnavailable, "{answer:?}");
+        assert_eq!(answer.state, JobState::Refused);
+        assert!(answer.retry.is_some());
+    }
+    up(&mut net);
+    net.run(Span::from_secs(30));
+    for body in &refused {
+        assert!(net.record.runs_of(&body.spec().key).is_empty(), "{body:?}");
+    }
+    let token = net.status(4, &light.spec().key, None);
+    assert_eq!(net.wait(token, LONG).code, Code::Completed, "the end became durable");
+    let token = net.submit(2, &refused[2]);
+    assert_eq!(net.wait(token, LONG).code, Code::Completed, "a new try is free");
+}
+
+#[test]
+fn a_refusal_is_not_called_not_run_while_an_earlier_submission_may_have_run() {
+    let mut net = Net::open(TWO, 2);
+    let body = long_job("a", 1, false, Span::from_secs(300));
+    let token = net.submit(0, &body);
+    assert_eq!(net.wait(token, LONG).code, Code::Accepted);
+    net.run(Span::from_secs(3));
+    for i in [0, 1, 2] {
+        net.kill(i);
+    }
+    net.kill(3);
+    down(&mut net);
+    let token = net.submit(4, &body);
+    let answer = net.wait(token, LONG);
+    assert_eq!(answer.code, Code::StoreUnavailable, "{answer:?}");
+    assert!(!answer.not_run, "{answer:?}");
+}
+
+#[test]
+fn a_silent_store_makes_the_acceptance_unknown_and_never_not_run() {
+    for fate in [Fate::Mute, Fate::Lost] {
+        let mut net = Net::open(TWO, 3);
+        net.store_rule = Box::new(move |_, _| fate);
+        let body = job("a", 1, false, None);
+        let token = net.submit(0, &body);
+        let answer = net.wait(token, Span::from_secs(15));
+        assert!(!answer.not_run, "{answer:?}");
+        assert!(matches!(answer.code, Code::TimedOut | Code::StoreUnavailable), "{answer:?}");
+        up(&mut net);
+        net.run(Span::from_secs(30));
+        let token = net.status(4, &body.spec().key, Some(LONG));
+        let later = net.wait(token, LONG);
+        assert_eq!(later.code, Code::Completed, "{answer:?} then {later:?}");
+        assert_eq!(net.attempts(&body.spec().key).len(), 1);
+    }
+}
+
+#[test]
+fn refusals_that_the_store_bears_out_say_not_run() {
+    let mut net = Net::open(TWO, 4);
+    let mut unknown = job("a", 1, true, Some(LONG));
+    unknown.workspace = "nobody".parse().unwrap();
+    let never = SubmitBody { shape: "64x8/worker".parse_shape(), ..job("b", 1, true, None) };
+    for (body, code) in [(unknown, Code::UnknownWorkspace), (never, Code::NeverFits)] {
+        let token = net.submit(1, &body);
+        let answer = net.wait(token, LONG);
+        assert_eq!((answer.code, answer.not_run), (code, true), "{answer:?}");
+        net.run(Span::from_secs(2));
+        assert!(net.store.records().all(|r| !r.key.ends_with("/b")));
+    }
+}
+
+trait ParseShape {
+    fn parse_shape(&self) -> bulrushlink_core::Shape;
+}
+
+impl ParseShape for str {
+    fn parse_shape(&self) -> bulrushlink_core::Shape {
+        let (tasks, rest) = self.split_once('x').unwrap();
+        let (accelerators, adjacency) = rest.split_once('/').unwrap();
+        bulrushlink_core::Shape {
+            tasks: tasks.parse().unwrap(),
+            accelerators: accelerators.parse().unwrap(),
+            adjacency: adjacency.parse().unwrap(),
+        }
+    }
+}
+
+#[test]
+fn a_job_that_the_store_does_not_have_is_unknown_and_without_the_store_nobody_says_so() {
+    let mut net = Net::open(TWO, 5);
+    let key = "patrol/none".parse().unwrap();
+    let token = net.status(0, &key, None);
+    assert_eq!(net.wait(token, LONG).code, Code::NoSuchJob);
+    down(&mut net);
+    let token = net.status(0, &key, None);
+    let answer = net.wait(token, LONG);
+    assert_eq!((answer.code, answer.state), (Code::StoreUnavailable, JobState::Unknown));
+}
+
+#[test]
+fn a_wait_that_is_over_gets_the_present_state() {
+    let mut net = Net::open(ONE, 6);
+    let mut body = long_job("a", 4, true, Span::from_secs(30));
+    body.wait = Some(Span::from_secs(3));
+    let token = net.submit(0, &body);
+    let mut other = long_job("b", 4, true, Span::from_secs(30));
+    other.wait = Some(Span::from_secs(4));
+    let queued = net.submit(0, &other);
+    let answer = net.wait(token, LONG);
+    assert_eq!(answer.code, Code::Running);
+    assert!(answer.retry.is_some());
+    assert_eq!(net.wait(queued, LONG).code, Code::Accepted);
+    let token = net.status(0, &body.spec().key, Some(LONG));
+    assert_eq!(net.wait(token, LONG).code, Code::Completed);
+}
+
+#[test]
+fn lost_repeated_and_crossed_updates_reach_the_right_callers() {
+    let mut net = Net::open(TWO, 7);
+    net.loss = 30;
+    net.repeats = 30;
+    net.delay = Span(1_500);
+    let bodies: Vec<_> = (0..20u16)
+        .map(|n| SubmitBody {
+            input: format!("sleep {} n{n}", 100 * n),
+            ..job(&format!("j{n}"), 1 + n % 4, n % 2 == 0, Some(Span::from_secs(200)))
+        })
+        .collect();
+    let tokens: Vec<_> =
+        bodies.iter().enumerate().map(|(n, body)| net.submit(n % 5, body)).collect();
+    for (body, token) in bodies.iter().zip(tokens) {
+        let answer = net.wait(token, Span::from_secs(250));
+        assert_eq!(answer.code, Code::Completed, "{answer:?}");
+        assert_eq!(answer.key.as_ref(), Some(&body.spec().key));
+        let program = bulrushlink_standin::Program::parse(&body.input);
+        let outputs: Vec<_> = (0..body.shape.tasks).map(|task| program.output(task)).collect();
+        assert_eq!(answer.output, outputs);
+        assert!(body.idempotent || net.attempts(&body.spec().key).len() == 1);
+    }
+}
+
+#[test]
+fn a_graceful_stop_of_each_daemon_in_turn_cuts_no_request() {
+    let mut net = Net::open(TWO, 8);
+    let mut tokens = Vec::new();
+    let mut count = 0;
+    for i in 0..5 {
+        for _ in 0..4 {
+            count += 1;
+            let idempotent = count % 2 == 0;
+            let wait = (count % 3 != 0).then_some(LONG);
+            let body = SubmitBody {
+                input: "sleep 4000".to_string(),
+                ..job(&format!("j{count}"), 1, idempotent, wait)
+            };
+            tokens.push((net.submit(i, &body), body));
+        }
+        net.run(Span::from_secs(1));
+        net.stop(i);
+        let late = job(&format!("late{i}"), 1, true, Some(LONG));
+        tokens.push((net.submit(i, &late), late));
+        net.until(Span::from_secs(70), |net| net.exited.contains(&i));
+        net.kill(i);
+        net.run(Span::from_secs(1));
+        net.start(i);
+        net.run(Span::from_secs(8));
+    }
+    net.run(LONG);
+    for (token, body) in tokens {
+        let answer = net.wait(token, LONG);
+        assert_ne!(answer.state, JobState::Refused, "{body:?} {answer:?}");
+        let status = net.status(0, &body.spec().key, Some(LONG));
+        assert_eq!(net.wait(status, LONG).code, Code::Completed, "{answer:?}");
+        assert!(body.idempotent || net.attempts(&body.spec().key).len() == 1);
+    }
+}
+
+#[test]
+fn too_many_waiting_requests_are_refused_at_once() {
+    let mut net = Net::open(ONE, 9);
+    let most = net.nodes[0].as_ref().unwrap().settings().limits.waiting;
+    net.store_rule = Box::new(|_, _| Fate::Lost);
+    let mut body = job("a", 1, true, Some(LONG));
+    for n in 0..most {
+        body.request = format!("j{n}").parse().unwrap();
+        net.submit(0, &body);
+    }
+    let token = net.submit(0, &body);
+    let answer = net.answer(token).expect("the refusal is at once");
+    assert_eq!(answer.code, Code::Overloaded);
+    assert!(answer.retry.is_some());
+    net.input(0, Input::Tick);
+}
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -16,9 +16,6 @@
 
 mod writer;
 
-#[cfg(test)]
-mod tests;
-
 pub(crate) use writer::{Journal, Outcome};
 
 /// Time for which the end of a job can be asked for.
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -265,7 +265,7 @@
 
     /// Returns the load to announce.
     pub(crate) fn load(&self) -> Load {
-        self.scheduler.load()
+        if self.is_active() { self.scheduler.load() } else { Load::default() }
     }
 
     /// Tells whether laying down is complete: nothing is left that only this daemon knows.
@@ -328,6 +328,18 @@
         self.delayed.push(Delayed { due: now + pause, event });
     }
 
+    /// Lets the scheduler hear of a job's failed start without a pause.
+    fn hasten(&mut self, key: &JobKey) {
+        for delayed in std::mem::take(&mut self.delayed) {
+            match &delayed.event {
+                Event::StartFailed { key: own, .. } if own == key => {
+                    self.events.push_back(delayed.event);
+                }
+                _ => self.delayed.push(delayed),
+            }
+        }
+    }
+
     fn take_delayed(&mut self, cx: &Context<'_>) {
         for delayed in std::mem::take(&mut self.delayed) {
             if delayed.due <= cx.now {
--- a/crates/daemon/src/placer/calls.rs
+++ b/crates/daemon/src/placer/calls.rs
@@ -108,7 +108,7 @@
         self.on_tasks(&call.worker, &reply.tasks, cx);
         if let Some(target) = &call.target {
             for (task, result) in target.tasks.iter().zip(&reply.results) {
-                self.on_result(&call.worker, target, *task, *result, cx);
+                self.on_result(call, target, *task, *result, cx);
             }
             if target.step == Step::Reserve && reply.leaving {
                 self.fault_gang(call, StartFault::Leaving, cx);
@@ -143,27 +143,51 @@
 
     fn on_result(
         &mut self,
-        worker: &WorkerId,
+        call: &WorkerCall,
         target: &Target,
         task: u16,
         result: WorkerResult,
         cx: &mut Context<'_>,
     ) {
+        let worker = &call.worker;
+        if target.step == Step::Reserve {
+            return self.on_reserved(call, target, task, result, cx);
+        }
         let state = match (target.step, result) {
-            (Step::Reserve, WorkerResult::Done) => PartState::Reserved,
             (Step::Commit, WorkerResult::Done) => PartState::Started,
             (Step::Confirm, WorkerResult::Done) => PartState::Confirmed,
-            (Step::Reserve, _) => {
-                let cause = Cause::Start(Some(worker.clone()), StartFault::Busy);
-                return self.fail_attempt(target, cause, cx);
-            }
             (Step::Stop, WorkerResult::Done) => self.stopped_state(worker, target, task),
             (Step::Checkpoint, WorkerResult::Done) => return,
-            (Step::Commit | Step::Confirm | Step::Checkpoint | Step::Stop, _) => PartState::Absent,
+            _ => PartState::Absent,
         };
         self.raise(worker, target, task, state, cx.now);
     }
 
+    /// Takes the answer to a reservation, the first one or one that starts the lease anew.
+    fn on_reserved(
+        &mut self,
+        call: &WorkerCall,
+        target: &Target,
+        task: u16,
+        result: WorkerResult,
+        cx: &mut Context<'_>,
+    ) {
+        let Ok(i) = self.find(&target.key) else { return };
+        let Place::Placed(gang) = &mut self.jobs[i].place else { return };
+        if gang.attempt != target.attempt || gang.committed {
+            return;
+        }
+        if result != WorkerResult::Done {
+            let cause = Cause::Start(Some(call.worker.clone()), StartFault::Busy);
+            return self.fail_attempt(target, cause, cx);
+        }
+        if let Some(part) = gang.part(&call.worker, task) {
+            part.reserved = part.reserved.max(call.sent);
+            part.heard = cx.now;
+            part.raise(PartState::Reserved);
+        }
+    }
+
     /// Returns what a task is after its stop was carried out and no report of it came along.
     fn stopped_state(&mut self, worker: &WorkerId, target: &Target, task: u16) -> PartState {
         let stopped = PartState::Ended(TaskState::Stopped { saved: false, lapsed: false });
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -1,12 +1,12 @@
 //! The end of a job: durable first, then told, then forgotten by the workers.
 
-use bulrushlink_api::{Expect, StoreRequest, WorkerOp};
+use bulrushlink_api::{Expect, Revision, StoreRequest, WorkerOp};
 use bulrushlink_core::{Attempt, Ending, JobKey, Moment, Span};
 
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DONE_RETENTION, DoneRecord, Outcome};
+use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
 use crate::placer::records::Tag;
 
 /// Time for which an ended job is remembered here.
@@ -103,11 +103,22 @@
         let job = &self.jobs[i];
         let key = job.key().clone();
         let Some(kept) = &job.kept else { return self.on_removed(i, cx) };
-        let request =
-            StoreRequest::Delete { key: crate::journal::JobRecord::path(&key), at: kept.at };
+        let request = StoreRequest::Delete { key: JobRecord::path(&key), at: kept.at };
         self.journal.call(Tag::Remove(key), request, None, cx);
     }
 
+    /// Removes a record of a job whose end is durable, left by an owner that had it in between.
+    pub(super) fn remove_again(&mut self, i: usize, at: Revision, cx: &mut Context<'_>) {
+        let job = &self.jobs[i];
+        let durable = job.claim == Claim::Owned && !job.gone;
+        let settled = job.end.as_ref().is_some_and(|end| end.step == EndStep::Settled);
+        if durable && settled {
+            let key = job.key().clone();
+            let request = StoreRequest::Delete { key: JobRecord::path(&key), at };
+            self.journal.call(Tag::Remove(key), request, None, cx);
+        }
+    }
+
     pub(super) fn on_removed(&mut self, i: usize, cx: &mut Context<'_>) {
         if let Some(end) = &mut self.jobs[i].end {
             end.step = EndStep::Settled;
--- a/crates/daemon/src/placer/gang.rs
+++ b/crates/daemon/src/placer/gang.rs
@@ -87,6 +87,8 @@
     pub(super) state: PartState,
     /// Moment at which the worker was last known to have the task.
     pub(super) heard: Moment,
+    /// Moment at which the last reservation that was granted was asked for.
+    pub(super) reserved: Moment,
 }
 
 /// Why a gang is given up.
@@ -148,8 +150,6 @@
     pub(super) phase: Phase,
     /// Moment at which the phase began.
     pub(super) since: Moment,
-    /// Moment at which the oldest reservation was asked for; it may lapse a lease later.
-    pub(super) reserved: Moment,
     /// Whether any start was sent, here or by an earlier owner.
     pub(super) committed: bool,
     /// Whether it was found after a change of the owner.
@@ -162,13 +162,12 @@
 
 impl Gang {
     pub(super) fn open(attempt: Attempt, placement: Placement, now: Moment) -> Self {
-        let part = |place| Part { place, state: PartState::Unknown, heard: now };
+        let part = |place| Part { place, state: PartState::Unknown, heard: now, reserved: now };
         Self {
             attempt,
             parts: placement.into_iter().map(part).collect(),
             phase: Phase::Reserving,
             since: now,
-            reserved: now,
             committed: false,
             found: false,
             announced: false,
@@ -217,6 +216,12 @@
         Some(&mut self.parts[i]).filter(|part| part.place.worker == *worker)
     }
 
+    /// Returns the moment at which the oldest reservation was asked for; it may lapse a lease
+    /// later.
+    pub(super) fn reserved(&self) -> Moment {
+        self.parts.iter().map(|part| part.reserved).min().unwrap_or(self.since)
+    }
+
     /// Lists the workers, each once, sorted.
     pub(super) fn workers(&self) -> Vec<WorkerId> {
         let mut workers: Vec<_> = self.parts.iter().map(|p| p.place.worker.clone()).collect();
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -114,6 +114,10 @@
     /// The record that is being written.
     #[serde(skip)]
     pub(super) writing: Option<JobRecord>,
+    /// Moment at which the store was asked whether the record is still this owner's.
+    pub(super) verifying: Option<Moment>,
+    /// Moment of the last such question whose answer was yes.
+    pub(super) verified: Option<Moment>,
     /// Where it is.
     pub(super) place: Place,
     /// Whether a start of it was sent that no checkpoint has undone.
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -18,6 +18,8 @@
 pub(super) enum Tag {
     /// Writes the record of an open job.
     Record(JobKey),
+    /// Reads whether a record is still this owner's.
+    Verify(JobKey),
     /// Reads whether a job has ended before.
     Check(JobKey),
     /// Reads whether a refused job is open.
@@ -38,6 +40,7 @@
     pub(super) const fn key(&self) -> Option<&JobKey> {
         match self {
             Self::Record(key)
+            | Self::Verify(key)
             | Self::Check(key)
             | Self::ProbeOpen(key)
             | Self::ProbeDone(key)
@@ -59,6 +62,7 @@
         }
         match tag {
             Tag::Record(_) => self.on_record(i, outcome, cx),
+            Tag::Verify(_) => self.on_verified(i, outcome, cx),
             Tag::Check(_) => self.on_check(i, outcome, cx),
             Tag::ProbeOpen(_) => self.on_probe_open(i, outcome, cx),
             Tag::ProbeDone(_) => self.on_probe_done(i, outcome, cx),
@@ -132,6 +136,33 @@
         self.drive_end(i, cx);
     }
 
+    /// Asks whether a record is still this owner's, where another owner seems to run its job.
+    pub(super) fn verify(&mut self, i: usize, cx: &mut Context<'_>) {
+        let job = &mut self.jobs[i];
+        if job.verifying.is_some() {
+            return;
+        }
+        job.verifying = Some(cx.now);
+        let key = job.key().clone();
+        let request = StoreRequest::Get { key: JobRecord::path(&key) };
+        self.journal.call(Tag::Verify(key), request, None, cx);
+    }
+
+    fn on_verified(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
+        let job = &mut self.jobs[i];
+        let asked = job.verifying.take();
+        let Outcome::Found(found) = outcome else { return };
+        let read = found.as_ref().and_then(|record| JobRecord::read(&record.value));
+        if job.writing.is_some() || job.end.is_some() || job.claim != Claim::Owned {
+            return;
+        }
+        if read.is_some_and(|record| record.owner == self.own) {
+            job.verified = asked;
+        } else {
+            self.on_conflict(i, found, cx);
+        }
+    }
+
     /// Reads whether the job has ended before; it must not start until that is known.
     fn check(&mut self, i: usize, cx: &mut Context<'_>) {
         let key = self.jobs[i].key().clone();
@@ -234,6 +265,7 @@
     /// Makes the scheduler forget a job, and drops what is reserved for it.
     pub(super) fn withdraw(&mut self, i: usize, cx: &mut Context<'_>) {
         let key = self.jobs[i].key().clone();
+        self.hasten(&key);
         match std::mem::replace(&mut self.jobs[i].place, Place::Out) {
             Place::Out | Place::Leaving => {}
             Place::Waiting => self.events.push_back(Event::Cancel(key)),
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -150,10 +150,16 @@
         let last = records.last().map(|record| record.key.clone());
         for found in records {
             let Some(record) = JobRecord::read(&found.value) else { continue };
-            let Err(i) = self.find(&record.spec.key) else { continue };
             if record.domain != self.domain {
                 continue;
             }
+            let i = match self.find(&record.spec.key) {
+                Err(i) => i,
+                Ok(i) => {
+                    self.remove_again(i, found.at, cx);
+                    continue;
+                }
+            };
             let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
             self.jobs.insert(i, job);
             self.take(i, found.at, record, cx);
--- a/crates/daemon/src/placer/reports.rs
+++ b/crates/daemon/src/placer/reports.rs
@@ -5,8 +5,8 @@
 use serde::Serialize;
 
 use super::calls::WorkerCall;
-use super::gang::{Cause, PartState};
-use super::job::{EndStep, Place};
+use super::gang::{Cause, PartState, partial_gang_bound};
+use super::job::{Claim, EndStep, Place};
 use super::{Placer, Standing};
 use crate::edge::Context;
 
@@ -26,6 +26,8 @@
 enum Verdict {
     Keep,
     Drop,
+    /// Ask the store first whether the job is still this owner's.
+    Verify(usize),
     Stop,
     Forget,
 }
@@ -86,14 +88,16 @@
         for i in 0..self.jobs.len() {
             let key = self.jobs[i].key().clone();
             let Place::Placed(gang) = &mut self.jobs[i].place else { continue };
-            let (attempt, found) = (gang.attempt, gang.found);
+            // A start that an earlier owner sent may be on its way until then.
+            let late = cx.now.since(gang.since) > partial_gang_bound(&cx.settings.timing);
+            let (attempt, missing) = (gang.attempt, gang.found && late);
             let mut lost = false;
             for part in gang.parts.iter_mut().filter(|p| p.place.worker == call.worker) {
                 let listed = reply.tasks.iter().any(|t| {
                     t.id.key == key && t.id.attempt == attempt && t.id.task == part.place.task
                 });
                 let ran = matches!(part.state, PartState::Started | PartState::Confirmed)
-                    || found && part.state == PartState::Unknown;
+                    || missing && part.state == PartState::Unknown;
                 if ran && !listed && part.heard < call.sent {
                     part.raise(PartState::Absent);
                     lost = true;
@@ -115,6 +119,10 @@
             match self.judge_orphan(&orphan, cx.now) {
                 Verdict::Keep => self.orphans.push(orphan),
                 Verdict::Drop => {}
+                Verdict::Verify(i) => {
+                    self.verify(i, cx);
+                    self.orphans.push(orphan);
+                }
                 Verdict::Stop => {
                     self.send_plain(&orphan.worker, vec![WorkerOp::Stop { id }], cx);
                 }
@@ -130,6 +138,9 @@
             orphan.report.state,
             TaskState::Completed { .. } | TaskState::Failed { .. } | TaskState::Stopped { .. }
         );
+        if orphan.report.state == TaskState::Reserved {
+            return Verdict::Drop;
+        }
         let away = if ended { Verdict::Forget } else { Verdict::Stop };
         let Ok(i) = self.find(&orphan.report.id.key) else {
             let swept = self.recovery.swept.is_some_and(|swept| swept > orphan.since);
@@ -144,7 +155,13 @@
             _ if ended && job.old.contains(&old) => Verdict::Drop,
             _ if ended && !settled && !job.spec.idempotent => Verdict::Keep,
             Place::Out | Place::Leaving if job.end.is_none() => Verdict::Keep,
-            _ => away,
+            _ if ended || settled => away,
+            _ if job.claim == Claim::Owned && job.verified.is_none_or(|at| at <= orphan.since) => {
+                Verdict::Verify(i)
+            }
+            _ if job.claim == Claim::Owned => away,
+            _ if now.since(orphan.since) > ORPHAN_GRACE => away,
+            _ => Verdict::Keep,
         }
     }
 
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -172,6 +172,8 @@
             kept: None,
             wanted,
             writing: None,
+            verifying: None,
+            verified: None,
             place: Place::Out,
             committed: false,
             cancel: None,
