--- a/crates/daemon/src/harness.rs
+++ b/crates/daemon/src/harness.rs
@@ -17,6 +17,9 @@
 use crate::peer::PeerMessage;
 use crate::settings::Timing;
 
+#[cfg(test)]
+mod tests;
+
 const STEP: Span = Span(10);
 const TICK_STEPS: u64 = 5;
 /// Wall clock at the first moment.
@@ -62,6 +65,7 @@
 /// One answer to a caller.
 #[derive(Debug)]
 pub(crate) struct Told {
+    pub(crate) at: Moment,
     pub(crate) token: Token,
     pub(crate) answer: JobAnswer,
 }
@@ -406,7 +410,7 @@
                 self.input(i, Input::Hosts(call, Ok(HostList { hosts })));
             }
             Output::Caller(token, CallerReply::Job(answer)) => {
-                self.told.push(Told { token, answer });
+                self.told.push(Told { at: self.now, token, answer });
             }
             Output::Exit => self.exited.push(i),
             Output::Caller(_, CallerReply::List(_)) | Output::Operator(..) => {}
--- /dev/null
+++ b/crates/daemon/src/harness/tests.rs
@@ -0,0 +1,218 @@
+use bulrushlink_api::{JobState, StatusQuery, SubmitBody};
+use bulrushlink_core::{Code, JobKey, Moment, Span};
+use bulrushlink_standin::{Program, RunEnd};
+
+use super::{Fate, Net, job};
+use crate::edge::{CallerCall, Token};
+use crate::placer::{broken_gang_bound, partial_gang_bound};
+use crate::settings::Timing;
+
+const TWO: &[(&str, usize)] = &[("cuenca", 3), ("norte", 2)];
+const JOBS: usize = 30;
+const SECONDS: usize = 90;
+
+/// A request of a caller, and the daemon that it was sent to in one of its lives.
+struct Call {
+    token: Token,
+    node: usize,
+    life: u64,
+    body: usize,
+}
+
+struct Chaos {
+    net: Net,
+    bodies: Vec<SubmitBody>,
+    calls: Vec<Call>,
+    cancelled: Vec<bool>,
+    rng: fastrand::Rng,
+}
+
+impl Chaos {
+    fn open(seed: u64) -> Self {
+        let mut net = Net::open(TWO, seed);
+        net.loss = 5;
+        net.repeats = 5;
+        net.delay = Span(100);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let bodies = (0..JOBS).map(|n| Self::body(n, &mut rng)).collect();
+        Self { net, bodies, calls: Vec::new(), cancelled: vec![false; JOBS], rng }
+    }
+
+    fn body(n: usize, rng: &mut fastrand::Rng) -> SubmitBody {
+        let wait = rng.bool().then_some(Span::from_secs(30));
+        SubmitBody {
+            input: format!("sleep {} n{n}", rng.u64(200..8_000)),
+            ..job(&format!("j{n}"), rng.u16(1..4), rng.bool(), wait)
+        }
+    }
+
+    fn key(&self, n: usize) -> JobKey {
+        self.bodies[n].spec().key
+    }
+
+    fn submit(&mut self, n: usize) {
+        let up: Vec<_> = (0..5).filter(|i| self.net.runs(*i)).collect();
+        let Some(node) = self.rng.choice(up) else { return };
+        let body = self.bodies[n].clone();
+        let token = self.net.submit(node, &body);
+        self.calls.push(Call { token, node, life: self.net.lives[node], body: n });
+    }
+
+    fn disturb(&mut self) {
+        let i = self.rng.usize(0..5);
+        match self.rng.u8(0..12) {
+            0 if self.net.runs(i) => self.net.kill(i),
+            1 => self.net.freeze(i, true),
+            2 | 3 => self.net.freeze(i, false),
+            4 if self.net.nodes[i].is_none() => self.net.start(i),
+            5 => self.net.isolate(i, true),
+            6 => self.net.isolate(i, false),
+            7 => self.store_faults(),
+            8 => self.worker_faults(),
+            9 => self.cancel(),
+            10 => self.repeat(),
+            _ => {}
+        }
+    }
+
+    fn store_faults(&mut self) {
+        let seed = self.rng.u64(..);
+        let bad = self.rng.u8(0..60);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let fates = [Fate::Refused, Fate::Lost, Fate::Mute];
+        self.net.store_rule = Box::new(move |_, _| match rng.u8(0..100) < bad {
+            true => fates[rng.usize(0..3)],
+            false => Fate::Well,
+        });
+    }
+
+    fn worker_faults(&mut self) {
+        let seed = self.rng.u64(..);
+        let bad = self.rng.u8(0..15);
+        let mut rng = fastrand::Rng::with_seed(seed);
+        let fates = [Fate::Refused, Fate::Lost, Fate::Mute];
+        self.net.worker_rule = Box::new(move |_, _, _| match rng.u8(0..100) < bad {
+            true => fates[rng.usize(0..3)],
+            false => Fate::Well,
+        });
+    }
+
+    fn cancel(&mut self) {
+        let up: Vec<_> = (0..5).filter(|i| self.net.runs(*i)).collect();
+        let (Some(node), n) = (self.rng.choice(up), self.rng.usize(0..JOBS)) else { return };
+        self.cancelled[n] = true;
+        let key = self.key(n);
+        self.net.caller(node, CallerCall::Cancel(key));
+    }
+
+    fn repeat(&mut self) {
+        if let Some(call) = self.rng.choice(self.calls.iter()) {
+            self.submit(call.body);
+        }
+    }
+
+    fn heal(&mut self) {
+        self.net.store_rule = Box::new(|_, _| Fate::Well);
+        self.net.worker_rule = Box::new(|_, _, _| Fate::Well);
+        self.net.cuts.clear();
+        self.net.loss = 0;
+        for i in 0..5 {
+            self.net.freeze(i, false);
+            if self.net.nodes[i].is_none() {
+                self.net.start(i);
+            }
+        }
+    }
+
+    fn run(&mut self) {
+        for second in 0..SECONDS {
+            if second * JOBS / SECONDS != (second + 1) * JOBS / SECONDS {
+                self.submit(second * JOBS / SECONDS);
+            }
+            self.disturb();
+            self.net.run(Span::from_secs(1));
+        }
+        self.heal();
+        self.net.run(Span::from_secs(240));
+    }
+
+    fn check(&mut self, seed: u64) {
+        for call in &self.calls {
+            let alive = self.net.lives[call.node] == call.life;
+            let answered = self.net.answer(call.token).is_some();
+            assert!(answered || !alive, "{seed}: {:?} has no answer", call.token);
+        }
+        for n in 0..JOBS {
+            self.check_job(n, seed);
+        }
+        let open: Vec<_> =
+            self.net.store.records().filter(|r| r.key.starts_with("jobs/")).collect();
+        assert!(open.is_empty(), "{seed}: {open:?}");
+        let timing = Timing::default();
+        let bound = partial_gang_bound(&timing).max(broken_gang_bound(&timing));
+        for partial in self.net.record.partials(self.net.now) {
+            assert!(partial.length() <= bound, "{seed}: {partial:?}");
+        }
+        for sim in &self.net.workers {
+            assert!(sim.tasks(self.net.now).is_empty(), "{seed}: {:?}", sim.tasks(self.net.now));
+        }
+    }
+
+    fn check_job(&mut self, n: usize, seed: u64) {
+        let (key, body) = (self.key(n), self.bodies[n].clone());
+        let runs = self.net.record.runs_of(&key);
+        let text = format!("{seed}: {key} {runs:?}");
+        assert!(body.idempotent || self.net.attempts(&key).len() <= 1, "{text}");
+        let program = Program::parse(&body.input);
+        let output: Vec<_> = (0..body.shape.tasks).map(|task| program.output(task)).collect();
+        let tokens: Vec<_> = self.calls.iter().filter(|c| c.body == n).map(|c| c.token).collect();
+        let told: Vec<_> = self.net.told.iter().filter(|t| tokens.contains(&t.token)).collect();
+        let mut accepted = false;
+        for told in &told {
+            let answer = &told.answer;
+            accepted |= matches!(answer.code, Code::Accepted);
+            if answer.state == JobState::Completed {
+                assert_eq!(answer.output, output, "{text}");
+            }
+            let not_run = answer.not_run || answer.reason == "cancelled, not run";
+            let ran = runs.iter().any(|run| run.started <= told.at);
+            assert!(!(not_run && ran), "{text} {told:?}");
+        }
+        let told = format!("{told:?}");
+        let token = self.net.caller(
+            0,
+            CallerCall::Status(StatusQuery { key: key.clone(), wait: None, why: false }),
+        );
+        let last = self.net.wait(token, Span::from_secs(20));
+        let text = format!("{text} {last:?} {told}");
+        let ended = matches!(
+            last.code,
+            Code::Completed | Code::Failed | Code::Cancelled | Code::OutcomeUnknown
+        );
+        assert!(ended || last.code == Code::NoSuchJob, "{text}");
+        assert!(ended || !accepted, "{text}");
+        assert!(last.code != Code::Cancelled || self.cancelled[n], "{text}");
+        if body.idempotent && accepted && !self.cancelled[n] {
+            assert!(matches!(last.code, Code::Completed | Code::Failed), "{text}");
+        }
+        if last.code == Code::Completed {
+            let whole = |attempt| {
+                let own = runs.iter().filter(|r| r.task.attempt == attempt);
+                own.filter(|r| r.end == Some(RunEnd::Completed)).count()
+                    >= usize::from(body.shape.tasks)
+            };
+            let attempts = self.net.attempts(&key);
+            assert!(attempts.into_iter().any(whole), "{text}");
+        }
+    }
+}
+
+#[test]
+fn the_promises_hold_in_random_runs() {
+    for seed in 0..12 {
+        let mut chaos = Chaos::open(seed);
+        chaos.run();
+        assert!(chaos.net.now > Moment(0));
+        chaos.check(seed);
+    }
+}
