--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -13,6 +13,8 @@
 mod daemon;
 mod edge;
 mod edges;
+#[cfg(test)]
+mod harness;
 mod hash;
 mod hosts;
 mod hosts_edge;
