--- a/crates/daemon/src/members/tests.rs
+++ b/crates/daemon/src/members/tests.rs
@@ -1,3 +1,5 @@
+mod model;
+
 use bulrushlink_core::{DaemonId, Moment, NoteVersion, Span};
 
 use super::{Announcement, Members};
