--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -81,7 +81,8 @@
         let firm = !self.jobs.get(ix).preemptible();
         let clear = |place: &Place| {
             let worker = self.fleet.worker(place.worker);
-            let held = firm && worker.reserved.overlaps(place.set);
+            let closed = worker.closed_to(ix).0;
+            let held = closed.overlaps(place.set) || firm && worker.reserved.overlaps(place.set);
             !held && worker.is_usable() && self.is_ready(place)
         };
         if !places.iter().all(clear) {
@@ -92,7 +93,7 @@
                 places.iter().filter(|p| p.worker == place.worker).map(|p| p.tasks).sum();
             let worker = self.fleet.worker(place.worker);
             let bind = !firm || worker.slots(View::Bind) >= wanted;
-            bind && worker.is_free(AcceleratorSet::EMPTY, wanted)
+            bind && worker.is_free(AcceleratorSet::EMPTY, wanted + worker.closed_to(ix).1)
         })
     }
 
@@ -105,8 +106,12 @@
             return self.begin(ix, places, Reason::Unheld);
         }
         let job = self.jobs.get(ix);
-        let held = |place: &Place| !self.held_back(place).is_empty();
-        let lost = !job.preemptible() && job.places.iter().any(held);
+        let firm = !job.preemptible();
+        let held = |place: &Place| {
+            let closed = self.fleet.worker(place.worker).closed_to(ix).0;
+            closed.overlaps(place.set) || firm && !self.held_back(place).is_empty()
+        };
+        let lost = job.places.iter().any(held);
         if lost || self.guarantee_is_open(ix) {
             return self.requeue(ix, Reason::Queued);
         }
@@ -260,14 +265,18 @@
             return false;
         }
         let fitting = self.drains.iter().filter(|d| self.now + expected.high <= d.ready);
-        let places = fitting.flat_map(|d| self.jobs.get(d.owner).places.iter());
-        let found = places.copied().find_map(|place| {
+        let places = fitting
+            .flat_map(|d| self.jobs.get(d.owner).places.iter().map(|place| (d.owner, *place)));
+        let found = places.into_iter().find_map(|(owner, place)| {
             let worker = self.fleet.worker(place.worker);
-            let free = place.set.without(worker.busy).without(worker.foreign);
+            let closed = worker.closed_to(owner).0.with(worker.foreign);
+            let free = place.set.without(worker.busy).without(closed);
             let set = pick(free, shape.accelerators)?;
             let place = Place { worker: place.worker, set, tasks: 1 };
             let avoided = job.failed_on.contains(&place.worker) || !worker.is_usable();
-            (!avoided && self.is_ready(&place)).then_some(place)
+            let slots = 1 + worker.closed_to(owner).1;
+            let ready = self.is_ready(&place) && worker.is_free(set, slots);
+            (!avoided && ready).then_some(place)
         });
         let Some(place) = found else { return false };
         self.begin(ix, vec![place], Reason::Backfill);
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -150,6 +150,12 @@
         !self.busy.with(self.foreign).overlaps(set) && used + slots <= self.info.slots
     }
 
+    /// Returns the accelerators and slots that are closed to a job, by closures of others.
+    pub(super) fn closed_to(&self, job: JobIx) -> (AcceleratorSet, u16) {
+        let others = self.closures.iter().filter(|c| c.owner != job);
+        others.fold((AcceleratorSet::EMPTY, 0), |sum, c| (sum.0.with(c.set), sum.1 + c.slots))
+    }
+
     /// Number of tasks of `size` accelerators that fit under `view`.
     pub(super) fn fit(&self, view: View, size: u8) -> u16 {
         self.room[view as usize].tasks[size as usize]
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -203,7 +203,11 @@
         job.unseated = placement;
         job.enter(Phase::Running, Reason::Adopted, now);
         job.firm = !job.preemptible();
+        let whole = job.unseated.len() == usize::from(job.spec.shape.tasks);
         self.seat_adopted(ix);
+        if !whole {
+            return self.stop(ix, StopReason::GangIncomplete);
+        }
         self.protect(ix);
         if self.is_out() {
             self.leave(ix);
--- a/crates/core/src/sched/outcome.rs
+++ b/crates/core/src/sched/outcome.rs
@@ -231,27 +231,31 @@
 
     /// Handles a live job whose worker is gone: a gang's other tasks are stopped first.
     pub(super) fn lose_member(&mut self, ix: JobIx, worker: WorkerIx) {
-        let now = self.now;
         let job = self.jobs.get(ix);
         let alone = job.unseated.is_empty() && job.places.iter().all(|p| p.worker == worker);
-        let cancelled = matches!(job.phase, Phase::Stopping(StopReason::Cancelled, _));
-        if alone && cancelled {
-            return self.finish(ix, Ending::Cancelled { ran: true });
-        }
-        if alone && !job.repeatable() {
-            self.jobs.get_mut(ix).ran = job.attempt;
-            return self.end_unknown(ix);
+        if !alone {
+            self.drop_member(ix, worker);
         }
+        self.lose_part(ix, alone);
+    }
+
+    /// Goes on with a live job that has lost tasks; `alone` tells whether those were all.
+    pub(super) fn lose_part(&mut self, ix: JobIx, alone: bool) {
+        let now = self.now;
+        let job = self.jobs.get_mut(ix);
+        let cancelled = matches!(job.phase, Phase::Stopping(StopReason::Cancelled, _));
         if alone {
-            let attempt = job.attempt;
-            self.jobs.get_mut(ix).ran = attempt;
-            return self.requeue(ix, Reason::WorkerLost);
+            job.ran = job.attempt;
+            match (cancelled, job.repeatable()) {
+                (true, _) => self.finish(ix, Ending::Cancelled { ran: true }),
+                (false, true) => self.requeue(ix, Reason::WorkerLost),
+                (false, false) => self.end_unknown(ix),
+            }
+            return;
         }
-        self.drop_member(ix, worker);
         if cancelled {
             return;
         }
-        let job = self.jobs.get_mut(ix);
         if let Phase::Stopping(_, until) = job.phase {
             let reason = StopReason::GangIncomplete;
             job.enter(Phase::Stopping(reason, until), Reason::Stopping(reason), now);
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -2,7 +2,7 @@
 
 use crate::error::{Code, Error};
 use crate::ids::WorkerId;
-use crate::job::{Adjacency, Shape};
+use crate::job::{Adjacency, Shape, TaskPlace};
 use crate::note::{DomainShare, Service};
 use crate::sched::Scheduler;
 use crate::sched::event::{StopReason, UsageReport, WorkerInfo};
@@ -163,6 +163,7 @@
     }
 
     pub(super) fn on_worker_lost(&mut self, id: &WorkerId) {
+        self.lose_adrift(id);
         let Some(ix) = self.fleet.find(id) else { return };
         self.fleet.set_leaving(ix);
         self.give_up(ix);
@@ -178,6 +179,20 @@
         self.freed = true;
     }
 
+    /// Handles adopted jobs with tasks on a worker that is lost before it was known.
+    fn lose_adrift(&mut self, id: &WorkerId) {
+        let on_it = |task: &TaskPlace| task.worker == *id;
+        for ix in self.adrift.clone() {
+            let job = self.jobs.get_mut(ix);
+            if !job.unseated.iter().any(on_it) {
+                continue;
+            }
+            let alone = job.places.is_empty() && job.unseated.iter().all(on_it);
+            job.unseated.retain(|task| !on_it(task));
+            self.lose_part(ix, alone);
+        }
+    }
+
     pub(super) fn on_usage(&mut self, reports: &[UsageReport]) {
         for report in reports {
             let Some(ix) = self.fleet.find(&report.worker) else { continue };
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -56,6 +56,7 @@
     Guarantees(usize),
     Report(usize, u8, u64),
     Break(usize, bool),
+    Replace(u8),
 }
 
 fn job() -> impl Strategy<Value = Job> {
@@ -85,10 +86,11 @@
         1 => (0..WORKERS).prop_map(Op::Lose),
         2 => (0..WORKERS).prop_map(Op::Join),
         1 => (0..WORKERS).prop_map(Op::Leave),
-        1 => any::<bool>().prop_map(Op::Service),
+        1 => proptest::bool::weighted(0.8).prop_map(Op::Service),
         1 => (0..4usize).prop_map(Op::Guarantees),
         2 => (0..WORKERS, any::<u8>(), 0..20_000u64).prop_map(|(i, b, age)| Op::Report(i, b, age)),
         1 => (0..WORKERS, any::<bool>()).prop_map(|(i, b)| Op::Break(i, b)),
+        1 => (0..6u8).prop_map(Op::Replace),
     ]
 }
 
@@ -167,6 +169,7 @@
                 table.broken.push(id);
             }
         }
+        Op::Replace(order) => table.replace(*order),
         Op::Lose(_) | Op::Leave(_) | Op::Report(..) => {}
     }
 }
@@ -196,7 +199,7 @@
         Config { cases, failure_persistence: None, max_shrink_iters: 2000, ..Config::default() };
     let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
     let mut runner = TestRunner::new_with_rng(config, rng);
-    let input = (any::<u64>(), proptest::collection::vec(op(), 1..160));
+    let input = (any::<u64>(), proptest::collection::vec(op(), 1..400));
     let result = runner.run(&input, |(seed, ops)| {
         let mut table = Table::open(seed, WORKERS, RACK, guarantees(2));
         table.faults = faults;
@@ -214,16 +217,16 @@
 
 #[test]
 fn nothing_fails_but_workers() {
-    run(400, Faults::default());
+    run(1000, Faults::default());
 }
 
 #[test]
 fn events_come_late_and_twice() {
-    run(400, Faults { twice: 5, delay_ms: 8_000, ..Faults::default() });
+    run(1000, Faults { twice: 5, delay_ms: 8_000, ..Faults::default() });
 }
 
 #[test]
 fn starts_attempts_and_stops_fail() {
     let faults = Faults { start_fails: 6, run_fails: 8, stop_lost: 4, twice: 10, delay_ms: 3_000 };
-    run(400, faults);
+    run(1000, faults);
 }
--- a/crates/core/tests/table/mod.rs
+++ b/crates/core/tests/table/mod.rs
@@ -209,6 +209,50 @@
         self.tell(Event::Worker(self.workers[i].0.clone()));
     }
 
+    /// Replaces the scheduler by one that knows nothing, and tells it of the workers, the share and
+    /// the jobs in one of six orders.
+    pub fn replace(&mut self, order: u8) {
+        self.sched = Scheduler::open(u64::from(order));
+        self.quarantined.clear();
+        let orders = [[0, 1, 2], [0, 2, 1], [1, 0, 2], [1, 2, 0], [2, 0, 1], [2, 1, 0]];
+        for part in orders[usize::from(order)] {
+            match part {
+                0 => self.tell(Event::Share(self.share.clone())),
+                1 => self.tell_workers(),
+                _ => self.tell_jobs(),
+            }
+        }
+    }
+
+    fn tell_workers(&mut self) {
+        for (info, present) in self.workers.clone() {
+            if present {
+                self.tell(Event::Worker(info));
+            }
+        }
+    }
+
+    fn tell_jobs(&mut self) {
+        for live in self.live.clone() {
+            let (attempt, placement) = (live.attempt, live.placement);
+            let record = self.record(&live.key).clone();
+            let (spec, age) = (record.spec, self.now.since(record.submitted));
+            let ran = record.started.map(|at| self.now.since(at)).unwrap_or_default();
+            self.tell(Event::Adopt { spec, attempt, placement, age, ran });
+        }
+        for i in 0..self.records.len() {
+            let record = self.records[i].clone();
+            let (spec, age) = (record.spec, self.now.since(record.submitted));
+            if record.ended.is_some() || record.handed || self.is_live(&spec.key) {
+                continue;
+            }
+            let known = spec.idempotent || record.spent;
+            let attempt = if known { record.attempt } else { Attempt(0) };
+            self.records[i].attempt = attempt;
+            self.tell(Event::Submit { spec, attempt, age });
+        }
+    }
+
     /// Reports what the workers hold, as it was `age` ago for a table that didn't change.
     pub fn report(&mut self, i: usize, extra: AcceleratorSet, age: Span) {
         let id = self.workers[i].0.id.clone();
