--- a/crates/core/src/sched/fit.rs
+++ b/crates/core/src/sched/fit.rs
@@ -136,13 +136,8 @@
 }
 
 /// Picks `size` neighbouring positions out of `mask`: in the shortest run that holds them, so that
-<<<<<<< HEAD
-/// the rest of the run still holds as many of the same size as before but one, aligned like a
-/// buddy block where that is possible, and at the run's edge.
-=======
 /// the rest of the run holds as many more as it can, aligned like a buddy block where that is
 /// possible, and at the run's edge.
->>>>>>> core
 pub(super) fn pick(mask: AcceleratorSet, size: u8) -> Option<AcceleratorSet> {
     if size == 0 {
         return Some(AcceleratorSet::EMPTY);
@@ -153,14 +148,9 @@
         let below = (mask.0 << (63 - first) << 1).leading_ones();
         let below = if *first == 0 { 0 } else { below };
         let above = mask.0.checked_shr(u32::from(first + size)).unwrap_or(0).trailing_ones();
-<<<<<<< HEAD
-        let splits = below % u32::from(size) + above % u32::from(size) >= u32::from(size);
-        (below + above, splits, !first.is_multiple_of(size), below.min(above), *first)
-=======
         let n = u32::from(size);
         let split = (below + above) / n - below / n - above / n;
         (below + above, split, !first.is_multiple_of(size), below.min(above), *first)
->>>>>>> core
     })?;
     Some(AcceleratorSet::run(best, size))
 }
