--- a/crates/daemon/src/answers.rs
+++ b/crates/daemon/src/answers.rs
@@ -6,6 +6,9 @@
 
 use crate::edge::CallerReply;
 
+#[cfg(test)]
+mod tests;
+
 /// Media type of every answer but the metrics.
 const JSON: &str = "application/json";
 /// Media type of the metrics page.
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -33,6 +33,19 @@
         self.closed.store(true, Ordering::SeqCst);
     }
 
+    /// Returns the daemon's name, as a label of metrics.
+    pub(crate) fn daemon(&self) -> String {
+        self.daemon.to_string()
+    }
+
+    /// Counts a call that leaves the process.
+    pub(crate) fn count(&self, edge: &'static str) {
+        metrics::counter!(
+            "bulrushlink_edge_calls_total", "daemon" => self.daemon(), "edge" => edge
+        )
+        .increment(1);
+    }
+
     pub(crate) fn is_closed(&self) -> bool {
         self.closed.load(Ordering::SeqCst)
     }
@@ -64,10 +77,9 @@
             Code::Unreachable => EdgeFault::Unreachable,
             _ => EdgeFault::Silent,
         };
-        let daemon = self.daemon.to_string();
         metrics::counter!(
             "bulrushlink_edge_faults_total",
-            "daemon" => daemon, "edge" => edge, "fault" => fault.to_string()
+            "daemon" => self.daemon(), "edge" => edge, "fault" => fault.to_string()
         )
         .increment(1);
         log::debug!(daemon:% = self.daemon, code = error.code().number(); "{edge}: {error}");
--- a/crates/daemon/src/hosts_edge.rs
+++ b/crates/daemon/src/hosts_edge.rs
@@ -23,6 +23,7 @@
         let reader = results.clone();
         let run = move |call: CallId| {
             if !reader.is_closed() {
+                reader.count("hosts");
                 let list = reader.read("hosts", client.get(&url));
                 reader.send(Input::Hosts(call, list));
             }
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -21,6 +21,7 @@
 
 mod bind;
 mod body;
+mod headers;
 #[cfg(test)]
 mod tests;
 
@@ -206,8 +207,11 @@
     }
 
     fn count(&self, waiting: usize) {
-        metrics::gauge!("bulrushlink_waiting_requests", "listener" => self.name)
-            .set(waiting as f64);
+        let daemon = self.results.daemon();
+        metrics::gauge!(
+            "bulrushlink_waiting_requests", "daemon" => daemon, "listener" => self.name
+        )
+        .set(waiting as f64);
     }
 
     /// Starts the thread that takes requests from the library.
@@ -269,6 +273,7 @@
     }
 
     fn read(&self, request: &mut Request) -> Result<Outcome, Error> {
+        headers::check(request)?;
         self.front.admit(request)?;
         let body = body::read(request, self.bounds.body)?;
         let url = request.url();
@@ -303,7 +308,7 @@
         let retry = overload.then_some(Span(OVERLOAD_RETRY_MS));
         metrics::counter!(
             "bulrushlink_requests_refused_total",
-            "listener" => self.name, "code" => error.code().number().to_string()
+            "daemon" => self.results.daemon(), "listener" => self.name, "code" => error.code().number().to_string()
         )
         .increment(1);
         self.finish(request, self.front.refuse(error, retry));
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -4,6 +4,7 @@
 //! exchange is repeated by the side that wants something. That keeps all queues bounded.
 
 use bulrushlink_core::{Code, DaemonId};
+use metrics::Counter;
 use stakker::{CX, Fwd, after, fwd_to};
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, UdpSocket};
@@ -76,6 +77,23 @@
     accepted: u64,
     inbound_max: usize,
     heard: Fwd<Heard>,
+    meters: Meters,
+}
+
+/// Bytes of frames, without the headers of the protocols below.
+struct Meters {
+    sent: Counter,
+    received: Counter,
+}
+
+impl Meters {
+    fn open(own: &DaemonId) -> Self {
+        let own = own.to_string();
+        Self {
+            sent: metrics::counter!("bulrushlink_peer_sent_bytes_total", "daemon" => own.clone()),
+            received: metrics::counter!("bulrushlink_peer_received_bytes_total", "daemon" => own),
+        }
+    }
 }
 
 impl PeerLink {
@@ -108,6 +126,7 @@
             accepted: 0,
             inbound_max,
             heard,
+            meters: Meters::open(&settings.daemon),
             own: settings.daemon,
         })
     }
@@ -121,8 +140,9 @@
             return self.drop_one("unknown");
         };
         if frame.len() <= DATAGRAM_MAX_BYTES {
-            if self.udp.send_to(&frame, self.outbound[i].addr).is_err() {
-                self.drop_one("datagram");
+            match self.udp.send_to(&frame, self.outbound[i].addr) {
+                Ok(len) => self.meters.sent.increment(len as u64),
+                Err(_) => self.drop_one("datagram"),
             }
             return;
         }
@@ -133,7 +153,9 @@
         }
         let connected = self.connect(cx, i);
         let target = &mut self.outbound[i];
-        if connected.is_err() || !target.push(&frame, cx.now()) {
+        if connected.is_ok() && target.push(&frame, cx.now()) {
+            self.meters.sent.increment(frame.len() as u64);
+        } else {
             self.drop_one("stream");
         }
     }
@@ -246,6 +268,7 @@
     fn take(&mut self, frame: &[u8], way: Way, from: SocketAddr) -> bool {
         match self.frames.unseal(frame, way) {
             Ok((from, message)) => {
+                self.meters.received.increment(frame.len() as u64);
                 self.heard.fwd(Heard { from, message });
                 true
             }
--- a/crates/daemon/src/store_edge.rs
+++ b/crates/daemon/src/store_edge.rs
@@ -78,6 +78,7 @@
         if results.is_closed() {
             return;
         }
+        results.count("store");
         let reply = results.read("store", client.post(url, &call.request));
         results.send(Input::Store(call.call, reply));
     }
--- a/crates/daemon/src/worker_edge.rs
+++ b/crates/daemon/src/worker_edge.rs
@@ -83,6 +83,7 @@
             results.send(Input::Worker(call.call, Err(EdgeFault::Unreachable)));
             return;
         }
+        results.count("worker");
         let reply = client.post_within(&url, &call.batch, Span(left.as_millis() as u64));
         let answered = !reply
             .as_ref()
--- a/crates/daemon/tests/http_errors.rs
+++ b/crates/daemon/tests/http_errors.rs
@@ -97,6 +97,11 @@
     note("not UTF-8", "POST /v1/jobs", exchange(daemon.callers(), utf8));
     let huge = b"POST /v1/jobs HTTP/1.1\r\nHost: x\r\nContent-Length: 99999999999999\r\n\r\n";
     note("huge announced", "POST /v1/jobs", exchange(daemon.callers(), huge));
+    let long = format!("GET /v1/jobs/{}", "x".repeat(3_000));
+    note("long URL", "GET /v1/jobs/x…", exchange(daemon.callers(), &request(&long, "", "")));
+    let many = (0..70).map(|i| format!("X-{i}: 1\r\n")).collect::<String>();
+    let many = request("GET /v1/jobs/rosters", &many, "");
+    note("many headers", "GET /v1/jobs/rosters", exchange(daemon.callers(), &many));
     for (name, line, headers, body) in operators {
         note(name, line, exchange(daemon.operators(), &request(line, headers, &body)));
     }
