Settle doubtful notes by digest, ignore a store that lags, test the slices

A store that shows a lower version than the one in force is no contact and takes no note. Two notes of one name are told apart by a digest: an operator whose note lost to another of the same name and base was told that it won. A domain that a note removes is out of service for its placer. Reports count as signs of life of a worker, since just they are repeated until taken.

--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -18,6 +18,8 @@
 /// Allowance beyond the lease before a silent worker is taken for lost: the time between two
 /// signs of life of a worker that lives.
 const LOST_MARGIN: Span = Span::from_secs(15);
+/// The longest wait after a fault of reading the list.
+const FAULT_WAIT_MAX: Span = Span::from_secs(8);
 /// Time between two searches for workers that have become silent.
 const SWEEP_PERIOD: Span = Span::from_secs(1);
 
@@ -103,7 +105,7 @@
                 self.read.after(jitter(period, &mut self.rng), cx.now);
                 self.take(list, cx.now);
             }
-            Err(_) => self.read.back_off(period, cx.now, &mut self.rng),
+            Err(_) => self.read.back_off((period, FAULT_WAIT_MAX), cx.now, &mut self.rng),
         }
     }
 
@@ -134,15 +136,23 @@
     /// Takes a worker's own word that it leaves or not; it goes before the list's, but for a
     /// list that says that it leaves: new work stays away from a worker of which either says so.
     pub(crate) fn on_leaving(&mut self, worker: &WorkerId, leaving: bool, now: Moment) {
-        if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
-            let entry = &mut self.entries[i];
-            let back = now.since(entry.seen) > self.lapse;
-            let news = entry.leaving != leaving;
-            entry.seen = now;
-            entry.leaving = leaving;
-            if news || back {
-                self.refresh(now);
-            }
+        self.hear(worker, Some(leaving), now);
+    }
+
+    /// Notes a sign of life of a worker that says nothing about leaving.
+    pub(crate) fn on_alive(&mut self, worker: &WorkerId, now: Moment) {
+        self.hear(worker, None, now);
+    }
+
+    fn hear(&mut self, worker: &WorkerId, leaving: Option<bool>, now: Moment) {
+        let found = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker));
+        let Some(entry) = found.ok().map(|i| &mut self.entries[i]) else { return };
+        let back = now.since(entry.seen) > self.lapse;
+        let news = leaving.is_some_and(|leaving| entry.leaving != leaving);
+        entry.seen = now;
+        entry.leaving = leaving.unwrap_or(entry.leaving);
+        if news || back {
+            self.refresh(now);
         }
     }
 
--- a/crates/daemon/src/hosts/tests.rs
+++ b/crates/daemon/src/hosts/tests.rs
@@ -1,1 +1,121 @@
+use bulrushlink_api::{EdgeFault, Host, HostList};
+use bulrushlink_core::{Moment, Span, WorkerId};
 
+use super::Hosts;
+use crate::edge::{Context, Outbox, Output};
+use crate::node::tests::net::{host, settings};
+use crate::settings::Settings;
+
+struct Bench {
+    hosts: Hosts,
+    settings: Settings,
+    now: Moment,
+    out: Outbox,
+}
+
+impl Bench {
+    fn open() -> Self {
+        let settings = settings("norte-0", &[("norte", 1), ("sur", 1)]);
+        let now = Moment(1000);
+        let hosts = Hosts::open(&settings, now, 1);
+        Self { hosts, settings, now, out: Outbox::default() }
+    }
+
+    /// Ticks until the list is read, answers the read, and returns the time that it took.
+    fn read(&mut self, result: Result<Vec<Host>, EdgeFault>) -> Span {
+        let from = self.now;
+        loop {
+            let (now, settings) = (self.now, &self.settings);
+            let mut cx = Context { now, wall: 0, may_start: true, settings, out: &mut self.out };
+            self.hosts.tick(&mut cx);
+            if let Some(Output::Hosts(call)) = cx.out.take().pop() {
+                let result = result.map(|hosts| HostList { hosts });
+                self.hosts.on_hosts(call, result, &mut cx);
+                return self.now.since(from);
+            }
+            self.now += Span(100);
+        }
+    }
+
+    fn own(&self) -> Vec<(String, bool)> {
+        let own = self.hosts.own().iter();
+        own.map(|host| (host.id.to_string(), host.leaving)).collect()
+    }
+}
+
+fn id(text: &str) -> WorkerId {
+    text.parse().unwrap()
+}
+
+fn hosts(ids: &[&str]) -> Vec<Host> {
+    ids.iter().map(|id| host(id, "norte", "r1")).collect()
+}
+
+fn shown(ids: &[&str]) -> Vec<(String, bool)> {
+    ids.iter().map(|id| (id.to_string(), false)).collect()
+}
+
+#[test]
+fn an_outage_of_the_list_changes_nothing_and_is_asked_about_less_often() {
+    let mut bench = Bench::open();
+    let mut list = hosts(&["b", "a"]);
+    list.push(host("c", "sur", "r1"));
+    bench.read(Ok(list));
+    assert_eq!(bench.own(), shown(&["a", "b"]));
+    assert_eq!(bench.hosts.all().len(), 3);
+    let generation = bench.hosts.generation();
+    let waits: Vec<_> = (0..5).map(|_| bench.read(Err(EdgeFault::Silent))).collect();
+    assert!(waits[4] > Span::from_secs(5), "{waits:?}");
+    assert_eq!((bench.own(), bench.hosts.generation()), (shown(&["a", "b"]), generation));
+}
+
+#[test]
+fn a_worker_that_the_list_lost_stays_for_as_long_as_it_answers() {
+    let mut bench = Bench::open();
+    bench.read(Ok(hosts(&["a", "b"])));
+    for _ in 0..60 {
+        bench.read(Ok(hosts(&["a"])));
+        bench.hosts.on_leaving(&id("b"), false, bench.now);
+    }
+    assert_eq!(bench.own(), shown(&["a", "b"]));
+    bench.now += Span::from_secs(46);
+    bench.read(Ok(hosts(&["a"])));
+    assert_eq!(bench.own(), shown(&["a"]));
+}
+
+#[test]
+fn new_work_stays_away_when_the_worker_or_the_list_says_that_it_leaves() {
+    let mut bench = Bench::open();
+    bench.read(Ok(hosts(&["a", "b"])));
+    bench.hosts.on_leaving(&id("a"), true, bench.now);
+    assert_eq!(bench.own()[0], ("a".to_string(), true));
+    bench.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(bench.own()[0], ("a".to_string(), true), "the list lags");
+    bench.hosts.on_leaving(&id("a"), false, bench.now);
+    assert_eq!(bench.own()[0], ("a".to_string(), false));
+    let mut list = hosts(&["a", "b"]);
+    list[1].leaving = true;
+    bench.read(Ok(list));
+    assert_eq!(bench.own()[1], ("b".to_string(), true));
+}
+
+#[test]
+fn a_silent_worker_is_lost_after_its_leases_and_only_where_all_are_heard_of() {
+    let mut bench = Bench::open();
+    bench.read(Ok(hosts(&["a", "b"])));
+    let lapse = bench.settings.timing.lease + super::LOST_MARGIN;
+    bench.now += lapse + lapse;
+    bench.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(bench.own(), shown(&["a", "b"]), "others may hear of them");
+    bench.hosts.set_hears(true, bench.now);
+    bench.now += lapse;
+    bench.hosts.on_alive(&id("a"), bench.now);
+    bench.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(bench.own(), shown(&["a", "b"]), "not before the lease and the margin");
+    bench.now += Span::from_secs(2);
+    bench.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(bench.own(), shown(&["a"]));
+    assert_eq!(bench.hosts.known().count(), 2, "a lost worker is still called");
+    bench.hosts.on_alive(&id("b"), bench.now);
+    assert_eq!(bench.own(), shown(&["a", "b"]));
+}
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -22,6 +22,9 @@
 /// Time between two full reports of a worker.
 const FULL_PERIOD: Span = Span::from_secs(10);
 
+/// The longest wait after a fault, in renewal periods: several tries have to fit into a lease.
+const FAULT_PERIODS_MAX: u64 = 4;
+
 /// A worker of this daemon's share.
 #[derive(Debug)]
 struct Charge {
@@ -140,7 +143,8 @@
         let Ok(reply) = result else {
             // The worker may have taken its report for delivered.
             charge.full = cx.now;
-            return charge.renew.back_off(period, cx.now, &mut self.rng);
+            let most = Span(period.millis() * FAULT_PERIODS_MAX);
+            return charge.renew.back_off((period, most), cx.now, &mut self.rng);
         };
         charge.renew.after(jitter(period, &mut self.rng), cx.now);
         charge.heard = cx.now;
--- a/crates/daemon/src/keeper/tests.rs
+++ b/crates/daemon/src/keeper/tests.rs
@@ -1,1 +1,181 @@
+use bulrushlink_api::{EdgeFault, HostList, TaskId, TaskReport, TaskState, WorkerOp, WorkerReply};
+use bulrushlink_core::{AcceleratorSet, Attempt, DaemonId, Moment, Span};
 
+use super::Keeper;
+use crate::edge::{CallId, Context, Outbox, Output};
+use crate::hosts::Hosts;
+use crate::node::tests::net::{host, settings};
+use crate::peer::PeerMessage;
+use crate::settings::Settings;
+
+struct Bench {
+    keeper: Keeper,
+    hosts: Hosts,
+    settings: Settings,
+    now: Moment,
+    out: Outbox,
+    live: Vec<DaemonId>,
+    placer: DaemonId,
+}
+
+impl Bench {
+    /// Opens the keeper of `norte-0`, with workers `w10` and up; `norte-1` places.
+    fn open(live: &[&str], workers: usize) -> Self {
+        let settings = settings("norte-0", &[("norte", 3)]);
+        let mut bench = Self {
+            keeper: Keeper::open(&settings, 1),
+            hosts: Hosts::open(&settings, Moment(0), 1),
+            settings,
+            now: Moment(0),
+            out: Outbox::default(),
+            live: live.iter().map(|id| id.parse().unwrap()).collect(),
+            placer: "norte-1".parse().unwrap(),
+        };
+        let list = (10..10 + workers).map(|i| host(&format!("w{i}"), "norte", "r1"));
+        let list = HostList { hosts: list.collect() };
+        bench.with(|_, hosts, cx| {
+            hosts.tick(cx);
+            let Some(Output::Hosts(call)) = cx.out.take().pop() else { panic!("no read") };
+            hosts.on_hosts(call, Ok(list), cx);
+        });
+        bench
+    }
+
+    fn with(&mut self, act: impl FnOnce(&mut Keeper, &mut Hosts, &mut Context<'_>)) -> Vec<Output> {
+        let (now, settings) = (self.now, &self.settings);
+        let mut cx = Context { now, wall: 0, may_start: true, settings, out: &mut self.out };
+        act(&mut self.keeper, &mut self.hosts, &mut cx);
+        cx.out.take()
+    }
+
+    fn tick(&mut self) -> Vec<Output> {
+        self.now += Span(100);
+        let (live, placer) = (self.live.clone(), self.placer.clone());
+        self.with(|keeper, hosts, cx| keeper.tick(hosts, &live, Some(&placer), cx))
+    }
+
+    /// Ticks until a worker is called; returns the call and whether a full report is asked for.
+    fn call(&mut self) -> (CallId, bool) {
+        loop {
+            for output in self.tick() {
+                if let Output::Worker { call, batch, .. } = output {
+                    let lease = self.settings.timing.lease;
+                    assert_eq!(batch.ops, vec![WorkerOp::RenewAll { lease }]);
+                    return (call, batch.all);
+                }
+            }
+        }
+    }
+
+    fn reply(&mut self, call: CallId, tasks: Vec<TaskReport>) -> Vec<Output> {
+        let reply = WorkerReply { tasks, ..WorkerReply::default() };
+        self.with(|keeper, hosts, cx| keeper.on_worker(call, Ok(reply), hosts, cx))
+    }
+
+    fn waiting(&self) -> usize {
+        self.keeper.reports.len()
+    }
+}
+
+fn report(task: u16, state: TaskState) -> TaskReport {
+    let key = "rosters/one".parse().unwrap();
+    let id = TaskId { key, attempt: Attempt(1), task };
+    TaskReport { id, set: AcceleratorSet::run(0, 1), gang: 2, state, ran: Span(1) }
+}
+
+/// Returns what the reports among `outputs` say: number, fullness, and tasks.
+fn reports(outputs: &[Output]) -> Vec<(u64, bool, Vec<TaskReport>)> {
+    let message = |output: &Output| match output {
+        Output::Peer(_, PeerMessage::Reports { seq, all, tasks, .. }) => {
+            Some((*seq, *all, tasks.clone()))
+        }
+        _ => None,
+    };
+    outputs.iter().filter_map(message).collect()
+}
+
+#[test]
+fn each_worker_belongs_to_one_daemon_and_a_death_moves_just_its_own() {
+    let all = ["norte-0", "norte-1", "norte-2"];
+    let mine = |live: &[&str]| {
+        let mut bench = Bench::open(live, 60);
+        bench.tick();
+        bench.keeper.charges.iter().map(|c| c.worker.clone()).collect::<Vec<_>>()
+    };
+    let (before, after, alone) = (mine(&all), mine(&all[..2]), mine(&all[..1]));
+    assert!((10..=30).contains(&before.len()), "{}", before.len());
+    assert!(before.iter().all(|worker| after.contains(worker)));
+    assert!(after.len() > before.len());
+    assert_eq!(alone.len(), 60);
+}
+
+#[test]
+fn a_report_is_repeated_until_it_is_taken_and_a_full_one_replaces_it() {
+    let mut bench = Bench::open(&["norte-0"], 1);
+    let (call, all) = bench.call();
+    assert!(all, "the first contact asks for everything");
+    let first = reports(&bench.reply(call, vec![report(0, TaskState::Started)]));
+    assert_eq!(first.len(), 1);
+    let (call, all) = bench.call();
+    assert!(!all);
+    let joined = reports(&bench.reply(call, vec![report(1, TaskState::Confirmed)]));
+    assert_eq!(joined[0].2.len(), 2, "what isn't taken yet is said again");
+    assert!(joined[0].1);
+    bench.keeper.on_taken(first[0].0);
+    assert_eq!(bench.waiting(), 1, "that was the answer to an older message");
+    let again = (0..20).flat_map(|_| reports(&bench.tick())).collect::<Vec<_>>();
+    assert!(!again.is_empty() && again.iter().all(|report| *report == joined[0]));
+    bench.keeper.on_taken(joined[0].0);
+    assert_eq!(bench.waiting(), 0);
+}
+
+#[test]
+fn a_lost_answer_or_a_new_placer_brings_a_full_report() {
+    let mut bench = Bench::open(&["norte-0"], 1);
+    let (call, _) = bench.call();
+    bench.reply(call, Vec::new());
+    let (call, all) = bench.call();
+    assert!(!all);
+    bench.with(|keeper, hosts, cx| {
+        keeper.on_worker(call, Err(EdgeFault::Silent), hosts, cx);
+    });
+    let (call, all) = bench.call();
+    assert!(all, "the worker may take its report for delivered");
+    bench.reply(call, vec![report(0, TaskState::Started)]);
+    bench.placer = "norte-2".parse().unwrap();
+    let (_, all) = bench.call();
+    assert!(all);
+    assert_eq!(bench.waiting(), 0);
+}
+
+#[test]
+fn a_silent_worker_is_called_less_often_and_its_silence_is_known() {
+    let mut bench = Bench::open(&["norte-0"], 1);
+    let (call, _) = bench.call();
+    bench.reply(call, Vec::new());
+    let heard = bench.now;
+    let mut calls = Vec::new();
+    for _ in 0..4 {
+        let (call, _) = bench.call();
+        calls.push(bench.now);
+        bench.with(|keeper, hosts, cx| {
+            keeper.on_worker(call, Err(EdgeFault::Unreachable), hosts, cx);
+        });
+    }
+    assert!(calls[3].since(calls[2]) > calls[1].since(calls[0]));
+    let silent = bench.keeper.silent(&"w10".parse().unwrap(), bench.now);
+    assert_eq!(silent, Some(bench.now.since(heard)));
+}
+
+#[test]
+fn the_placer_learns_at_once_that_a_worker_leaves() {
+    let mut bench = Bench::open(&["norte-0"], 1);
+    let (call, _) = bench.call();
+    bench.reply(call, Vec::new());
+    let (call, _) = bench.call();
+    let reply = WorkerReply { leaving: true, ..WorkerReply::default() };
+    let outputs = bench.with(|keeper, hosts, cx| keeper.on_worker(call, Ok(reply), hosts, cx));
+    let seen = PeerMessage::WorkerSeen { worker: "w10".parse().unwrap(), leaving: true };
+    assert_eq!(outputs, vec![Output::Peer(bench.placer.clone(), seen)]);
+    assert!(bench.hosts.own()[0].leaving);
+}
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -107,12 +107,13 @@
     /// Sets what the next heartbeats say. A new version is told in a round of its own.
     pub(crate) fn announce(&mut self, announcement: Announcement, now: Moment) {
         assert!(announcement.version >= self.own.version, "a version in force never reverts");
-        if announcement.version > self.own.version {
+        let news = announcement.version > self.own.version;
+        self.own = announcement;
+        if news {
             self.since = now;
             self.due = self.due.min(now);
+            self.learn(now);
         }
-        self.own = announcement;
-        self.learn(now);
     }
 
     /// Takes a heartbeat. One of an older incarnation, or older than one heard before, is of no
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,9 @@
 //! and what one duty learns to the others.
 
 use bulrushlink_api::{Dump, DumpSection, OperatorAnswer, OperatorCall};
-use bulrushlink_core::{Code, DaemonId, Moment, NoteVersion, Service, Span};
+use bulrushlink_core::{
+    Code, DaemonId, DesiredState, DomainId, DomainShare, Moment, NoteVersion, Service, Span,
+};
 use std::collections::VecDeque;
 
 use crate::edge::{Context, Duty, Input, Outbox, Output, Token};
@@ -155,7 +157,12 @@
                     World { state: self.notes.state(), members: &self.members, phase: self.phase };
                 self.intake.on_message(from, message, world, &mut cx);
             }
-            message => self.placer.on_message(from, message, &mut cx),
+            message => {
+                if let PeerMessage::Reports { worker, .. } = &message {
+                    self.hosts.on_alive(worker, now);
+                }
+                self.placer.on_message(from, message, &mut cx);
+            }
         }
     }
 
@@ -201,10 +208,10 @@
         let chosen = self.members.placer(domain, now).as_ref() == Some(&self.settings.daemon);
         self.placer.set_active(chosen && self.phase == Phase::Ready, &mut cx);
         if self.shared < self.notes.version()
-            && let Some(share) = self.notes.state().and_then(|state| state.share(domain))
+            && let Some(state) = self.notes.state()
         {
-            self.shared = self.notes.version();
-            self.placer.on_share(share, &mut cx);
+            self.shared = state.version;
+            self.placer.on_share(share(state, domain), &mut cx);
         }
         self.hosts.set_hears(chosen, now);
         if self.listed != self.hosts.generation() {
@@ -275,6 +282,16 @@
     }
 }
 
+/// Returns the share of `domain`; one that is in the state no more is out of service.
+fn share(state: &DesiredState, domain: &DomainId) -> DomainShare {
+    state.share(domain).unwrap_or_else(|| DomainShare {
+        version: state.version,
+        domain: domain.clone(),
+        service: Service::Out,
+        workspaces: Vec::new(),
+    })
+}
+
 /// What every [`Context`] of one input has in common.
 #[derive(Clone, Copy)]
 struct Clock {
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -26,8 +26,10 @@
 const HEAD_KEY: &str = "note/head";
 /// The longest time between two plain reads of the head.
 const READ_PERIOD: Span = Span::from_secs(4);
-/// Wait after the first fault of a store call; doubles with each fault in a row.
+/// Wait after the first fault of a store call.
 const FAULT_WAIT: Span = Span(500);
+/// The longest wait after a fault of a store call.
+const FAULT_WAIT_MAX: Span = Span::from_secs(4);
 /// Least time between two requests for a peer's note.
 const WANTED_PERIOD: Span = Span(200);
 
@@ -131,9 +133,9 @@
                 self.read.after(jitter(period, &mut self.rng), cx.now);
             }
             Ok(StoreReply::Limited { retry }) => {
-                self.read.back_off(retry.max(FAULT_WAIT), cx.now, &mut self.rng);
+                self.read.back_off((retry, FAULT_WAIT_MAX), cx.now, &mut self.rng);
             }
-            _ => self.read.back_off(FAULT_WAIT, cx.now, &mut self.rng),
+            _ => self.read.back_off((FAULT_WAIT, FAULT_WAIT_MAX), cx.now, &mut self.rng),
         }
     }
 
@@ -144,9 +146,9 @@
                 self.watch.after(Span(pause), cx.now);
             }
             Ok(StoreReply::Limited { retry }) => {
-                self.watch.back_off(retry.max(FAULT_WAIT), cx.now, &mut self.rng);
+                self.watch.back_off((retry, FAULT_WAIT_MAX), cx.now, &mut self.rng);
             }
-            _ => self.watch.back_off(FAULT_WAIT, cx.now, &mut self.rng),
+            _ => self.watch.back_off((FAULT_WAIT, FAULT_WAIT_MAX), cx.now, &mut self.rng),
         }
     }
 
@@ -158,14 +160,16 @@
         READ_PERIOD.min(Span(grace.max(FAULT_WAIT.millis())))
     }
 
-    /// Learns from a record of the head; returns whether it could be understood.
+    /// Learns from a record of the head; returns whether it shows what is in force now. A store
+    /// that shows a lower version lags or has lost the head, and says nothing about newer ones.
     fn learn_record(&mut self, record: Option<&Record>) -> bool {
-        let Some(record) = record else { return true };
+        let Some(record) = record else { return self.head.is_none() };
         match Head::try_from(record) {
             Ok(head) => {
                 self.revision = self.revision.max(record.at);
+                let version = head.state.version;
                 self.learn(head);
-                true
+                version == self.version()
             }
             Err(error) => {
                 log::error!("the head at revision {} can't be read: {error}", record.at);
--- a/crates/daemon/src/notes/apply.rs
+++ b/crates/daemon/src/notes/apply.rs
@@ -128,7 +128,10 @@
                 return plain(apply.token, Code::StoreUnavailable, text, Some(STORE_RETRY), cx);
             }
         };
-        self.learn_record(record.as_ref());
+        if !self.learn_record(record.as_ref()) {
+            let text = "the store doesn't show the version in force; nothing was written";
+            return refuse(apply.token, &Error::new(Code::BadAnswer, text), cx);
+        }
         match next_write(&apply.note, record.as_ref(), members, world, cx.now) {
             Ok(Step::Accepted(version)) => self.accept(apply.token, version, None),
             Ok(Step::Write(write)) => self.write(apply, write, cx),
--- a/crates/daemon/src/notes/head.rs
+++ b/crates/daemon/src/notes/head.rs
@@ -4,6 +4,8 @@
 use bulrushlink_core::{Code, DesiredState, Error, NoteVersion, ReleaseNote, Span};
 use serde::{Deserialize, Serialize};
 
+use crate::hash::rank;
+
 /// Accepted notes that a head remembers by their names.
 const ACCEPTED_MAX: usize = 32;
 
@@ -14,6 +16,8 @@
     pub version: NoteVersion,
     /// Its name.
     pub id: String,
+    /// Hash of its content, which tells two notes of one name apart.
+    pub digest: u64,
 }
 
 /// The desired state with what settles the doubts about how it came about.
@@ -40,7 +44,11 @@
         let older = if settled { Span::ZERO } else { self.lapse };
         let lapse = older.max(longest_grace(&self.state)).max(longest_grace(&state));
         let mut accepted = self.accepted.clone();
-        accepted.push(Accepted { version: state.version, id: note.id.clone() });
+        accepted.push(Accepted {
+            version: state.version,
+            id: note.id.clone(),
+            digest: digest(note),
+        });
         let surplus = accepted.len().saturating_sub(ACCEPTED_MAX);
         accepted.drain(..surplus);
         Ok(Self { state, accepted, lapse })
@@ -55,10 +63,10 @@
         let Some(found) = self.accepted.iter().rfind(|a| a.id == note.id) else {
             return Ok(None);
         };
-        if found.version == note.base.next() {
+        if found.digest == digest(note) {
             return Ok(Some(found.version));
         }
-        let text = format!("version {} has a note of this name", found.version);
+        let text = format!("another note of this name made version {}", found.version);
         Err(Error::at(Code::NoteInvalid, "/id", text))
     }
 
@@ -76,6 +84,11 @@
     }
 }
 
+fn digest(note: &ReleaseNote) -> u64 {
+    let text = serde_json::to_string(note).expect("a release note always serialises");
+    rank(&note.id, &text)
+}
+
 fn longest_grace(state: &DesiredState) -> Span {
     state.domains.iter().map(|spec| spec.grace).max().unwrap_or_default()
 }
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -5,7 +5,8 @@
 
 use crate::edge::CallId;
 
-const BACKOFF_MAX_DOUBLINGS: u32 = 4;
+/// Doublings after which a backoff grows no more, whatever its bound.
+const BACKOFF_MAX_DOUBLINGS: u32 = 16;
 
 /// Returns a span between three quarters and five quarters of `span`.
 pub(crate) fn jitter(span: Span, rng: &mut fastrand::Rng) -> Span {
@@ -61,11 +62,17 @@
         self.due = now + span;
     }
 
-    /// Plans the next call after a fault; `span` doubles with each fault in a row.
-    pub(crate) fn back_off(&mut self, span: Span, now: Moment, rng: &mut fastrand::Rng) {
-        let doubled = span.millis() << self.faults.min(BACKOFF_MAX_DOUBLINGS);
+    /// Plans the next call after a fault: `first` later after the first one, and twice as late
+    /// with each fault in a row, up to `most`.
+    pub(crate) fn back_off(
+        &mut self,
+        (first, most): (Span, Span),
+        now: Moment,
+        rng: &mut fastrand::Rng,
+    ) {
+        let doubled = first.millis() << self.faults.min(BACKOFF_MAX_DOUBLINGS);
         self.faults = self.faults.saturating_add(1);
-        self.due = now + jitter(Span(doubled), rng);
+        self.due = now + jitter(Span(doubled).min(most.max(first)), rng);
     }
 
     /// Returns the number of faults in a row.
