--- a/crates/api/src/operator.rs
+++ b/crates/api/src/operator.rs
@@ -130,8 +130,9 @@
     pub state: String,
     /// Its accelerators.
     pub accelerators: u8,
-    /// Those with a task.
-    pub busy: u8,
+    /// Those with a task, some time ago; `None` where this daemon doesn't hear of the worker.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub busy: Option<u8>,
 }
 
 /// One failure domain.
--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-use bulrushlink_api::{EdgeFault, Host, HostList};
+use bulrushlink_api::{EdgeFault, Host, HostList, WorkerRow};
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId};
 
 use crate::edge::{CallId, Context};
@@ -31,6 +31,8 @@
     listed: bool,
     /// Its own word that it leaves.
     leaving: bool,
+    /// Accelerators with a task, when this daemon was told last.
+    busy: Option<u8>,
     /// When it was heard from last, or taken up.
     seen: Moment,
 }
@@ -123,8 +125,13 @@
                     self.entries[i].listed = true;
                 }
                 Err(i) => {
-                    let entry =
-                        Entry { host: host.clone(), listed: true, leaving: false, seen: now };
+                    let entry = Entry {
+                        host: host.clone(),
+                        listed: true,
+                        leaving: false,
+                        busy: None,
+                        seen: now,
+                    };
                     self.entries.insert(i, entry);
                     self.roster += 1;
                 }
@@ -139,6 +146,13 @@
         self.hear(worker, Some(leaving), now);
     }
 
+    /// Takes the number of accelerators with a task.
+    pub(crate) fn on_busy(&mut self, worker: &WorkerId, busy: u8) {
+        if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
+            self.entries[i].busy = Some(busy);
+        }
+    }
+
     /// Notes a sign of life of a worker that says nothing about leaving.
     pub(crate) fn on_alive(&mut self, worker: &WorkerId, now: Moment) {
         self.hear(worker, None, now);
@@ -212,6 +226,25 @@
         self.generation
     }
 
+    /// Lists the workers of a failure domain for operators, sorted by worker. Of another domain's
+    /// workers just the list is known.
+    pub(crate) fn rows(&self, domain: &DomainId, now: Moment) -> Vec<WorkerRow> {
+        if *domain == self.domain {
+            return self.entries.iter().map(|entry| self.own_row(entry, now)).collect();
+        }
+        let hosts = self.all.iter().filter(|host| host.domain == *domain);
+        hosts.map(|host| row(host, if host.leaving { "leaving" } else { "live" }, None)).collect()
+    }
+
+    fn own_row(&self, entry: &Entry, now: Moment) -> WorkerRow {
+        let state = match entry.shown().leaving {
+            _ if self.hears && now.since(entry.seen) > self.lapse => "lost",
+            true => "leaving",
+            false => "live",
+        };
+        row(&entry.host, state, entry.busy)
+    }
+
     /// Returns the state for a dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let unlisted = self.entries.iter().filter(|entry| !entry.listed);
@@ -230,3 +263,13 @@
         Host { leaving: self.leaving || self.host.leaving, ..self.host.clone() }
     }
 }
+
+fn row(host: &Host, state: &str, busy: Option<u8>) -> WorkerRow {
+    WorkerRow {
+        id: host.id.clone(),
+        rack: host.rack.clone(),
+        state: state.to_string(),
+        accelerators: host.accelerators,
+        busy,
+    }
+}
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -148,7 +148,9 @@
         };
         charge.renew.after(jitter(period, &mut self.rng), cx.now);
         charge.heard = cx.now;
+        let busy = reply.busy.len() as u8;
         hosts.on_leaving(&charge.worker, reply.leaving, cx.now);
+        hosts.on_busy(&charge.worker, busy);
         let news = charge.leaving != Some(reply.leaving) || reply.leaving || charge.asked;
         charge.leaving = Some(reply.leaving);
         if charge.asked {
@@ -160,7 +162,8 @@
         };
         if news && *placer != self.id {
             let worker = charge.worker.clone();
-            cx.out.peer(placer, PeerMessage::WorkerSeen { worker, leaving: reply.leaving });
+            let seen = PeerMessage::WorkerSeen { worker, leaving: reply.leaving, busy };
+            cx.out.peer(placer, seen);
         }
         if charge.asked || !reply.tasks.is_empty() {
             let worker = charge.worker.clone();
--- a/crates/daemon/src/keeper/tests.rs
+++ b/crates/daemon/src/keeper/tests.rs
@@ -175,7 +175,7 @@
     let (call, _) = bench.call();
     let reply = WorkerReply { leaving: true, ..WorkerReply::default() };
     let outputs = bench.with(|keeper, hosts, cx| keeper.on_worker(call, Ok(reply), hosts, cx));
-    let seen = PeerMessage::WorkerSeen { worker: "w10".parse().unwrap(), leaving: true };
+    let seen = PeerMessage::WorkerSeen { worker: "w10".parse().unwrap(), leaving: true, busy: 0 };
     assert_eq!(outputs, vec![Output::Peer(bench.placer.clone(), seen)]);
     assert!(bench.hosts.own()[0].leaving);
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -149,8 +149,9 @@
             PeerMessage::NoteWanted { have } => self.notes.on_wanted(from, have, &mut cx),
             PeerMessage::Note(head) => self.notes.on_note(head),
             PeerMessage::ReportsTaken { seq } => self.keeper.on_taken(seq),
-            PeerMessage::WorkerSeen { worker, leaving } => {
+            PeerMessage::WorkerSeen { worker, leaving, busy } => {
                 self.hosts.on_leaving(&worker, leaving, now);
+                self.hosts.on_busy(&worker, busy);
             }
             PeerMessage::Update { .. } => {
                 let world =
--- a/crates/daemon/src/node/domains.rs
+++ b/crates/daemon/src/node/domains.rs
@@ -1,6 +1,6 @@
 //! The operators' table of failure domains, put together from several duties.
 
-use bulrushlink_api::{DomainRow, DomainsAnswer, Host, WorkerRow};
+use bulrushlink_api::{DomainRow, DomainsAnswer};
 use bulrushlink_core::{Code, DomainSpec, Moment};
 
 use super::Node;
@@ -17,7 +17,6 @@
 
     fn domain_row(&self, spec: &DomainSpec, now: Moment) -> DomainRow {
         let view = self.members.views(now).into_iter().find(|view| view.id == spec.id);
-        let own = self.hosts.all().iter().filter(|host| host.domain == spec.id);
         DomainRow {
             id: spec.id.clone(),
             service: spec.service,
@@ -29,17 +28,7 @@
                 .into_iter()
                 .filter(|row| row.domain == spec.id)
                 .collect(),
-            workers: own.map(worker_row).collect(),
+            workers: self.hosts.rows(&spec.id, now),
         }
     }
 }
-
-fn worker_row(host: &Host) -> WorkerRow {
-    WorkerRow {
-        id: host.id.clone(),
-        rack: host.rack.clone(),
-        state: if host.leaving { "leaving" } else { "live" }.to_string(),
-        accelerators: host.accelerators,
-        busy: 0,
-    }
-}
--- a/crates/daemon/src/node/tests/net.rs
+++ b/crates/daemon/src/node/tests/net.rs
@@ -143,6 +143,8 @@
     pub(crate) answers: Vec<(Token, OperatorAnswer)>,
     /// Number of messages that each node has sent.
     pub(crate) sent: Vec<u64>,
+    /// Bytes of them in `postcard` form.
+    pub(crate) bytes: Vec<u64>,
     /// All calls to workers.
     pub(crate) calls: Vec<(Moment, DaemonId, WorkerId, WorkerBatch)>,
     /// The longest delay of a store call, and of its answer.
@@ -172,6 +174,7 @@
             delay: Span(10),
             answers: Vec::new(),
             sent: vec![0; count],
+            bytes: vec![0; count],
             calls: Vec::new(),
             store_delay: Span(10),
             outs: (0..count).map(|_| Outbox::default()).collect(),
@@ -373,6 +376,7 @@
 
     fn post(&mut self, from: usize, to: &DaemonId, message: PeerMessage) {
         self.sent[from] += 1;
+        self.bytes[from] += postcard::to_stdvec(&message).expect("messages encode").len() as u64;
         let Some(to) = self.ids.iter().position(|id| id == to) else { return };
         if !self.cuts.contains(&(from, to)) {
             let due = self.now + Span(self.rng.u64(0..=self.delay.millis()));
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -162,5 +162,7 @@
         worker: WorkerId,
         /// Whether the worker is about to leave.
         leaving: bool,
+        /// Accelerators that were busy some time ago.
+        busy: u8,
     },
 }
