--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-use bulrushlink_api::{EdgeFault, Host, HostList};
+use bulrushlink_api::{EdgeFault, Host, HostList, WorkerRow};
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId};
 
 use crate::edge::{CallId, Context};
@@ -18,6 +18,8 @@
 /// Allowance beyond the lease before a silent worker is taken for lost: the time between two
 /// signs of life of a worker that lives.
 const LOST_MARGIN: Span = Span::from_secs(15);
+/// The longest wait after a fault of reading the list.
+const FAULT_WAIT_MAX: Span = Span::from_secs(8);
 /// Time between two searches for workers that have become silent.
 const SWEEP_PERIOD: Span = Span::from_secs(1);
 
@@ -29,6 +31,8 @@
     listed: bool,
     /// Its own word that it leaves.
     leaving: bool,
+    /// Accelerators with a task, when this daemon was told last.
+    busy: Option<u8>,
     /// When it was heard from last, or taken up.
     seen: Moment,
 }
@@ -103,7 +107,7 @@
                 self.read.after(jitter(period, &mut self.rng), cx.now);
                 self.take(list, cx.now);
             }
-            Err(_) => self.read.back_off(period, cx.now, &mut self.rng),
+            Err(_) => self.read.back_off((period, FAULT_WAIT_MAX), cx.now, &mut self.rng),
         }
     }
 
@@ -121,8 +125,13 @@
                     self.entries[i].listed = true;
                 }
                 Err(i) => {
-                    let entry =
-                        Entry { host: host.clone(), listed: true, leaving: false, seen: now };
+                    let entry = Entry {
+                        host: host.clone(),
+                        listed: true,
+                        leaving: false,
+                        busy: None,
+                        seen: now,
+                    };
                     self.entries.insert(i, entry);
                     self.roster += 1;
                 }
@@ -134,15 +143,30 @@
     /// Takes a worker's own word that it leaves or not; it goes before the list's, but for a
     /// list that says that it leaves: new work stays away from a worker of which either says so.
     pub(crate) fn on_leaving(&mut self, worker: &WorkerId, leaving: bool, now: Moment) {
+        self.hear(worker, Some(leaving), now);
+    }
+
+    /// Takes the number of accelerators with a task.
+    pub(crate) fn on_busy(&mut self, worker: &WorkerId, busy: u8) {
         if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
-            let entry = &mut self.entries[i];
-            let back = now.since(entry.seen) > self.lapse;
-            let news = entry.leaving != leaving;
-            entry.seen = now;
-            entry.leaving = leaving;
-            if news || back {
-                self.refresh(now);
-            }
+            self.entries[i].busy = Some(busy);
+        }
+    }
+
+    /// Notes a sign of life of a worker that says nothing about leaving.
+    pub(crate) fn on_alive(&mut self, worker: &WorkerId, now: Moment) {
+        self.hear(worker, None, now);
+    }
+
+    fn hear(&mut self, worker: &WorkerId, leaving: Option<bool>, now: Moment) {
+        let found = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker));
+        let Some(entry) = found.ok().map(|i| &mut self.entries[i]) else { return };
+        let back = now.since(entry.seen) > self.lapse;
+        let news = leaving.is_some_and(|leaving| entry.leaving != leaving);
+        entry.seen = now;
+        entry.leaving = leaving.unwrap_or(entry.leaving);
+        if news || back {
+            self.refresh(now);
         }
     }
 
@@ -202,6 +226,25 @@
         self.generation
     }
 
+    /// Lists the workers of a failure domain for operators, sorted by worker. Of another domain's
+    /// workers just the list is known.
+    pub(crate) fn rows(&self, domain: &DomainId, now: Moment) -> Vec<WorkerRow> {
+        if *domain == self.domain {
+            return self.entries.iter().map(|entry| self.own_row(entry, now)).collect();
+        }
+        let hosts = self.all.iter().filter(|host| host.domain == *domain);
+        hosts.map(|host| row(host, if host.leaving { "leaving" } else { "live" }, None)).collect()
+    }
+
+    fn own_row(&self, entry: &Entry, now: Moment) -> WorkerRow {
+        let state = match entry.shown().leaving {
+            _ if self.hears && now.since(entry.seen) > self.lapse => "lost",
+            true => "leaving",
+            false => "live",
+        };
+        row(&entry.host, state, entry.busy)
+    }
+
     /// Returns the state for a dump.
     pub(crate) fn dump(&self) -> serde_json::Value {
         let unlisted = self.entries.iter().filter(|entry| !entry.listed);
@@ -220,3 +263,13 @@
         Host { leaving: self.leaving || self.host.leaving, ..self.host.clone() }
     }
 }
+
+fn row(host: &Host, state: &str, busy: Option<u8>) -> WorkerRow {
+    WorkerRow {
+        id: host.id.clone(),
+        rack: host.rack.clone(),
+        state: state.to_string(),
+        accelerators: host.accelerators,
+        busy,
+    }
+}
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -22,6 +22,9 @@
 /// Time between two full reports of a worker.
 const FULL_PERIOD: Span = Span::from_secs(10);
 
+/// The longest wait after a fault, in renewal periods: several tries have to fit into a lease.
+const FAULT_PERIODS_MAX: u64 = 4;
+
 /// A worker of this daemon's share.
 #[derive(Debug)]
 struct Charge {
@@ -140,11 +143,14 @@
         let Ok(reply) = result else {
             // The worker may have taken its report for delivered.
             charge.full = cx.now;
-            return charge.renew.back_off(period, cx.now, &mut self.rng);
+            let most = Span(period.millis() * FAULT_PERIODS_MAX);
+            return charge.renew.back_off((period, most), cx.now, &mut self.rng);
         };
         charge.renew.after(jitter(period, &mut self.rng), cx.now);
         charge.heard = cx.now;
+        let busy = reply.busy.len() as u8;
         hosts.on_leaving(&charge.worker, reply.leaving, cx.now);
+        hosts.on_busy(&charge.worker, busy);
         let news = charge.leaving != Some(reply.leaving) || reply.leaving || charge.asked;
         charge.leaving = Some(reply.leaving);
         if charge.asked {
@@ -156,7 +162,8 @@
         };
         if news && *placer != self.id {
             let worker = charge.worker.clone();
-            cx.out.peer(placer, PeerMessage::WorkerSeen { worker, leaving: reply.leaving });
+            let seen = PeerMessage::WorkerSeen { worker, leaving: reply.leaving, busy };
+            cx.out.peer(placer, seen);
         }
         if charge.asked || !reply.tasks.is_empty() {
             let worker = charge.worker.clone();
