--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -147,6 +147,7 @@
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
         self.stop_again();
+        self.demote_late();
         self.tend_drains();
         self.freed |= self.waiting > 0;
     }
--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -101,6 +101,9 @@
 
     /// Starts a small idempotent job on a quarantined worker whose probe is due.
     pub(super) fn try_probe(&mut self, ix: JobIx) -> bool {
+        if self.fleet.quarantined().is_empty() {
+            return false;
+        }
         let job = self.jobs.get(ix);
         let shape = job.spec.shape;
         let small = shape.tasks == 1 && shape.total() <= PROBE_ACCELERATORS_MAX;
--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -15,6 +15,8 @@
 const STOP_AGAIN: Span = Span::from_secs(3);
 /// Blocks of other guarantees that are weighed for one reclaim.
 const SWAPS_MAX: usize = 64;
+/// Parts of larger guarantees that are weighed for one job.
+const CHOICES_MAX: usize = 16;
 /// Run time that a stop with a checkpoint loses, saving and resuming included.
 const CHECKPOINT_COST: Span = Span::from_secs(10);
 
@@ -189,9 +191,8 @@
         let mut groups: Vec<_> = groups.filter(|g| holds(g.shape, shape)).collect();
         groups.sort_by_key(|g| g.shape.total());
         let members = groups.iter().flat_map(|g| g.members.iter().copied());
-        let mut choices: Vec<_> = members.filter_map(|m| self.choose_cells(m, ix)).collect();
-        choices.sort_by_key(|c| self.cost(&c.places));
-        choices.into_iter().next()
+        let choices = members.filter_map(|m| self.choose_cells(m, ix)).take(CHOICES_MAX);
+        choices.min_by_key(|c| self.cost(&c.places))
     }
 
     fn choose_cells(&self, guarantee: InstanceIx, ix: JobIx) -> Option<Choice> {
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -252,6 +252,12 @@
         }
     }
 
+    /// Returns the most accelerators that are free in one place of a block that drains.
+    pub(super) fn draining_run(&self) -> Option<u8> {
+        let places = self.drains.iter().flat_map(|d| &self.jobs.get(d.owner).places);
+        places.map(|p| p.set.without(self.fleet.worker(p.worker).busy).len() as u8).max()
+    }
+
     /// Starts a small job inside a block that drains, when it is expected to end before the block
     /// is free.
     pub(super) fn try_backfill(&mut self, ix: JobIx) -> bool {
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -41,6 +41,8 @@
 
 impl View {
     const ALL: [Self; VIEWS] = [Self::Soft, Self::Hard, Self::Bind];
+    /// Sizes of tasks that room is counted for.
+    pub(super) const SIZES: [u8; SIZES] = [0, 1, 2, 3, 4, 5, 6, 7, 8];
 }
 
 /// One task on a worker.
@@ -97,6 +99,8 @@
     closures: Vec<Closure>,
     releases: Vec<Release>,
     room: [Room; VIEWS],
+    /// Accelerators of a healthy worker, and those of them that are free; else zero.
+    healthy: (u32, u32),
 }
 
 /// Room of a worker under one view.
@@ -208,9 +212,15 @@
     pub(super) workers: Vec<WorkerIx>,
     /// Sums over the workers, by view and size.
     tasks: [[u32; SIZES]; VIEWS],
+    healthy: (u32, u32),
 }
 
 impl Rack {
+    /// Returns the accelerators of healthy workers, and those of them that are free.
+    pub(super) fn healthy(&self) -> (u32, u32) {
+        self.healthy
+    }
+
     /// Number of tasks of `size` accelerators that fit under `view`.
     pub(super) fn fit(&self, view: View, size: u8) -> u32 {
         self.tasks[view as usize][size as usize]
@@ -233,6 +243,7 @@
     quarantined: Vec<WorkerIx>,
     /// Accelerators of all present workers.
     accelerators: u32,
+    healthy: (u32, u32),
     /// Workers that changed since they were checked.
     touched: Vec<WorkerIx>,
 }
@@ -256,6 +267,7 @@
             shunned: Vec::new(),
             quarantined: Vec::new(),
             accelerators: 0,
+            healthy: (0, 0),
             touched: Vec::new(),
         }
     }
@@ -284,6 +296,11 @@
         self.accelerators
     }
 
+    /// Returns the accelerators of healthy workers, and those of them that are free.
+    pub(super) fn healthy(&self) -> (u32, u32) {
+        self.healthy
+    }
+
     pub(super) fn quarantined(&self) -> &[WorkerIx] {
         &self.quarantined
     }
@@ -370,6 +387,7 @@
             closures: Vec::new(),
             releases: Vec::new(),
             room: Default::default(),
+            healthy: (0, 0),
         };
         match self.workers.iter().position(|w| w.gone) {
             Some(i) => {
@@ -387,7 +405,12 @@
         if let Some(i) = self.racks.iter().position(|r| r.id == *id) {
             return i as u16;
         }
-        self.racks.push(Rack { id: id.clone(), workers: Vec::new(), tasks: Default::default() });
+        self.racks.push(Rack {
+            id: id.clone(),
+            workers: Vec::new(),
+            tasks: Default::default(),
+            healthy: (0, 0),
+        });
         (self.racks.len() - 1) as u16
     }
 
@@ -403,6 +426,7 @@
 
     fn detach(&mut self, ix: WorkerIx) {
         self.set_room(ix, Default::default());
+        self.set_healthy(ix, (0, 0));
         let rack = self.worker(ix).rack as usize;
         self.racks[rack].workers.retain(|other| *other != ix);
         self.accelerators -= u32::from(self.worker(ix).info.accelerators);
@@ -415,7 +439,22 @@
         }
         let worker = self.worker(ix);
         let room = View::ALL.map(|view| worker.count_room(view));
+        let healthy = match worker.is_usable() {
+            true => (u32::from(worker.info.accelerators), worker.mask(View::Soft).len()),
+            false => (0, 0),
+        };
         self.set_room(ix, room);
+        self.set_healthy(ix, healthy);
+    }
+
+    fn set_healthy(&mut self, ix: WorkerIx, healthy: (u32, u32)) {
+        let worker = self.worker_mut(ix);
+        let old = std::mem::replace(&mut worker.healthy, healthy);
+        let rack = worker.rack as usize;
+        for sum in [&mut self.racks[rack].healthy, &mut self.healthy] {
+            sum.0 = sum.0 + healthy.0 - old.0;
+            sum.1 = sum.1 + healthy.1 - old.1;
+        }
     }
 
     fn set_room(&mut self, ix: WorkerIx, room: [Room; VIEWS]) {
--- a/crates/core/src/sched/learn.rs
+++ b/crates/core/src/sched/learn.rs
@@ -24,6 +24,8 @@
     /// In the order of their ends; a ring.
     samples: Vec<Span>,
     next: usize,
+    /// The samples, sorted.
+    sorted: Vec<Span>,
     used: u64,
     /// Workers that failed jobs of this kind since one was completed elsewhere.
     pub(super) failing: Vec<WorkerIx>,
@@ -31,13 +33,11 @@
 
 impl Kind {
     pub(super) fn quantile(&self, part: f64) -> Option<Span> {
-        if self.samples.len() < SAMPLES_MIN {
+        if self.sorted.len() < SAMPLES_MIN {
             return None;
         }
-        let mut sorted = self.samples.clone();
-        sorted.sort_unstable();
-        let i = (part * (sorted.len() - 1) as f64).round() as usize;
-        Some(sorted[i])
+        let i = (part * (self.sorted.len() - 1) as f64).round() as usize;
+        Some(self.sorted[i])
     }
 }
 
@@ -80,6 +80,7 @@
                     id: id.clone(),
                     samples: Vec::new(),
                     next: 0,
+                    sorted: Vec::new(),
                     used: 0,
                     failing: Vec::new(),
                 };
@@ -105,6 +106,8 @@
             kind.samples[kind.next] = time;
         }
         kind.next = (kind.next + 1) % SAMPLES_MAX;
+        kind.sorted.clone_from(&kind.samples);
+        kind.sorted.sort_unstable();
     }
 
     /// Returns what to expect of a job; the declared time counts only while nothing is learned.
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -1,11 +1,13 @@
 //! One pass over the waiting jobs: who is next, and on what terms it may start.
 
+use crate::job::{Shape, Urgency};
 use crate::sched::Scheduler;
 use crate::sched::fit::{self, Place};
 use crate::sched::fleet::View;
-use crate::sched::guarantee::is_block;
-use crate::sched::jobs::{JobIx, Phase, Reason};
+use crate::sched::guarantee::holds;
+use crate::sched::jobs::{Job, JobIx, Phase, Reason};
 use crate::sched::queue::{Class, Entry, LaneKey};
+use crate::sched::spaces::SpaceIx;
 use crate::units::Span;
 
 /// The most starts of one decision.
@@ -25,6 +27,19 @@
     entry: Entry,
 }
 
+/// What a pass has found out so far, so that no lane is tried in vain.
+#[derive(Debug, Default)]
+struct Outlook {
+    /// Guaranteed shapes of which one is unused and bound; sorted.
+    unused: Vec<(SpaceIx, Shape)>,
+    /// Guaranteed shapes of which a cell is free, or in use by batch work; sorted.
+    partial: Vec<(SpaceIx, Shape)>,
+    /// The longest run of free accelerators in a block that drains.
+    draining: Option<u8>,
+    /// Shapes for which no room was found under a view.
+    full: Vec<(View, Shape)>,
+}
+
 impl Scheduler {
     /// Starts what can start now.
     pub(super) fn pass(&mut self) {
@@ -63,22 +78,56 @@
             return;
         }
         if !self.try_guaranteed(ix) {
-            self.try_borrowed(ix);
+            self.try_borrowed(ix, &mut Outlook::default());
         }
     }
 
     fn pass_all(&mut self) {
-        self.demote_late();
+        if self.queue.lanes().is_empty() {
+            return;
+        }
+        let mut outlook = self.outlook();
         let mut starts = STARTS_MAX;
-        self.sweep(&mut starts, Self::try_guaranteed);
-        self.sweep(&mut starts, Self::try_borrowed);
+        let promising = |lane: &LaneKey, outlook: &Outlook| outlook.may_hold(lane);
+        self.sweep(&mut starts, &mut outlook, promising, |sched, ix, _| sched.try_guaranteed(ix));
+        let fit =
+            View::SIZES.map(|size| [View::Soft, View::Hard].map(|view| self.fleet.fit(view, size)));
+        let probing = !self.fleet.quarantined().is_empty();
+        let promising = |lane: &LaneKey, outlook: &Outlook| {
+            let view = usize::from(!lane.preemptible);
+            let room = fit[lane.shape.accelerators as usize][view];
+            room >= u32::from(lane.shape.tasks) || probing || outlook.may_backfill(lane)
+        };
+        self.sweep(&mut starts, &mut outlook, promising, Self::try_borrowed);
         self.unfinished = starts == 0;
     }
 
-    /// Offers the heads of all lanes to `try_start`, best first; behind a head that was started
-    /// comes the next of its lane.
-    fn sweep(&mut self, starts: &mut usize, try_start: fn(&mut Self, JobIx) -> bool) {
-        let lanes = self.queue.lanes().iter();
+    fn outlook(&self) -> Outlook {
+        let mut outlook = Outlook { draining: self.draining_run(), ..Outlook::default() };
+        for group in &self.guarantees.groups {
+            let key = (group.space, group.shape);
+            let mut members = group.members.iter().map(|ix| self.guarantees.get(*ix));
+            if members.clone().any(|i| i.is_unused() && i.is_bound()) {
+                outlook.unused.push(key);
+            }
+            let open = |user: JobIx| self.jobs.get(user).spec.urgency == Urgency::Batch;
+            if members.any(|i| i.cells.iter().any(|c| c.user.is_none_or(open))) {
+                outlook.partial.push(key);
+            }
+        }
+        outlook
+    }
+
+    /// Offers the heads of promising lanes to `try_start`, best first; behind a head that was
+    /// started comes the next of its lane.
+    fn sweep(
+        &mut self,
+        starts: &mut usize,
+        outlook: &mut Outlook,
+        promising: impl Fn(&LaneKey, &Outlook) -> bool,
+        try_start: fn(&mut Self, JobIx, &mut Outlook) -> bool,
+    ) {
+        let lanes = self.queue.lanes().iter().filter(|lane| promising(&lane.key, outlook));
         let mut heads: Vec<_> =
             lanes.map(|lane| (self.rank(&lane.key, lane.entries[0]), lane.key)).collect();
         heads.sort_unstable_by(|a, b| b.cmp(a));
@@ -87,7 +136,8 @@
             if *starts == 0 {
                 return;
             }
-            if self.queue.head(&lane) != Some(rank.entry) || !try_start(self, rank.entry.job) {
+            let current = self.queue.head(&lane) == Some(rank.entry);
+            if !current || !try_start(self, rank.entry.job, outlook) {
                 continue;
             }
             *starts -= 1;
@@ -121,41 +171,47 @@
     }
 
     /// Gives jobs whose deadline can't be met any more their place in the fair order.
-    fn demote_late(&mut self) {
+    pub(super) fn demote_late(&mut self) {
+        let now = self.now.0 as i64;
         let lanes = self.queue.lanes().iter().filter(|l| l.key.class == Class::Deadline);
-        let heads: Vec<_> = lanes.map(|lane| lane.entries[0].job).collect();
-        for ix in heads {
-            if self.latest_start(ix).is_none() {
-                let reason = self.jobs.get(ix).reason.clone();
-                self.requeue(ix, reason);
+        let heads = lanes.map(|lane| lane.entries[0]).filter(|entry| entry.rank < now);
+        for entry in heads.take(LANES_MAX).collect::<Vec<_>>() {
+            if self.latest_start(entry.job).is_none() {
+                let reason = self.jobs.get(entry.job).reason.clone();
+                self.requeue(entry.job, reason);
             }
         }
     }
 
     /// Starts a waiting job outside of its workspace's guarantee.
-    fn try_borrowed(&mut self, ix: JobIx) -> bool {
-        let job = self.jobs.get(ix);
-        let shape = job.spec.shape;
-        let preemptible = job.preemptible();
+    fn try_borrowed(&mut self, ix: JobIx, outlook: &mut Outlook) -> bool {
         if self.try_probe(ix) {
             return true;
         }
-        let job = self.jobs.get(ix);
-        if let Some(places) = fit::find(&self.fleet, View::Hard, shape, &job.failed_on) {
+        let preemptible = self.jobs.get(ix).preemptible();
+        if let Some(places) = self.look(ix, View::Hard, outlook) {
             self.begin(ix, places, Reason::Unheld);
             return true;
         }
-        if preemptible
-            && let Some(places) = fit::find(&self.fleet, View::Soft, shape, &job.failed_on)
-        {
+        if preemptible && let Some(places) = self.look(ix, View::Soft, outlook) {
             self.begin(ix, places, Reason::Borrowing);
             return true;
         }
-        if self.try_backfill(ix) {
-            return true;
+        self.try_backfill(ix)
+    }
+
+    /// Finds room for a job, unless none was found for its shape in this pass.
+    fn look(&self, ix: JobIx, view: View, outlook: &mut Outlook) -> Option<Vec<Place>> {
+        let job = self.jobs.get(ix);
+        let shape = job.spec.shape;
+        if outlook.full.contains(&(view, shape)) {
+            return None;
         }
-        self.explain_wait(ix);
-        false
+        let found = fit::find(&self.fleet, view, shape, &job.failed_on);
+        if found.is_none() && job.failed_on.is_empty() {
+            outlook.full.push((view, shape));
+        }
+        found
     }
 
     /// Takes a waiting job out of its lane and starts it without a guarantee.
@@ -166,24 +222,41 @@
         self.start(ix, places, reason);
     }
 
-    fn explain_wait(&mut self, ix: JobIx) {
-        let now = self.now;
-        let job = self.jobs.get(ix);
+    /// Returns the reason for which a job waits now.
+    pub(super) fn reason(&self, job: &Job) -> Reason {
         let shape = job.spec.shape;
+        if job.phase != Phase::Waiting || job.reason != Reason::Queued {
+            return job.reason.clone();
+        }
         let view = if job.preemptible() { View::Soft } else { View::Hard };
         let room = self.fleet.fit(view, shape.accelerators);
         let soft = self.fleet.fit(View::Soft, shape.accelerators);
         let wanted = u32::from(shape.tasks);
-        let reason = match job.reason {
-            Reason::StartFailed(_) | Reason::Retry(_) | Reason::Stopped(_) => return,
-            _ if room >= wanted && (is_block(shape) || shape.tasks > 1) => Reason::NotAdjacent,
-            _ if soft >= wanted => Reason::HeldBack,
-            _ => Reason::NoRoom { tasks: shape.tasks, size: shape.accelerators, room },
-        };
-        let job = self.jobs.get_mut(ix);
-        if job.reason != reason {
-            job.reason = reason;
-            job.decided = now;
+        if room >= wanted && shape.tasks > 1 {
+            Reason::NotAdjacent
+        } else if room >= wanted {
+            Reason::Queued
+        } else if soft >= wanted {
+            Reason::HeldBack
+        } else {
+            Reason::NoRoom { tasks: shape.tasks, size: shape.accelerators, room }
         }
     }
 }
+
+impl Outlook {
+    /// Tells whether a guarantee may hold the first job of a lane.
+    fn may_hold(&self, lane: &LaneKey) -> bool {
+        let unused = self.unused.binary_search(&(lane.space, lane.shape)).is_ok();
+        let first = self.partial.partition_point(|open| open.0 < lane.space);
+        let own = self.partial[first..].iter().take_while(|open| open.0 == lane.space);
+        unused || lane.class == Class::Urgent && own.into_iter().any(|g| holds(g.1, lane.shape))
+    }
+
+    /// Tells whether the first job of a lane may run in a block that drains.
+    fn may_backfill(&self, lane: &LaneKey) -> bool {
+        let shape = lane.shape;
+        let room = self.draining.unwrap_or_default();
+        lane.preemptible && shape.tasks == 1 && (1..=room).contains(&shape.accelerators)
+    }
+}
--- a/crates/core/src/sched/report.rs
+++ b/crates/core/src/sched/report.rs
@@ -6,7 +6,7 @@
 use crate::job::{Placement, Shape};
 use crate::sched::Scheduler;
 use crate::sched::event::{Load, Why};
-use crate::sched::fleet::{View, WorkerIx};
+use crate::sched::fleet::WorkerIx;
 use crate::sched::jobs::Job;
 use crate::sched::learn::Kind;
 use crate::sched::share::level;
@@ -121,7 +121,7 @@
         };
         Why {
             phase: job.phase.text().to_string(),
-            text: job.reason.to_string(),
+            text: self.reason(job).to_string(),
             placement,
             age: self.now.since(job.since),
             decided: job.decided,
@@ -130,18 +130,15 @@
 
     /// Returns the load that other daemons route by.
     pub fn load(&self) -> Load {
-        let mut load = Load { queued: self.queued, waiting: self.waiting, ..Load::default() };
-        for rack in &self.fleet.racks {
-            let mut free = 0;
-            for ix in rack.workers.iter().filter(|ix| self.fleet.worker(**ix).is_usable()) {
-                let worker = self.fleet.worker(*ix);
-                load.total += u32::from(worker.info.accelerators);
-                free += worker.mask(View::Soft).len();
-            }
-            load.free += free;
-            load.block = load.block.max(free);
+        let (total, free) = self.fleet.healthy();
+        let racks = self.fleet.racks.iter().map(|rack| rack.healthy().1);
+        Load {
+            total,
+            free,
+            queued: self.queued,
+            waiting: self.waiting,
+            block: racks.max().unwrap_or_default(),
         }
-        load
     }
 
     /// Returns the whole state, for people who look for what went wrong.
