--- a/examples/policy/baseline.rs
+++ b/examples/policy/baseline.rs
@@ -23,6 +23,7 @@
     fn decide(&mut self, event: Event, now: Moment) -> Vec<Action>;
     fn load(&self) -> Load;
     fn next_tick(&self) -> Option<Moment>;
+    fn why(&self, key: &JobKey) -> String;
 }
 
 impl Policy for bulrushlink_core::Scheduler {
@@ -37,6 +38,10 @@
     fn next_tick(&self) -> Option<Moment> {
         Self::next_tick(self)
     }
+
+    fn why(&self, key: &JobKey) -> String {
+        Self::why(self, key).map(|why| why.text).unwrap_or_default()
+    }
 }
 
 /// How a baseline chooses.
@@ -302,6 +307,11 @@
     fn next_tick(&self) -> Option<Moment> {
         None
     }
+
+    fn why(&self, key: &JobKey) -> String {
+        let waits = self.index(key).map(|i| self.jobs[i].placement.is_empty());
+        waits.map(|waits| if waits { "waits" } else { "runs" }).unwrap_or_default().to_string()
+    }
 }
 
 /// Accelerators in use beyond the guarantees, against those that nobody is guaranteed.
--- a/examples/policy/plot.rs
+++ b/examples/policy/plot.rs
@@ -31,7 +31,11 @@
     add(row("work/min after", list, |f| work(&f.after)));
     add(row("sound jobs not completed", list, |f| format!("{}", f.lost)));
     add(row("  of these refused", list, |f| format!("{}", f.refused)));
-    add(row("stops asked for", list, |f| format!("{}", f.stops)));
+    add(row("work/min done again", list, |f| format!("{:.1}", f.wasted)));
+    add(row("stops: reclaimed", list, |f| format!("{}", f.stops.reclaimed)));
+    add(row("  moved for a larger block", list, |f| format!("{}", f.stops.moved)));
+    add(row("  domain leaves", list, |f| format!("{}", f.stops.left)));
+    add(row("  cancelled, gang broken", list, |f| format!("{}", f.stops.other)));
     text
 }
 
--- a/examples/policy/report.rs
+++ b/examples/policy/report.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::{Ending, Moment, Span};
 use serde::Serialize;
 
-use crate::run::{SAMPLE_EVERY, Sample, Trace};
+use crate::run::{SAMPLE_EVERY, Sample, Stops, Trace};
 use crate::workload::{Job, Nature, Workload};
 
 /// Within this time a guaranteed job has to start.
@@ -66,15 +66,21 @@
     pub(crate) lost: usize,
     pub(crate) refused: usize,
     /// Stops that the policy asked for.
-    pub(crate) stops: u32,
+    pub(crate) stops: Stops,
+    /// Accelerator-minutes that had to be done again, in each minute.
+    pub(crate) wasted: f64,
     /// Useful accelerators, and accelerators waited for, in each minute.
     pub(crate) plot: Vec<(f64, f64)>,
 }
 
 /// Works out the figures of one run.
 pub(crate) fn figures(policy: &str, workload: &Workload, trace: &Trace) -> Figures {
-    let mut figures =
-        Figures { policy: policy.to_string(), stops: trace.stops, ..Default::default() };
+    let mut figures = Figures {
+        policy: policy.to_string(),
+        stops: trace.stops,
+        wasted: trace.wasted / workload.until.0 as f64,
+        ..Default::default()
+    };
     let mut all = Vec::new();
     let mut kinds: Vec<(String, Vec<f64>)> = Vec::new();
     for (job, outcome) in workload.jobs.iter().zip(&trace.outcomes) {
@@ -226,11 +232,22 @@
         after: joined(|f| &f.after),
         lost: count(|f| f.lost),
         refused: count(|f| f.refused),
-        stops: list.iter().map(|f| f.stops).sum(),
+        stops: join_stops(list),
+        wasted: mean(|f| f.wasted),
         plot: Vec::new(),
     }
 }
 
+fn join_stops(list: &[Figures]) -> Stops {
+    let sum = |get: fn(&Stops) -> u32| list.iter().map(|f| get(&f.stops)).sum();
+    Stops {
+        reclaimed: sum(|s| s.reclaimed),
+        moved: sum(|s| s.moved),
+        left: sum(|s| s.left),
+        other: sum(|s| s.other),
+    }
+}
+
 pub(crate) fn mean_times(list: &[&Times]) -> Times {
     let mean = |get: fn(&Times) -> f64| {
         list.iter().map(|times| get(times)).sum::<f64>() / list.len() as f64
--- a/examples/policy/run.rs
+++ b/examples/policy/run.rs
@@ -8,6 +8,8 @@
     Scheduler, Service, Span, route,
 };
 
+use serde::Serialize;
+
 use crate::agenda::{Agenda, Happening};
 use crate::baseline::{Baseline, Policy, Rule};
 use crate::table::Table;
@@ -77,7 +79,18 @@
     pub(crate) samples: Vec<Sample>,
     /// Useful accelerator-milliseconds, by domain and minute.
     pub(crate) useful: Vec<Vec<f64>>,
-    pub(crate) stops: u32,
+    pub(crate) stops: Stops,
+    /// Accelerator-milliseconds that had to be done again.
+    pub(crate) wasted: f64,
+}
+
+/// Stops that a policy asked for, by reason.
+#[derive(Clone, Copy, Debug, Default, Serialize)]
+pub(crate) struct Stops {
+    pub(crate) reclaimed: u32,
+    pub(crate) moved: u32,
+    pub(crate) left: u32,
+    pub(crate) other: u32,
 }
 
 struct Run<'a> {
@@ -99,7 +112,7 @@
     routed: Vec<Vec<Load>>,
     samples: Vec<Sample>,
     left: usize,
-    stops: u32,
+    stops: Stops,
 }
 
 /// Runs the workload to its end.
@@ -131,7 +144,7 @@
         routed: vec![vec![Load::default(); domains]; ENTRY_HOSTS],
         samples: Vec::new(),
         left: count,
-        stops: 0,
+        stops: Stops::default(),
     };
     run.open();
     run.go();
@@ -168,14 +181,19 @@
         while self.left > 0 {
             let (now, what) = self.agenda.next().expect("announcements go on");
             let late = self.workload.until + DRAIN;
-            assert!(now < late, "{} jobs never end, e.g. {:?}", self.left, self.stuck());
+            assert!(now < late, "{} jobs never end, e.g. {}", self.left, self.stuck());
             self.happen(what, now);
         }
     }
 
-    fn stuck(&self) -> Option<&JobKey> {
-        let found = self.jobs.iter().position(|state| *state != State::Ended);
-        found.map(|i| &self.workload.jobs[i].spec.key)
+    /// Describes a job that hasn't ended.
+    fn stuck(&self) -> String {
+        let job = self.jobs.iter().position(|state| *state != State::Ended);
+        let Some(job) = job else { return String::new() };
+        let spec = &self.workload.jobs[job].spec;
+        let State::Inside(domain) = self.jobs[job] else { return format!("{} outside", spec.key) };
+        let why = self.policies[domain].why(&spec.key);
+        format!("{} {} {} in {domain}: {why}", spec.key, spec.kind, spec.shape)
     }
 
     fn happen(&mut self, what: Happening, now: Moment) {
@@ -348,6 +366,7 @@
             samples: self.samples,
             useful: self.table.useful,
             stops: self.stops,
+            wasted: self.table.wasted,
         }
     }
 }
--- a/examples/policy/run/act.rs
+++ b/examples/policy/run/act.rs
@@ -1,6 +1,6 @@
 //! Carries out what a policy asks for, and asserts that it may.
 
-use bulrushlink_core::{Action, Ending, Moment, Span};
+use bulrushlink_core::{Action, Ending, Moment, Span, StopReason};
 
 use super::{Run, State, index};
 use crate::agenda::Happening;
@@ -15,8 +15,8 @@
                 self.last[job] = attempt;
                 self.table.start(domain, job, attempt, &placement, now, &mut self.agenda);
             }
-            Action::Stop { key, attempt, grace, .. } => {
-                self.stops += 1;
+            Action::Stop { key, attempt, grace, reason } => {
+                self.count_stop(reason);
                 self.table.stop((index(&key), attempt), grace, now, &mut self.agenda);
             }
             Action::Throttle { key, attempt, percent } => {
@@ -36,6 +36,16 @@
         }
     }
 
+    fn count_stop(&mut self, reason: StopReason) {
+        let count = match reason {
+            StopReason::Reclaimed => &mut self.stops.reclaimed,
+            StopReason::Defragmented => &mut self.stops.moved,
+            StopReason::DomainLeaves => &mut self.stops.left,
+            StopReason::Cancelled | StopReason::GangIncomplete => &mut self.stops.other,
+        };
+        *count += 1;
+    }
+
     fn finish(&mut self, domain: usize, job: usize, ending: Ending, now: Moment) {
         let key = &self.workload.jobs[job].spec.key;
         assert_eq!(self.jobs[job], State::Inside(domain), "{key} ends where it isn't");
--- a/examples/policy/table.rs
+++ b/examples/policy/table.rs
@@ -76,6 +76,8 @@
     pub(crate) open: Vec<bool>,
     /// Useful accelerator-milliseconds, by domain and minute.
     pub(crate) useful: Vec<Vec<f64>>,
+    /// Accelerator-milliseconds that had to be done again.
+    pub(crate) wasted: f64,
     rng: Rng,
 }
 
@@ -89,6 +91,7 @@
             records: vec![Record::default(); workload.jobs.len()],
             open: vec![true; workload.domains.len()],
             useful: vec![Vec::new(); workload.domains.len()],
+            wasted: 0.0,
             rng: Rng::with_seed(seed),
         }
     }
@@ -236,10 +239,11 @@
         let live = &mut self.live[index];
         live.phase = Phase::Leaving;
         let past = std::mem::take(&mut live.past);
+        let total = f64::from(self.workload.jobs[live.job].spec.shape.total());
         if !keep {
+            self.wasted += past.iter().map(Stretch::progress).sum::<u64>() as f64 * total;
             return;
         }
-        let total = f64::from(self.workload.jobs[live.job].spec.shape.total());
         self.records[live.job].saved.0 += past.iter().map(Stretch::progress).sum::<u64>();
         let minutes = &mut self.useful[live.domain];
         past.iter().for_each(|stretch| stretch.credit(total, minutes));
