Let a stopping daemon answer until the balancer has seen it

Cause: a daemon without waiting callers exited at once, while the balancer, which looks at readiness now and then, still sent requests to it; those were cut. Ruled out: requests dropped by the node; they came after its exit. A new setting, linger, keeps it answering for two seconds.

--- a/crates/cli/src/table.rs
+++ b/crates/cli/src/table.rs
@@ -113,8 +113,6 @@
 
 fn worker_line(row: &WorkerRow) -> String {
     let (id, rack) = (row.id.as_str(), row.rack.as_str());
-    format!(
-        "worker {id:<20} rack {rack:<14} {:<12} {}/{} busy",
-        row.state, row.busy, row.accelerators
-    )
+    let busy = row.busy.map_or("?".to_string(), |busy| busy.to_string());
+    format!("worker {id:<20} rack {rack:<14} {:<12} {busy}/{} busy", row.state, row.accelerators)
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -258,8 +258,9 @@
     fn exit_when_drained(&mut self, now: Moment, out: &mut Outbox) {
         let Some(since) = self.draining else { return };
         let idle = self.intake.held() == 0 && self.placer.is_idle();
+        let seen = now.since(since) >= self.settings.timing.linger;
         let late = now.since(since) >= self.settings.timing.drain;
-        if !self.exited && (idle || late) {
+        if !self.exited && (idle && seen || late) {
             self.exited = true;
             out.push(Output::Exit);
         }
--- a/crates/daemon/src/runtime/tests.rs
+++ b/crates/daemon/src/runtime/tests.rs
@@ -55,6 +55,8 @@
         matches!(output, Output::Operator(Token(7), OperatorAnswer::Plain { .. }))
     };
     assert_eq!(bench.count(answered), 1);
+    assert_eq!(bench.count(|output| *output == Output::Exit), 0, "the balancer hasn't seen it");
+    bench.pass(Span::from_secs(3));
     assert_eq!(bench.count(|output| *output == Output::Exit), 1);
 }
 
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -83,6 +83,10 @@
     /// Time-out of a worker call.
     #[serde(deserialize_with = "span::read")]
     pub worker: Span,
+    /// Time for which a stopping daemon goes on answering although nobody waits, so that the
+    /// balancer sees that it isn't ready before its listeners close.
+    #[serde(deserialize_with = "span::read")]
+    pub linger: Span,
     /// Longest time of a graceful stop.
     #[serde(deserialize_with = "span::read")]
     pub drain: Span,
@@ -100,6 +104,7 @@
             watch: Span::from_secs(20),
             store: Span::from_secs(2),
             worker: Span::from_secs(2),
+            linger: Span::from_secs(2),
             drain: Span::from_secs(60),
         }
     }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -154,6 +154,7 @@
             ("/watch", self.watch),
             ("/store", self.store),
             ("/worker", self.worker),
+            ("/linger", self.linger),
             ("/drain", self.drain),
         ];
         if let Some((path, _)) = spans.iter().find(|(_, span)| *span == Span::ZERO) {
--- a/src/local.rs
+++ b/src/local.rs
@@ -102,14 +102,16 @@
         Ok(Self { platform, workers, daemons })
     }
 
-    /// Stops the daemons gracefully, one after the other, then the stand-ins.
+    /// Stops all daemons gracefully, then the stand-ins.
     ///
     /// # Errors
     ///
     /// What ended a daemon before.
     pub fn stop(self) -> Result<(), Error> {
-        for daemon in self.daemons {
-            daemon.stop()?;
+        let stops: Vec<_> =
+            self.daemons.into_iter().map(|daemon| std::thread::spawn(|| daemon.stop())).collect();
+        for stop in stops {
+            stop.join().unwrap_or_else(|panic| std::panic::resume_unwind(panic))?;
         }
         self.workers.stop();
         self.platform.stop();
