--- a/crates/lab/src/world/edges.rs
+++ b/crates/lab/src/world/edges.rs
@@ -10,6 +10,8 @@
 use crate::links::Party;
 use crate::platform::{StoreMode, Watch};
 
+/// Time in which a process sends its last outputs before it ends.
+const FLUSH: Span = Span(3);
 /// Time that a slow store takes.
 const SLOW_STORE: Span = Span(1_800);
 /// Time after which a connection that can't be made is given up.
@@ -24,7 +26,8 @@
             if let Some(call) = call_of(&output) {
                 self.daemons[daemon].begin(call);
             }
-            let delay = Span(self.rng.u64(0..=1));
+            let flush = if output == Output::Exit { FLUSH } else { Span::ZERO };
+            let delay = Span(self.rng.u64(0..=1)) + flush;
             let output = Box::new(output);
             self.timeline.after(delay, Step::Send { daemon, incarnation, output, since: now });
         }
--- a/crates/lab/src/world/people.rs
+++ b/crates/lab/src/world/people.rs
@@ -70,8 +70,7 @@
         let now = self.timeline.now();
         match self.callers[caller].hear(reply, now) {
             Ok(Some((delay, turn))) => {
-                let other = self.waiting.iter().any(|w| w.caller == caller);
-                if waiting.turn != Turn::Cancel && !other {
+                if waiting.turn != Turn::Cancel {
                     self.timeline.after(delay, Step::Caller { caller, turn });
                 }
             }
