--- a/crates/daemon/src/listener/bind.rs
+++ b/crates/daemon/src/listener/bind.rs
@@ -15,10 +15,15 @@
 /// write time-out of the listening socket, which the standard library sets through its other
 /// socket type. A read time-out can't be set that way: it would end the library's accept loop.
 pub(crate) fn bind(addr: SocketAddr) -> Result<TcpListener, Error> {
+    bind_with(addr, Duration::from_millis(WRITE_TIMEOUT_MS))
+}
+
+/// Binds a socket with another write time-out.
+pub(super) fn bind_with(addr: SocketAddr, timeout: Duration) -> Result<TcpListener, Error> {
     let fault = |e: std::io::Error| Error::new(Code::Unreachable, format!("{addr}: {e}"));
     let listener = TcpListener::bind(addr).map_err(fault)?;
     let socket = TcpStream::from(OwnedFd::from(listener));
-    socket.set_write_timeout(Some(Duration::from_millis(WRITE_TIMEOUT_MS))).map_err(fault)?;
+    socket.set_write_timeout(Some(timeout)).map_err(fault)?;
     Ok(TcpListener::from(OwnedFd::from(socket)))
 }
 
--- a/crates/daemon/src/listener/tests.rs
+++ b/crates/daemon/src/listener/tests.rs
@@ -1,3 +1,4 @@
+use super::bind::bind_with;
 use super::*;
 use crate::caller_http::CallerFront;
 use crate::calls::tests::Collector;
@@ -9,6 +10,10 @@
 const CONNECTIONS: usize = 8;
 /// Bursts one after the other.
 const BURSTS: usize = 50;
+/// Write time-out of the listeners.
+const WRITE_TIMEOUT: Duration = Duration::from_millis(300);
+/// Larger than all buffers of a connection, in bytes.
+const LARGE_BYTES: usize = 64 * 1024 * 1024;
 /// The longest wait for an answer; a test that gets here has failed.
 const WAIT_MAX: Duration = Duration::from_secs(10);
 
@@ -21,7 +26,7 @@
 impl Bench {
     fn open(waiting: usize) -> Self {
         let collector = Collector::open();
-        let socket = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+        let socket = bind_with("127.0.0.1:0".parse().unwrap(), WRITE_TIMEOUT).unwrap();
         let url = format!("http://{}/v1/jobs/rosters/r-1", bound_addr(&socket).unwrap());
         let front = Box::new(CallerFront::open(Arc::new(AtomicBool::new(true))));
         let bounds = Bounds { body: 1_000, waiting, readers: 2 };
@@ -99,3 +104,19 @@
         bench.listener.stop();
     }
 }
+
+#[test]
+fn a_client_that_reads_nothing_is_given_up() {
+    let mut bench = Bench::open(8);
+    let addr = bench.url.split('/').nth(2).unwrap();
+    let mut stream = TcpStream::connect(addr).unwrap();
+    stream.write_all(b"GET /v1/jobs/rosters/r-1 HTTP/1.1\r\nHost: x\r\n\r\n").unwrap();
+    let token = bench.token();
+    bench.listener.answer(token, done(&"x".repeat(LARGE_BYTES)));
+    let end = std::time::Instant::now() + WAIT_MAX;
+    while !bench.listener.is_flushed() {
+        assert!(std::time::Instant::now() < end, "the answer is still being written");
+        std::thread::sleep(Duration::from_millis(10));
+    }
+    bench.listener.stop();
+}
