--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -314,7 +314,7 @@
             Action::HandOver { key, attempt } => {
                 if let Ok(i) = self.find(&key) {
                     self.jobs[i].attempt = self.jobs[i].attempt.max(attempt);
-                    self.jobs[i].place = Place::Leaving;
+                    self.jobs[i].place = Place::Leaving(cx.now);
                 }
             }
             Action::Quarantine(worker) => log::warn!("worker {worker} is quarantined"),
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -1,7 +1,7 @@
 //! The end of a job: durable first, then told, then forgotten by the workers.
 
 use bulrushlink_api::{Expect, Revision, StoreRequest, WorkerOp};
-use bulrushlink_core::{Attempt, Ending, JobKey, Moment, Span};
+use bulrushlink_core::{Attempt, Code, Ending, JobKey, Moment, Span};
 
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
@@ -9,6 +9,8 @@
 use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
 use crate::placer::records::Tag;
 
+/// Pause before room is looked for again for an accepted job that was refused.
+const REFUSED_PAUSE: Span = Span::from_secs(5);
 /// Time for which an ended job is remembered here.
 const ENDED_KEEP: Span = Span::from_secs(60);
 
@@ -22,9 +24,15 @@
         }
         job.place = Place::Out;
         job.cancel = None;
-        let ending = truthful(ending, job.attempt);
-        let step = EndStep::Open;
-        job.end = Some(End { ending, step, since: cx.now, unsure: false });
+        let refused = matches!(&ending, Ending::Refused(refusal) if is_passing(refusal.code));
+        if refused && (job.claim == Claim::Owned || job.wanted.epoch > 1) {
+            // What was accepted isn't given up for want of room.
+            job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
+            return;
+        }
+        let mut end = End::open(truthful(ending, job.attempt), cx.now);
+        end.loose = refused;
+        job.end = Some(end);
         self.drive_end(i, cx);
     }
 
@@ -41,7 +49,12 @@
                 self.forget_old(i, cx);
             }
             Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
-            Claim::Owned if job.writing.is_none() => self.write_done(i, cx),
+            Claim::Owned if job.writing.is_some() => {}
+            Claim::Owned if end.loose => {
+                end.step = EndStep::Removing;
+                self.remove(i, cx);
+            }
+            Claim::Owned => self.write_done(i, cx),
             _ => {}
         }
     }
@@ -151,10 +164,15 @@
 /// Tells whether an ended job may be dropped. A refusal that left no record doesn't bind a later
 /// submission of the same request.
 fn is_over(end: &End, claim: Claim, active: bool, now: Moment) -> bool {
-    let loose = claim == Claim::Memory && matches!(end.ending, Ending::Refused(_));
+    let loose = end.loose || claim == Claim::Memory && matches!(end.ending, Ending::Refused(_));
     end.step == EndStep::Settled && (loose || !active || now.since(end.since) > ENDED_KEEP)
 }
 
+/// Tells whether a refusal is of the moment, and no reason to give up what was accepted.
+const fn is_passing(code: Code) -> bool {
+    matches!(code, Code::QueueFull | Code::Overloaded | Code::NeverFits)
+}
+
 /// Tells whether an ending says that nothing ran.
 const fn is_unrun(ending: &Ending) -> bool {
     matches!(ending, Ending::Refused(_) | Ending::Cancelled { ran: false })
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -35,8 +35,8 @@
 pub(super) enum Place {
     /// The scheduler doesn't know it.
     Out,
-    /// Can't start in this domain any more; another one has to take it.
-    Leaving,
+    /// Can't start in this domain; from the moment on another one is looked for.
+    Leaving(Moment),
     /// The scheduler has it.
     Waiting,
     /// On workers, or on its way there.
@@ -67,6 +67,14 @@
     pub(super) since: Moment,
     /// Whether the store couldn't be asked for earlier submissions.
     pub(super) unsure: bool,
+    /// Whether it binds no later submission of the same request, so that nothing of it is kept.
+    pub(super) loose: bool,
+}
+
+impl End {
+    pub(super) const fn open(ending: Ending, now: Moment) -> Self {
+        Self { ending, step: EndStep::Open, since: now, unsure: false, loose: false }
+    }
 }
 
 /// A state of a job in short, to see whether it has changed.
@@ -210,7 +218,8 @@
             Ending::Completed { .. } | Ending::Failed { .. } | Ending::Unknown { .. }
         );
         let late = down || now.since(end.since) > STORE_PATIENCE;
-        end.step >= EndStep::Removing || firm && late
+        let least = if end.loose { EndStep::Settled } else { EndStep::Removing };
+        end.step >= least || firm && late
     }
 
     /// Tells whether tasks may start now as far as the store is concerned.
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -192,13 +192,11 @@
         let same = self.jobs[i].digest == done.digest;
         let job = &mut self.jobs[i];
         job.claim = Claim::Owned;
-        let step = EndStep::Removing;
-        match &mut job.end {
-            Some(end) if job.said == Some(Said::Ended) => end.step = step,
-            _ => {
-                let (ending, since) = (done.ending, cx.now);
-                job.end = Some(End { ending, step, since, unsure: false });
-            }
+        if job.end.is_none() || job.said != Some(Said::Ended) {
+            job.end = Some(End::open(done.ending, cx.now));
+        }
+        if let Some(end) = &mut job.end {
+            end.step = EndStep::Removing;
         }
         if !same {
             self.notify(i, &JobStatus::Conflict, cx);
@@ -267,7 +265,7 @@
         let key = self.jobs[i].key().clone();
         self.hasten(&key);
         match std::mem::replace(&mut self.jobs[i].place, Place::Out) {
-            Place::Out | Place::Leaving => {}
+            Place::Out | Place::Leaving(_) => {}
             Place::Waiting => self.events.push_back(Event::Cancel(key)),
             Place::Placed(gang) if gang.committed => {
                 self.events.push_back(Event::Unsettled(key.clone(), gang.attempt));
@@ -314,10 +312,10 @@
         match outcome {
             Outcome::Found(Some(record)) => match DoneRecord::read(&record.value) {
                 Some(done) if done.digest == self.jobs[i].digest => {
-                    let (ending, since) = (done.ending, cx.now);
-                    let step = EndStep::Settled;
-                    self.jobs[i].end = Some(End { ending, step, since, unsure: false });
-                    self.jobs[i].claim = Claim::Memory;
+                    let mut end = End::open(done.ending, cx.now);
+                    end.step = EndStep::Settled;
+                    self.jobs[i].end = Some(end);
+                    self.jobs[i].claim = Claim::Owned;
                 }
                 _ => self.abandon(i, JobStatus::Conflict, cx),
             },
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -267,7 +267,8 @@
         }
         let key = self.jobs[i].key().clone();
         match (&self.jobs[i].place, self.jobs[i].claim) {
-            (Place::Leaving, _) => self.hand_over(i, world, cx),
+            (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
+            (Place::Leaving(_), _) => {}
             (Place::Out, _) => self.enter(&key, cx),
             (_, Claim::Memory) if !self.journal.is_down() => self.create(i, None, cx),
             _ => {}
--- a/crates/daemon/src/placer/reports.rs
+++ b/crates/daemon/src/placer/reports.rs
@@ -154,7 +154,7 @@
             _ if job.gone => Verdict::Keep,
             _ if ended && job.old.contains(&old) => Verdict::Drop,
             _ if ended && !settled && !job.spec.idempotent => Verdict::Keep,
-            Place::Out | Place::Leaving if job.end.is_none() => Verdict::Keep,
+            Place::Out | Place::Leaving(_) if job.end.is_none() => Verdict::Keep,
             _ if ended || settled => away,
             _ if job.claim == Claim::Owned && job.verified.is_none_or(|at| at <= orphan.since) => {
                 Verdict::Verify(i)
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -213,12 +213,9 @@
     /// Refuses a job that the store couldn't make durable; it certainly isn't there.
     pub(super) fn refuse_undurable(&mut self, i: usize, cx: &mut Context<'_>) {
         self.withdraw(i, cx);
-        self.jobs[i].end = Some(End {
-            ending: Ending::Refused(store_refusal()),
-            step: EndStep::Settled,
-            since: cx.now,
-            unsure: true,
-        });
+        let mut end = End::open(Ending::Refused(store_refusal()), cx.now);
+        (end.step, end.unsure) = (EndStep::Settled, true);
+        self.jobs[i].end = Some(end);
         self.jobs[i].claim = Claim::Memory;
     }
 
--- a/crates/daemon/src/placer/tests.rs
+++ b/crates/daemon/src/placer/tests.rs
@@ -381,7 +381,7 @@
     let out = first.split('-').next().unwrap().to_string();
     let tokens: Vec<_> =
         (0..3).map(|n| net.submit(n, &job(&format!("j{n}"), 4, n == 0, Some(LONG)))).collect();
-    net.serve(1, &out, Service::Out);
+    net.serve(&out, Service::Out);
     net.run(Span::from_secs(5));
     let since = net.now;
     for token in tokens {
