--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -56,7 +56,7 @@
     /// When the next search for silent workers is due.
     sweep: Moment,
     /// Whether this daemon hears of all workers of the domain, and so may take one for lost.
-    hears: bool,
+    hears_all: bool,
     rng: fastrand::Rng,
 }
 
@@ -73,7 +73,7 @@
             generation: 0,
             roster: 0,
             sweep: now,
-            hears: false,
+            hears_all: false,
             rng: fastrand::Rng::with_seed(seed),
         }
     }
@@ -172,17 +172,17 @@
 
     /// Tells whether this daemon is the one that hears of all workers of the domain. Only then
     /// does silence say anything, counted from the moment at which that began.
-    pub(crate) fn set_hears(&mut self, hears: bool, now: Moment) {
-        if hears && !self.hears {
+    pub(crate) fn set_hears_all(&mut self, hears_all: bool, now: Moment) {
+        if hears_all && !self.hears_all {
             for entry in &mut self.entries {
                 entry.seen = now;
             }
         }
-        self.hears = hears;
+        self.hears_all = hears_all;
     }
 
     fn refresh(&mut self, now: Moment) {
-        let (lapse, hears) = (self.lapse, self.hears);
+        let (lapse, hears) = (self.lapse, self.hears_all);
         let silent = |entry: &Entry| now.since(entry.seen) > lapse;
         let before = self.entries.len();
         self.entries.retain(|entry| entry.listed || !silent(entry));
@@ -238,7 +238,7 @@
 
     fn own_row(&self, entry: &Entry, now: Moment) -> WorkerRow {
         let state = match entry.shown().leaving {
-            _ if self.hears && now.since(entry.seen) > self.lapse => "lost",
+            _ if self.hears_all && now.since(entry.seen) > self.lapse => "lost",
             true => "leaving",
             false => "live",
         };
--- a/crates/daemon/src/hosts/tests.rs
+++ b/crates/daemon/src/hosts/tests.rs
@@ -6,14 +6,14 @@
 use crate::node::tests::net::{host, settings};
 use crate::settings::Settings;
 
-struct Bench {
+struct Fixture {
     hosts: Hosts,
     settings: Settings,
     now: Moment,
     out: Outbox,
 }
 
-impl Bench {
+impl Fixture {
     fn open() -> Self {
         let settings = settings("norte-0", &[("norte", 1), ("sur", 1)]);
         let now = Moment(1000);
@@ -57,65 +57,65 @@
 
 #[test]
 fn an_outage_of_the_list_changes_nothing_and_is_asked_about_less_often() {
-    let mut bench = Bench::open();
+    let mut fixture = Fixture::open();
     let mut list = hosts(&["b", "a"]);
     list.push(host("c", "sur", "r1"));
-    bench.read(Ok(list));
-    assert_eq!(bench.own(), shown(&["a", "b"]));
-    assert_eq!(bench.hosts.all().len(), 3);
-    let generation = bench.hosts.generation();
-    let waits: Vec<_> = (0..5).map(|_| bench.read(Err(EdgeFault::Silent))).collect();
+    fixture.read(Ok(list));
+    assert_eq!(fixture.own(), shown(&["a", "b"]));
+    assert_eq!(fixture.hosts.all().len(), 3);
+    let generation = fixture.hosts.generation();
+    let waits: Vec<_> = (0..5).map(|_| fixture.read(Err(EdgeFault::Silent))).collect();
     assert!(waits[4] > Span::from_secs(5), "{waits:?}");
-    assert_eq!((bench.own(), bench.hosts.generation()), (shown(&["a", "b"]), generation));
+    assert_eq!((fixture.own(), fixture.hosts.generation()), (shown(&["a", "b"]), generation));
 }
 
 #[test]
 fn a_worker_that_the_list_lost_stays_for_as_long_as_it_answers() {
-    let mut bench = Bench::open();
-    bench.read(Ok(hosts(&["a", "b"])));
+    let mut fixture = Fixture::open();
+    fixture.read(Ok(hosts(&["a", "b"])));
     for _ in 0..60 {
-        bench.read(Ok(hosts(&["a"])));
-        bench.hosts.on_leaving(&id("b"), false, bench.now);
+        fixture.read(Ok(hosts(&["a"])));
+        fixture.hosts.on_leaving(&id("b"), false, fixture.now);
     }
-    assert_eq!(bench.own(), shown(&["a", "b"]));
-    bench.now += Span::from_secs(46);
-    bench.read(Ok(hosts(&["a"])));
-    assert_eq!(bench.own(), shown(&["a"]));
+    assert_eq!(fixture.own(), shown(&["a", "b"]));
+    fixture.now += Span::from_secs(46);
+    fixture.read(Ok(hosts(&["a"])));
+    assert_eq!(fixture.own(), shown(&["a"]));
 }
 
 #[test]
 fn new_work_stays_away_when_the_worker_or_the_list_says_that_it_leaves() {
-    let mut bench = Bench::open();
-    bench.read(Ok(hosts(&["a", "b"])));
-    bench.hosts.on_leaving(&id("a"), true, bench.now);
-    assert_eq!(bench.own()[0], ("a".to_string(), true));
-    bench.read(Ok(hosts(&["a", "b"])));
-    assert_eq!(bench.own()[0], ("a".to_string(), true), "the list lags");
-    bench.hosts.on_leaving(&id("a"), false, bench.now);
-    assert_eq!(bench.own()[0], ("a".to_string(), false));
+    let mut fixture = Fixture::open();
+    fixture.read(Ok(hosts(&["a", "b"])));
+    fixture.hosts.on_leaving(&id("a"), true, fixture.now);
+    assert_eq!(fixture.own()[0], ("a".to_string(), true));
+    fixture.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(fixture.own()[0], ("a".to_string(), true), "the list lags");
+    fixture.hosts.on_leaving(&id("a"), false, fixture.now);
+    assert_eq!(fixture.own()[0], ("a".to_string(), false));
     let mut list = hosts(&["a", "b"]);
     list[1].leaving = true;
-    bench.read(Ok(list));
-    assert_eq!(bench.own()[1], ("b".to_string(), true));
+    fixture.read(Ok(list));
+    assert_eq!(fixture.own()[1], ("b".to_string(), true));
 }
 
 #[test]
 fn a_silent_worker_is_lost_after_its_leases_and_only_where_all_are_heard_of() {
-    let mut bench = Bench::open();
-    bench.read(Ok(hosts(&["a", "b"])));
-    let lapse = bench.settings.timing.lease + super::LOST_MARGIN;
-    bench.now += lapse + lapse;
-    bench.read(Ok(hosts(&["a", "b"])));
-    assert_eq!(bench.own(), shown(&["a", "b"]), "others may hear of them");
-    bench.hosts.set_hears(true, bench.now);
-    bench.now += lapse;
-    bench.hosts.on_alive(&id("a"), bench.now);
-    bench.read(Ok(hosts(&["a", "b"])));
-    assert_eq!(bench.own(), shown(&["a", "b"]), "not before the lease and the margin");
-    bench.now += Span::from_secs(2);
-    bench.read(Ok(hosts(&["a", "b"])));
-    assert_eq!(bench.own(), shown(&["a"]));
-    assert_eq!(bench.hosts.known().count(), 2, "a lost worker is still called");
-    bench.hosts.on_alive(&id("b"), bench.now);
-    assert_eq!(bench.own(), shown(&["a", "b"]));
+    let mut fixture = Fixture::open();
+    fixture.read(Ok(hosts(&["a", "b"])));
+    let lapse = fixture.settings.timing.lease + super::LOST_MARGIN;
+    fixture.now += lapse + lapse;
+    fixture.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(fixture.own(), shown(&["a", "b"]), "others may hear of them");
+    fixture.hosts.set_hears_all(true, fixture.now);
+    fixture.now += lapse;
+    fixture.hosts.on_alive(&id("a"), fixture.now);
+    fixture.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(fixture.own(), shown(&["a", "b"]), "not before the lease and the margin");
+    fixture.now += Span::from_secs(2);
+    fixture.read(Ok(hosts(&["a", "b"])));
+    assert_eq!(fixture.own(), shown(&["a"]));
+    assert_eq!(fixture.hosts.known().count(), 2, "a lost worker is still called");
+    fixture.hosts.on_alive(&id("b"), fixture.now);
+    assert_eq!(fixture.own(), shown(&["a", "b"]));
 }
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -27,7 +27,7 @@
 
 /// A worker of this daemon's share.
 #[derive(Debug)]
-struct Charge {
+struct Assignment {
     worker: WorkerId,
     renew: Repeat,
     /// When the next full report is due.
@@ -40,14 +40,22 @@
     leaving: Option<bool>,
 }
 
+/// What decides on a daemon's share of the workers.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct Basis {
+    live: Vec<DaemonId>,
+    /// Generation of the set of workers.
+    roster: u64,
+}
+
 /// Renews leases and passes reports on.
 #[derive(Debug)]
 pub(crate) struct Keeper {
     id: DaemonId,
     /// The workers of this daemon's share, sorted.
-    charges: Vec<Charge>,
-    /// What `charges` were chosen from: the live daemons and the roster of the hosts.
-    chosen: (Vec<DaemonId>, u64),
+    assigned: Vec<Assignment>,
+    /// What `assigned` was chosen from.
+    basis: Basis,
     reports: Reports,
     placer: Option<DaemonId>,
     rng: fastrand::Rng,
@@ -58,8 +66,8 @@
         let seed = rank(settings.daemon.as_str(), "keeper") ^ incarnation;
         Self {
             id: settings.daemon.clone(),
-            charges: Vec::new(),
-            chosen: (Vec::new(), 0),
+            assigned: Vec::new(),
+            basis: Basis::default(),
             reports: Reports::open(incarnation),
             placer: None,
             rng: fastrand::Rng::with_seed(seed),
@@ -79,16 +87,17 @@
         if placer.is_some() && self.placer.as_ref() != placer {
             self.placer = placer.cloned();
             self.reports.clear();
-            for charge in &mut self.charges {
-                charge.full = cx.now;
+            for assignment in &mut self.assigned {
+                assignment.full = cx.now;
             }
         }
-        if self.chosen.0 != live || self.chosen.1 != hosts.roster() {
-            self.chosen = (live.to_vec(), hosts.roster());
+        let basis = Basis { live: live.to_vec(), roster: hosts.roster() };
+        if self.basis != basis {
+            self.basis = basis;
             self.share(hosts, live, cx);
         }
-        for charge in &mut self.charges {
-            charge.renew(hosts, &self.id, cx);
+        for assignment in &mut self.assigned {
+            assignment.renew(hosts, &self.id, cx);
         }
         if let Some(placer) = &self.placer {
             self.reports.repeat(placer, cx);
@@ -97,15 +106,15 @@
 
     /// Takes up the workers that came into this daemon's share, and drops those that left it.
     fn share(&mut self, hosts: &Hosts, live: &[DaemonId], cx: &Context<'_>) {
-        let mut old = std::mem::take(&mut self.charges).into_iter().peekable();
+        let mut old = std::mem::take(&mut self.assigned).into_iter().peekable();
         for host in hosts.known() {
             if !self.is_mine(&host.id, live) {
                 continue;
             }
-            while old.next_if(|charge| charge.worker < host.id).is_some() {}
-            let kept = old.next_if(|charge| charge.worker == host.id);
-            let charge = kept.unwrap_or_else(|| self.charge(&host.id, cx));
-            self.charges.push(charge);
+            while old.next_if(|assignment| assignment.worker < host.id).is_some() {}
+            let kept = old.next_if(|assignment| assignment.worker == host.id);
+            let assignment = kept.unwrap_or_else(|| self.assignment(&host.id, cx));
+            self.assigned.push(assignment);
         }
     }
 
@@ -114,9 +123,9 @@
         keeper.is_none_or(|id| *id == self.id)
     }
 
-    fn charge(&mut self, worker: &WorkerId, cx: &Context<'_>) -> Charge {
+    fn assignment(&mut self, worker: &WorkerId, cx: &Context<'_>) -> Assignment {
         let offset = Span(self.rng.u64(0..=cx.settings.timing.renew.millis()));
-        Charge {
+        Assignment {
             worker: worker.clone(),
             renew: Repeat::open(cx.now + offset),
             full: cx.now,
@@ -134,40 +143,40 @@
         hosts: &mut Hosts,
         cx: &mut Context<'_>,
     ) {
-        let found = self.charges.iter_mut().find_map(|charge| {
-            charge.renew.answered(call)?;
-            Some(charge)
+        let found = self.assigned.iter_mut().find_map(|assignment| {
+            assignment.renew.answered(call)?;
+            Some(assignment)
         });
-        let Some(charge) = found else { return };
+        let Some(assignment) = found else { return };
         let period = cx.settings.timing.renew;
         let Ok(reply) = result else {
             // The worker may have taken its report for delivered.
-            charge.full = cx.now;
+            assignment.full = cx.now;
             let most = Span(period.millis() * FAULT_PERIODS_MAX);
-            return charge.renew.back_off((period, most), cx.now, &mut self.rng);
+            return assignment.renew.back_off((period, most), cx.now, &mut self.rng);
         };
-        charge.renew.after(jitter(period, &mut self.rng), cx.now);
-        charge.heard = cx.now;
+        assignment.renew.after(jitter(period, &mut self.rng), cx.now);
+        assignment.heard = cx.now;
         let busy = reply.busy.len() as u8;
-        hosts.on_leaving(&charge.worker, reply.leaving, cx.now);
-        hosts.on_busy(&charge.worker, busy);
-        let news = charge.leaving != Some(reply.leaving) || reply.leaving || charge.asked;
-        charge.leaving = Some(reply.leaving);
-        if charge.asked {
-            charge.full = cx.now + jitter(FULL_PERIOD, &mut self.rng);
+        hosts.on_leaving(&assignment.worker, reply.leaving, cx.now);
+        hosts.on_busy(&assignment.worker, busy);
+        let news = assignment.leaving != Some(reply.leaving) || reply.leaving || assignment.asked;
+        assignment.leaving = Some(reply.leaving);
+        if assignment.asked {
+            assignment.full = cx.now + jitter(FULL_PERIOD, &mut self.rng);
         }
         let Some(placer) = &self.placer else {
-            charge.full = cx.now;
+            assignment.full = cx.now;
             return;
         };
         if news && *placer != self.id {
-            let worker = charge.worker.clone();
+            let worker = assignment.worker.clone();
             let seen = PeerMessage::WorkerSeen { worker, leaving: reply.leaving, busy };
             cx.out.peer(placer, seen);
         }
-        if charge.asked || !reply.tasks.is_empty() {
-            let worker = charge.worker.clone();
-            self.reports.add(worker, charge.asked, reply.tasks, placer, cx);
+        if assignment.asked || !reply.tasks.is_empty() {
+            let worker = assignment.worker.clone();
+            self.reports.add(worker, assignment.asked, reply.tasks, placer, cx);
         }
     }
 
@@ -178,33 +187,33 @@
 
     /// Returns for how long a worker of this daemon's share has been silent.
     pub(crate) fn silent(&self, worker: &WorkerId, now: Moment) -> Option<Span> {
-        let i = self.charges.binary_search_by(|charge| charge.worker.cmp(worker)).ok()?;
-        Some(now.since(self.charges[i].heard))
+        let i = self.assigned.binary_search_by(|assignment| assignment.worker.cmp(worker)).ok()?;
+        Some(now.since(self.assigned[i].heard))
     }
 
     /// Returns the state for a dump.
     pub(crate) fn dump(&self, now: Moment) -> serde_json::Value {
-        let charges: Vec<_> = self
-            .charges
+        let assigned: Vec<_> = self
+            .assigned
             .iter()
-            .map(|charge| {
+            .map(|assignment| {
                 serde_json::json!({
-                    "worker": charge.worker,
-                    "silent_ms": self.silent(&charge.worker, now).map(Span::millis),
-                    "faults": charge.renew.faults(),
-                    "leaving": charge.leaving,
+                    "worker": assignment.worker,
+                    "silent_ms": self.silent(&assignment.worker, now).map(Span::millis),
+                    "faults": assignment.renew.faults(),
+                    "leaving": assignment.leaving,
                 })
             })
             .collect();
         serde_json::json!({
             "placer": self.placer,
             "reports": self.reports.len(),
-            "charges": charges,
+            "assigned": assigned,
         })
     }
 }
 
-impl Charge {
+impl Assignment {
     /// Renews the leases of the worker if that is due.
     fn renew(&mut self, hosts: &Hosts, from: &DaemonId, cx: &mut Context<'_>) {
         let timing = cx.settings.timing;
--- a/crates/daemon/src/keeper/tests.rs
+++ b/crates/daemon/src/keeper/tests.rs
@@ -8,7 +8,7 @@
 use crate::peer::PeerMessage;
 use crate::settings::Settings;
 
-struct Bench {
+struct Fixture {
     keeper: Keeper,
     hosts: Hosts,
     settings: Settings,
@@ -18,11 +18,11 @@
     placer: DaemonId,
 }
 
-impl Bench {
+impl Fixture {
     /// Opens the keeper of `norte-0`, with workers `w10` and up; `norte-1` places.
     fn open(live: &[&str], workers: usize) -> Self {
         let settings = settings("norte-0", &[("norte", 3)]);
-        let mut bench = Self {
+        let mut fixture = Self {
             keeper: Keeper::open(&settings, 1),
             hosts: Hosts::open(&settings, Moment(0), 1),
             settings,
@@ -33,12 +33,12 @@
         };
         let list = (10..10 + workers).map(|i| host(&format!("w{i}"), "norte", "r1"));
         let list = HostList { hosts: list.collect() };
-        bench.with(|_, hosts, cx| {
+        fixture.with(|_, hosts, cx| {
             hosts.tick(cx);
             let Some(Output::Hosts(call)) = cx.out.take().pop() else { panic!("no read") };
             hosts.on_hosts(call, Ok(list), cx);
         });
-        bench
+        fixture
     }
 
     fn with(&mut self, act: impl FnOnce(&mut Keeper, &mut Hosts, &mut Context<'_>)) -> Vec<Output> {
@@ -98,9 +98,9 @@
 fn each_worker_belongs_to_one_daemon_and_a_death_moves_just_its_own() {
     let all = ["norte-0", "norte-1", "norte-2"];
     let mine = |live: &[&str]| {
-        let mut bench = Bench::open(live, 60);
-        bench.tick();
-        bench.keeper.charges.iter().map(|c| c.worker.clone()).collect::<Vec<_>>()
+        let mut fixture = Fixture::open(live, 60);
+        fixture.tick();
+        fixture.keeper.assigned.iter().map(|c| c.worker.clone()).collect::<Vec<_>>()
     };
     let (before, after, alone) = (mine(&all), mine(&all[..2]), mine(&all[..1]));
     assert!((10..=30).contains(&before.len()), "{}", before.len());
@@ -111,71 +111,71 @@
 
 #[test]
 fn a_report_is_repeated_until_it_is_taken_and_a_full_one_replaces_it() {
-    let mut bench = Bench::open(&["norte-0"], 1);
-    let (call, all) = bench.call();
+    let mut fixture = Fixture::open(&["norte-0"], 1);
+    let (call, all) = fixture.call();
     assert!(all, "the first contact asks for everything");
-    let first = reports(&bench.reply(call, vec![report(0, TaskState::Started)]));
+    let first = reports(&fixture.reply(call, vec![report(0, TaskState::Started)]));
     assert_eq!(first.len(), 1);
-    let (call, all) = bench.call();
+    let (call, all) = fixture.call();
     assert!(!all);
-    let joined = reports(&bench.reply(call, vec![report(1, TaskState::Confirmed)]));
+    let joined = reports(&fixture.reply(call, vec![report(1, TaskState::Confirmed)]));
     assert_eq!(joined[0].2.len(), 2, "what isn't taken yet is said again");
     assert!(joined[0].1);
-    bench.keeper.on_taken(first[0].0);
-    assert_eq!(bench.waiting(), 1, "that was the answer to an older message");
-    let again = (0..20).flat_map(|_| reports(&bench.tick())).collect::<Vec<_>>();
+    fixture.keeper.on_taken(first[0].0);
+    assert_eq!(fixture.waiting(), 1, "that was the answer to an older message");
+    let again = (0..20).flat_map(|_| reports(&fixture.tick())).collect::<Vec<_>>();
     assert!(!again.is_empty() && again.iter().all(|report| *report == joined[0]));
-    bench.keeper.on_taken(joined[0].0);
-    assert_eq!(bench.waiting(), 0);
+    fixture.keeper.on_taken(joined[0].0);
+    assert_eq!(fixture.waiting(), 0);
 }
 
 #[test]
 fn a_lost_answer_or_a_new_placer_brings_a_full_report() {
-    let mut bench = Bench::open(&["norte-0"], 1);
-    let (call, _) = bench.call();
-    bench.reply(call, Vec::new());
-    let (call, all) = bench.call();
+    let mut fixture = Fixture::open(&["norte-0"], 1);
+    let (call, _) = fixture.call();
+    fixture.reply(call, Vec::new());
+    let (call, all) = fixture.call();
     assert!(!all);
-    bench.with(|keeper, hosts, cx| {
+    fixture.with(|keeper, hosts, cx| {
         keeper.on_worker(call, Err(EdgeFault::Silent), hosts, cx);
     });
-    let (call, all) = bench.call();
+    let (call, all) = fixture.call();
     assert!(all, "the worker may take its report for delivered");
-    bench.reply(call, vec![report(0, TaskState::Started)]);
-    bench.placer = "norte-2".parse().unwrap();
-    let (_, all) = bench.call();
+    fixture.reply(call, vec![report(0, TaskState::Started)]);
+    fixture.placer = "norte-2".parse().unwrap();
+    let (_, all) = fixture.call();
     assert!(all);
-    assert_eq!(bench.waiting(), 0);
+    assert_eq!(fixture.waiting(), 0);
 }
 
 #[test]
 fn a_silent_worker_is_called_less_often_and_its_silence_is_known() {
-    let mut bench = Bench::open(&["norte-0"], 1);
-    let (call, _) = bench.call();
-    bench.reply(call, Vec::new());
-    let heard = bench.now;
+    let mut fixture = Fixture::open(&["norte-0"], 1);
+    let (call, _) = fixture.call();
+    fixture.reply(call, Vec::new());
+    let heard = fixture.now;
     let mut calls = Vec::new();
     for _ in 0..4 {
-        let (call, _) = bench.call();
-        calls.push(bench.now);
-        bench.with(|keeper, hosts, cx| {
+        let (call, _) = fixture.call();
+        calls.push(fixture.now);
+        fixture.with(|keeper, hosts, cx| {
             keeper.on_worker(call, Err(EdgeFault::Unreachable), hosts, cx);
         });
     }
     assert!(calls[3].since(calls[2]) > calls[1].since(calls[0]));
-    let silent = bench.keeper.silent(&"w10".parse().unwrap(), bench.now);
-    assert_eq!(silent, Some(bench.now.since(heard)));
+    let silent = fixture.keeper.silent(&"w10".parse().unwrap(), fixture.now);
+    assert_eq!(silent, Some(fixture.now.since(heard)));
 }
 
 #[test]
 fn the_placer_learns_at_once_that_a_worker_leaves() {
-    let mut bench = Bench::open(&["norte-0"], 1);
-    let (call, _) = bench.call();
-    bench.reply(call, Vec::new());
-    let (call, _) = bench.call();
+    let mut fixture = Fixture::open(&["norte-0"], 1);
+    let (call, _) = fixture.call();
+    fixture.reply(call, Vec::new());
+    let (call, _) = fixture.call();
     let reply = WorkerReply { leaving: true, ..WorkerReply::default() };
-    let outputs = bench.with(|keeper, hosts, cx| keeper.on_worker(call, Ok(reply), hosts, cx));
+    let outputs = fixture.with(|keeper, hosts, cx| keeper.on_worker(call, Ok(reply), hosts, cx));
     let seen = PeerMessage::WorkerSeen { worker: "w10".parse().unwrap(), leaving: true, busy: 0 };
-    assert_eq!(outputs, vec![Output::Peer(bench.placer.clone(), seen)]);
-    assert!(bench.hosts.own()[0].leaving);
+    assert_eq!(outputs, vec![Output::Peer(fixture.placer.clone(), seen)]);
+    assert!(fixture.hosts.own()[0].leaving);
 }
--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -61,8 +61,8 @@
     own: Announcement,
     /// When `own.version` came into force.
     since: Moment,
-    /// The latest moment at which, surely, no version above the one in force here was known to
-    /// the store or to a majority; `None` before the first one since the start.
+    /// The latest moment that surely comes before a majority holds a version above the one in
+    /// force here; `None` before the first one since the start.
     contact: Option<Moment>,
     /// When this daemon woke from a pause, until a contact or a hold has followed.
     woke: Option<Moment>,
@@ -104,16 +104,19 @@
         }
     }
 
-    /// Sets what the next heartbeats say. A new version is told in a round of its own.
+    /// Sets what the next heartbeats say. A new version or role is told in a round of its own.
     pub(crate) fn announce(&mut self, announcement: Announcement, now: Moment) {
         assert!(announcement.version >= self.own.version, "a version in force never reverts");
-        let news = announcement.version > self.own.version;
+        let newer = announcement.version > self.own.version;
+        let news = (announcement.phase, announcement.placing) != (self.own.phase, self.own.placing);
         self.own = announcement;
-        if news {
+        if newer {
             self.since = now;
-            self.due = self.due.min(now);
             self.learn(now);
         }
+        if newer || news {
+            self.due = self.due.min(now);
+        }
     }
 
     /// Takes a heartbeat. One of an older incarnation, or older than one heard before, is of no
@@ -182,7 +185,7 @@
 
     /// Returns the silence after which `peer` is taken for dead. Daemons of other failure domains
     /// are heard from just once in a round.
-    fn patience(&self, peer: &Peer) -> Span {
+    fn timeout(&self, peer: &Peer) -> Span {
         if peer.domain == self.domain {
             return self.timing.suspect;
         }
--- a/crates/daemon/src/members/peer.rs
+++ b/crates/daemon/src/members/peer.rs
@@ -82,9 +82,9 @@
         true
     }
 
-    /// Tells whether the daemon and this one have heard each other within `patience`.
-    pub(super) fn is_live(&self, now: Moment, patience: Span) -> bool {
-        self.echoed.is_some_and(|echoed| now.since(echoed) <= patience)
+    /// Tells whether the daemon and this one have heard each other within `timeout`.
+    pub(super) fn is_live(&self, now: Moment, timeout: Span) -> bool {
+        self.echoed.is_some_and(|echoed| now.since(echoed) <= timeout)
     }
 
     /// Tells whether its word about versions counts: it has made sure of its own since its start.
--- a/crates/daemon/src/members/permit.rs
+++ b/crates/daemon/src/members/permit.rs
@@ -1,9 +1,9 @@
 //! The permit to start work, and when a version is surely in force everywhere.
 //!
-//! A *contact* of a daemon with version `v` is a moment at which, surely, no version above `v` was
-//! held by a majority of the daemons or, if it came from the store, existed at all. It comes from
-//! a read of the head, or from a majority that echo later stamps and have no version above `v`, or
-//! from a peer's own contact. Work may start while the latest contact is not older than the grace.
+//! A *contact* of a daemon with version `v` is a moment that surely comes before every moment at
+//! which a majority of the daemons, all together, hold a version above `v`. It comes from a read of
+//! the head, or from a majority that echo later stamps and have no version above `v`, or from a
+//! peer's own contact. Work may start while the latest contact is not older than the grace.
 //!
 //! A daemon forgets everything when it restarts. Until it has read the head, or heard from a
 //! majority of the others, it vouches for nothing: it has no contact, passes none on and counts
--- a/crates/daemon/src/members/roles.rs
+++ b/crates/daemon/src/members/roles.rs
@@ -57,10 +57,18 @@
         } else {
             self.source(domain, now).map(|peer| peer.load)
         };
-        let reachable = load.is_some();
+        let reachable = self.placer(domain, now).is_some_and(|id| !self.is_silent(&id, now));
         DomainView { id: domain.clone(), load: load.unwrap_or_default(), reachable }
     }
 
+    /// Tells whether a daemon that was live before isn't any more; one whose turn has not come
+    /// yet isn't silent.
+    fn is_silent(&self, id: &DaemonId, now: Moment) -> bool {
+        let found = self.peers.binary_search_by(|peer| peer.id.cmp(id));
+        let peer = found.ok().map(|i| &self.peers[i]).filter(|peer| peer.echoed.is_some());
+        peer.is_some_and(|peer| !peer.is_live(now, self.timeout(peer)))
+    }
+
     /// Returns the load of the own failure domain as its placer told it.
     pub(super) fn load(&self, placer: &DaemonId) -> Load {
         let peer = self.peers.binary_search_by(|peer| peer.id.cmp(placer));
@@ -96,7 +104,7 @@
                 serde_json::json!({
                     "id": peer.id,
                     "incarnation": peer.incarnation,
-                    "live": peer.is_live(now, self.patience(peer)),
+                    "live": peer.is_live(now, self.timeout(peer)),
                     "phase": format!("{:?}", peer.phase),
                     "placing": peer.placing,
                     "version": peer.version,
@@ -121,7 +129,7 @@
     fn serving<'a>(&'a self, domain: &'a DomainId, now: Moment) -> impl Iterator<Item = &'a Peer> {
         let live = move |peer: &&Peer| {
             let known = peer.domain == *domain && peer.phase == Phase::Ready;
-            known && peer.is_live(now, self.patience(peer))
+            known && peer.is_live(now, self.timeout(peer))
         };
         self.peers.iter().filter(live)
     }
@@ -129,6 +137,6 @@
     /// Tells whether this daemon has listened long enough to know who else is there.
     fn may_claim(&self, now: Moment) -> bool {
         let mut own = self.peers.iter().filter(|peer| peer.domain == self.domain);
-        now >= self.claim || own.all(|peer| peer.is_live(now, self.patience(peer)))
+        now >= self.claim || own.all(|peer| peer.is_live(now, self.timeout(peer)))
     }
 }
--- a/crates/daemon/src/members/tests.rs
+++ b/crates/daemon/src/members/tests.rs
@@ -12,20 +12,20 @@
 const LAPSE: Span = Span::from_secs(10);
 
 /// One `Members`, to which heartbeats are handed by hand.
-struct Bench {
+struct Fixture {
     members: Members,
     settings: crate::settings::Settings,
     now: Moment,
 }
 
-impl Bench {
+impl Fixture {
     /// Opens `cuenca-0` of five with version `version` in force.
     fn open(version: u64) -> Self {
         let settings = settings("cuenca-0", FIVE);
         let now = Moment(50_000);
-        let mut bench = Self { members: Members::open(&settings, now, 7), settings, now };
-        bench.announce(version);
-        bench
+        let mut fixture = Self { members: Members::open(&settings, now, 7), settings, now };
+        fixture.announce(version);
+        fixture
     }
 
     fn announce(&mut self, version: u64) {
@@ -92,121 +92,121 @@
 
 #[test]
 fn after_a_restart_only_a_majority_of_the_others_or_the_store_gives_a_permit() {
-    let mut bench = Bench::open(1);
-    assert!(!bench.permit());
-    bench.hear(1, 1, 0, Some(0));
-    bench.hear(2, 1, 0, Some(0));
-    assert!(!bench.permit(), "this daemon has forgotten and counts for no majority");
-    bench.hear(3, 1, 0, Some(0));
-    assert!(bench.permit());
-
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    assert!(bench.permit());
+    let mut fixture = Fixture::open(1);
+    assert!(!fixture.permit());
+    fixture.hear(1, 1, 0, Some(0));
+    fixture.hear(2, 1, 0, Some(0));
+    assert!(!fixture.permit(), "this daemon has forgotten and counts for no majority");
+    fixture.hear(3, 1, 0, Some(0));
+    assert!(fixture.permit());
+
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    assert!(fixture.permit());
 }
 
 #[test]
 fn a_peer_that_vouches_for_nothing_counts_for_no_majority() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.wait(GRACE.millis() + 1);
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(GRACE.millis() + 1);
     for i in 1..5 {
-        bench.hear(i, 1, 0, None);
+        fixture.hear(i, 1, 0, None);
     }
-    assert!(!bench.permit());
-    bench.hear(1, 1, 0, OLD);
-    bench.hear(2, 1, 0, OLD);
-    assert!(bench.permit());
+    assert!(!fixture.permit());
+    fixture.hear(1, 1, 0, OLD);
+    fixture.hear(2, 1, 0, OLD);
+    assert!(fixture.permit());
 }
 
 #[test]
 fn a_peer_on_a_higher_version_counts_for_no_majority() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.wait(GRACE.millis() + 1);
-    bench.hear(1, 1, 0, OLD);
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(GRACE.millis() + 1);
+    fixture.hear(1, 1, 0, OLD);
     for i in 2..5 {
-        bench.hear(i, 2, 0, Some(0));
+        fixture.hear(i, 2, 0, Some(0));
     }
-    assert!(!bench.permit());
+    assert!(!fixture.permit());
 }
 
 #[test]
 fn a_contact_counts_from_the_stamp_that_was_echoed_and_not_from_its_arrival() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.wait(GRACE.millis() + 1);
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(GRACE.millis() + 1);
     for i in 1..5 {
-        bench.hear(i, 1, GRACE.millis() + 1, OLD);
+        fixture.hear(i, 1, GRACE.millis() + 1, OLD);
     }
-    assert!(!bench.permit());
-    assert_eq!(bench.members.live(&"cuenca".parse().unwrap(), bench.now), vec![id(0)]);
+    assert!(!fixture.permit());
+    assert_eq!(fixture.members.live(&"cuenca".parse().unwrap(), fixture.now), vec![id(0)]);
     for i in 1..5 {
-        bench.hear(i, 1, 4_000, OLD);
+        fixture.hear(i, 1, 4_000, OLD);
     }
-    assert!(bench.permit());
-    bench.wait(6_001);
-    assert!(!bench.permit());
+    assert!(fixture.permit());
+    fixture.wait(6_001);
+    assert!(!fixture.permit());
 }
 
 #[test]
 fn a_peers_contact_is_taken_over_with_its_age() {
-    let mut bench = Bench::open(1);
-    bench.hear(1, 1, 0, Some(0));
-    assert!(!bench.permit(), "a daemon that has forgotten takes no contact over");
-    bench.members.on_store_contact(bench.now);
-    bench.wait(GRACE.millis() + 1);
-    bench.hear(1, 1, 1_000, Some(8_000));
-    assert!(bench.permit());
-    bench.wait(1_001);
-    assert!(!bench.permit());
+    let mut fixture = Fixture::open(1);
+    fixture.hear(1, 1, 0, Some(0));
+    assert!(!fixture.permit(), "a daemon that has forgotten takes no contact over");
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(GRACE.millis() + 1);
+    fixture.hear(1, 1, 1_000, Some(8_000));
+    assert!(fixture.permit());
+    fixture.wait(1_001);
+    assert!(!fixture.permit());
 }
 
 #[test]
 fn a_majority_counts_only_when_it_has_the_version_at_one_moment() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.announce(2);
-    bench.wait(1_000);
-    bench.hear(1, 2, 1_000, Some(0));
-    bench.wait(1_000);
-    bench.hear(2, 2, 0, Some(0));
-    let settlement = bench.members.settlement(NoteVersion(2), LAPSE, bench.now);
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.announce(2);
+    fixture.wait(1_000);
+    fixture.hear(1, 2, 1_000, Some(0));
+    fixture.wait(1_000);
+    fixture.hear(2, 2, 0, Some(0));
+    let settlement = fixture.members.settlement(NoteVersion(2), LAPSE, fixture.now);
     assert_eq!(settlement.within, None, "daemon 1 may have restarted since");
-    bench.wait(1_000);
-    bench.hear(1, 2, 1_000, Some(0));
-    let settlement = bench.members.settlement(NoteVersion(2), LAPSE, bench.now);
+    fixture.wait(1_000);
+    fixture.hear(1, 2, 1_000, Some(0));
+    let settlement = fixture.members.settlement(NoteVersion(2), LAPSE, fixture.now);
     assert_eq!(settlement.within, Some(Span(11_000)));
     assert_eq!(settlement.pending, vec![id(3), id(4)]);
 }
 
 #[test]
 fn a_daemon_is_pending_until_it_confirms_after_the_majority_had_the_version() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.announce(2);
-    bench.wait(100);
-    bench.hear(3, 2, 50, Some(0));
-    bench.wait(1_000);
-    bench.hear(1, 2, 0, Some(0));
-    bench.hear(2, 2, 0, Some(0));
-    bench.hear(4, 2, 0, Some(0));
-    assert_eq!(bench.pending(), (false, vec![id(3)]));
-    bench.hear(3, 2, 0, Some(0));
-    assert_eq!(bench.pending(), (true, vec![]));
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.announce(2);
+    fixture.wait(100);
+    fixture.hear(3, 2, 50, Some(0));
+    fixture.wait(1_000);
+    fixture.hear(1, 2, 0, Some(0));
+    fixture.hear(2, 2, 0, Some(0));
+    fixture.hear(4, 2, 0, Some(0));
+    assert_eq!(fixture.pending(), (false, vec![id(3)]));
+    fixture.hear(3, 2, 0, Some(0));
+    assert_eq!(fixture.pending(), (true, vec![]));
 }
 
 #[test]
 fn who_stays_silent_is_pending_until_its_grace_has_surely_lapsed() {
-    let mut bench = Bench::open(1);
-    bench.announce(2);
-    bench.hear(1, 2, 0, None);
-    bench.hear(2, 2, 0, None);
-    assert_eq!(bench.pending(), (false, vec![id(3), id(4)]));
-    bench.wait(11_999);
-    assert_eq!(bench.pending(), (false, vec![id(3), id(4)]));
-    bench.wait(1);
-    assert_eq!(bench.pending(), (true, vec![]));
+    let mut fixture = Fixture::open(1);
+    fixture.announce(2);
+    fixture.hear(1, 2, 0, None);
+    fixture.hear(2, 2, 0, None);
+    assert_eq!(fixture.pending(), (false, vec![id(3), id(4)]));
+    fixture.wait(11_999);
+    assert_eq!(fixture.pending(), (false, vec![id(3), id(4)]));
+    fixture.wait(1);
+    assert_eq!(fixture.pending(), (true, vec![]));
 }
 
 #[test]
@@ -223,33 +223,33 @@
         load: Default::default(),
         contact: None,
     };
-    let mut bench = Bench::open(1);
-    let version = |bench: &Bench| bench.members.in_force(bench.now)[1].version;
-    assert_eq!(bench.beat(1, beat(2, 10, 3)).len(), 1);
-    assert_eq!(bench.beat(1, beat(2, 9, 2)).len(), 0);
-    assert_eq!(bench.beat(1, beat(1, 90, 9)).len(), 0);
-    assert_eq!(version(&bench), Some(NoteVersion(3)));
-    bench.beat(1, beat(3, 1, 0));
-    assert_eq!(version(&bench), Some(NoteVersion(0)));
+    let mut fixture = Fixture::open(1);
+    let version = |fixture: &Fixture| fixture.members.in_force(fixture.now)[1].version;
+    assert_eq!(fixture.beat(1, beat(2, 10, 3)).len(), 1);
+    assert_eq!(fixture.beat(1, beat(2, 9, 2)).len(), 0);
+    assert_eq!(fixture.beat(1, beat(1, 90, 9)).len(), 0);
+    assert_eq!(version(&fixture), Some(NoteVersion(3)));
+    fixture.beat(1, beat(3, 1, 0));
+    assert_eq!(version(&fixture), Some(NoteVersion(0)));
 }
 
 #[test]
 fn a_paused_daemon_holds_its_starts_until_a_contact_after_the_wake() {
-    let mut bench = Bench::open(1);
-    bench.members.on_store_contact(bench.now);
-    bench.wait(2_000);
-    bench.members.on_pause(Span(2_000), bench.now);
-    assert!(!bench.permit());
-    bench.members.on_store_contact(bench.now - Span(1));
-    assert!(!bench.permit(), "sent before the wake");
-    bench.members.on_store_contact(bench.now);
-    assert!(bench.permit());
-
-    bench.members.on_pause(Span(2_000), bench.now + Span(2_000));
-    bench.wait(4_999);
-    assert!(!bench.permit());
-    bench.wait(1);
-    assert!(bench.permit(), "cut off from all, it goes on within its grace");
+    let mut fixture = Fixture::open(1);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(2_000);
+    fixture.members.on_pause(Span(2_000), fixture.now);
+    assert!(!fixture.permit());
+    fixture.members.on_store_contact(fixture.now - Span(1));
+    assert!(!fixture.permit(), "sent before the wake");
+    fixture.members.on_store_contact(fixture.now);
+    assert!(fixture.permit());
+
+    fixture.members.on_pause(Span(2_000), fixture.now + Span(2_000));
+    fixture.wait(4_999);
+    assert!(!fixture.permit());
+    fixture.wait(1);
+    assert!(fixture.permit(), "cut off from all, it goes on within its grace");
 }
 
 fn placers(net: &Net) -> Vec<Option<DaemonId>> {
@@ -274,12 +274,12 @@
 
 #[test]
 fn a_return_moves_no_placer() {
-    let mut bench = Bench::open(1);
+    let mut fixture = Fixture::open(1);
     let cuenca = "cuenca".parse().unwrap();
-    let beat = |bench: &Bench, placing| Heartbeat {
+    let beat = |fixture: &Fixture, placing| Heartbeat {
         incarnation: 1,
-        stamp: bench.now,
-        echo: Some(Echo { incarnation: 7, stamp: bench.now }),
+        stamp: fixture.now,
+        echo: Some(Echo { incarnation: 7, stamp: fixture.now }),
         ask: false,
         version: NoteVersion(1),
         phase: Phase::Ready,
@@ -288,15 +288,15 @@
         load: Default::default(),
         contact: Some(Span(0)),
     };
-    bench.members.on_store_contact(bench.now);
-    bench.wait(2_000);
+    fixture.members.on_store_contact(fixture.now);
+    fixture.wait(2_000);
     for placing in 1..5 {
         for i in 1..5 {
-            let beat = beat(&bench, i == placing);
-            bench.beat(i, beat);
+            let beat = beat(&fixture, i == placing);
+            fixture.beat(i, beat);
         }
-        assert_eq!(bench.members.placer(&cuenca, bench.now), Some(id(placing)));
-        bench.wait(1);
+        assert_eq!(fixture.members.placer(&cuenca, fixture.now), Some(id(placing)));
+        fixture.wait(1);
     }
 }
 
@@ -365,11 +365,11 @@
 
 #[test]
 fn a_heartbeat_that_asks_is_answered_at_once_and_an_answer_is_not() {
-    let mut bench = Bench::open(1);
-    let silent = bench.hear(1, 1, 0, None);
+    let mut fixture = Fixture::open(1);
+    let silent = fixture.hear(1, 1, 0, None);
     assert_eq!(silent, vec![]);
-    bench.wait(1);
-    let rounds = bench.with(|members, cx| {
+    fixture.wait(1);
+    let rounds = fixture.with(|members, cx| {
         cx.now += Span(1_000);
         members.tick(cx);
     });
--- a/crates/daemon/src/members/tests/model.rs
+++ b/crates/daemon/src/members/tests/model.rs
@@ -171,8 +171,8 @@
         }
         let i = self.rng.usize(0..self.flight.len());
         let repeat = self.rng.u32(0..8) == 0;
-        let letter = self.flight[i].clone();
-        let (from, to, beat) = letter;
+        let packet = self.flight[i].clone();
+        let (from, to, beat) = packet;
         if !repeat {
             self.flight.swap_remove(i);
         }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -12,7 +12,7 @@
 use crate::intake::{Intake, World};
 use crate::keeper::Keeper;
 use crate::members::{Announcement, Members};
-use crate::notes::{Notes, Surroundings};
+use crate::notes::Notes;
 use crate::peer::{PeerMessage, Phase};
 use crate::placer::Placer;
 use crate::settings::Settings;
@@ -122,8 +122,8 @@
             Input::Peer(from, message) => self.on_peer(&from, message, now, out),
             Input::Store(call, result) => match call.duty {
                 Duty::Notes => {
-                    let world = Surroundings { hosts: self.hosts.all() };
-                    self.notes.on_store(call, result, &mut self.members, world, &mut cx);
+                    let (members, hosts) = (&mut self.members, self.hosts.all());
+                    self.notes.on_store(call, result, members, hosts, &mut cx);
                 }
                 Duty::Intake => self.intake.on_store(call, result, world, &mut cx),
                 _ => self.placer.on_store(call, result, &mut cx),
@@ -178,8 +178,7 @@
             }
             call => {
                 let mut cx = self.clock(now).context(&self.settings, out);
-                let world = Surroundings { hosts: self.hosts.all() };
-                return self.notes.on_operator(token, call, world, &mut cx);
+                return self.notes.on_operator(token, call, self.hosts.all(), &mut cx);
             }
         };
         out.push(Output::Operator(token, answer));
@@ -214,7 +213,7 @@
             self.shared = state.version;
             self.placer.on_share(share(state, domain), &mut cx);
         }
-        self.hosts.set_hears(chosen, now);
+        self.hosts.set_hears_all(chosen, now);
         if self.listed != self.hosts.generation() {
             self.listed = self.hosts.generation();
             self.placer.on_hosts(self.hosts.own(), &mut cx);
--- a/crates/daemon/src/node/tests.rs
+++ b/crates/daemon/src/node/tests.rs
@@ -83,6 +83,22 @@
     assert!((0..5).all(|i| net.may_start(i)));
 }
 
+#[test]
+fn a_note_reaches_all_within_8_s_without_watches_and_without_the_store_on_some() {
+    let mut net = deployed(11);
+    net.store.stale = true;
+    net.store.cut = vec![2, 3, 4];
+    net.operator(0, OperatorCall::Apply(service(1, "out", "norte", Service::Out)));
+    net.run(Span::from_secs(8));
+    assert!((0..7).all(|i| net.node(i).version() == NoteVersion(2)));
+    assert!((2..5).all(|i| !net.may_start(i)));
+    net.cuts.clear();
+    net.isolate(&[5]);
+    net.operator(0, OperatorCall::Apply(service(2, "back", "norte", Service::In)));
+    net.run(Span::from_secs(8));
+    assert!((0..7).all(|i| net.node(i).version() == NoteVersion(3)), "daemon 5 reads the head");
+}
+
 #[test]
 fn of_two_operators_who_race_one_wins_and_the_other_learns_it() {
     let mut net = deployed(2);
--- a/crates/daemon/src/node/tests/net.rs
+++ b/crates/daemon/src/node/tests/net.rs
@@ -71,6 +71,8 @@
     pub(crate) mode: StoreMode,
     /// Nodes that can't reach it.
     pub(crate) cut: Vec<usize>,
+    /// Whether watches notice no change.
+    pub(crate) stale: bool,
     pub(crate) records: Vec<Record>,
     revision: u64,
 }
@@ -108,7 +110,7 @@
 /// Names one life of a node: its index and the number of its start.
 type Life = (usize, u64);
 
-struct Letter {
+struct Packet {
     due: Moment,
     from: usize,
     to: usize,
@@ -116,16 +118,16 @@
 }
 
 /// A store call on its way there, and its answer on the way back.
-struct Errand {
+struct StoreCall {
     due: Moment,
     life: Life,
-    call: CallId,
+    id: CallId,
     /// When the caller stops waiting for an answer.
     until: Moment,
-    step: ErrandStep,
+    step: CallStep,
 }
 
-enum ErrandStep {
+enum CallStep {
     Request(StoreRequest),
     Watch { key: String, after: Revision, until: Moment },
     Reply(Result<StoreReply, EdgeFault>),
@@ -154,8 +156,8 @@
     starts: Vec<u64>,
     ids: Vec<DaemonId>,
     domains: Vec<(&'static str, usize)>,
-    letters: Vec<Letter>,
-    errands: Vec<Errand>,
+    packets: Vec<Packet>,
+    requests: Vec<StoreCall>,
     tokens: u64,
     steps: u64,
     rng: fastrand::Rng,
@@ -168,7 +170,13 @@
         let mut net = Self {
             now: Moment(1_000_000),
             nodes: (0..count).map(|_| None).collect(),
-            store: Store { mode: StoreMode::Up, cut: Vec::new(), records: Vec::new(), revision: 0 },
+            store: Store {
+                mode: StoreMode::Up,
+                cut: Vec::new(),
+                stale: false,
+                records: Vec::new(),
+                revision: 0,
+            },
             hosts: Vec::new(),
             cuts: Vec::new(),
             delay: Span(10),
@@ -182,8 +190,8 @@
             starts: vec![0; count],
             ids: members.into_iter().map(|member| member.id).collect(),
             domains: domains.to_vec(),
-            letters: Vec::new(),
-            errands: Vec::new(),
+            packets: Vec::new(),
+            requests: Vec::new(),
             tokens: 0,
             steps: 0,
             rng: fastrand::Rng::with_seed(seed),
@@ -231,9 +239,8 @@
 
     /// Tells whether a write of node `i` is on its way.
     pub(crate) fn writing(&self, i: usize) -> bool {
-        let write =
-            |step: &ErrandStep| matches!(step, ErrandStep::Request(StoreRequest::Put { .. }));
-        self.errands.iter().any(|errand| errand.life.0 == i && write(&errand.step))
+        let write = |step: &CallStep| matches!(step, CallStep::Request(StoreRequest::Put { .. }));
+        self.requests.iter().any(|call| call.life.0 == i && write(&call.step))
     }
 
     pub(crate) fn node(&self, i: usize) -> &Node {
@@ -270,12 +277,12 @@
     pub(crate) fn step(&mut self) {
         self.now += STEP;
         self.steps += 1;
-        for letter in self.due_letters() {
-            let from = self.id(letter.from);
-            self.input(letter.to, Input::Peer(from, letter.message));
+        for packet in self.due_packets() {
+            let from = self.id(packet.from);
+            self.input(packet.to, Input::Peer(from, packet.message));
         }
-        for errand in self.due_errands() {
-            self.carry(errand);
+        for call in self.due_calls() {
+            self.carry(call);
         }
         for i in 0..self.nodes.len() {
             if (self.steps + i as u64).is_multiple_of(TICK_STEPS) {
@@ -285,57 +292,58 @@
     }
 
     /// What comes for a frozen node waits in its sockets.
-    fn due_letters(&mut self) -> Vec<Letter> {
+    fn due_packets(&mut self) -> Vec<Packet> {
         let (now, frozen) = (self.now, &self.frozen);
-        let due = |letter: &Letter| letter.due <= now && !frozen[letter.to];
-        let (due, later) = std::mem::take(&mut self.letters).into_iter().partition(due);
-        self.letters = later;
+        let due = |packet: &Packet| packet.due <= now && !frozen[packet.to];
+        let (due, later) = std::mem::take(&mut self.packets).into_iter().partition(due);
+        self.packets = later;
         due
     }
 
-    fn due_errands(&mut self) -> Vec<Errand> {
+    fn due_calls(&mut self) -> Vec<StoreCall> {
         let (now, frozen) = (self.now, &self.frozen);
-        let due = |errand: &Errand| {
-            let held = matches!(errand.step, ErrandStep::Reply(_)) && frozen[errand.life.0];
-            errand.due <= now && !held
+        let due = |call: &StoreCall| {
+            let held = matches!(call.step, CallStep::Reply(_)) && frozen[call.life.0];
+            call.due <= now && !held
         };
-        let (due, later) = std::mem::take(&mut self.errands).into_iter().partition(due);
-        self.errands = later;
+        let (due, later) = std::mem::take(&mut self.requests).into_iter().partition(due);
+        self.requests = later;
         due
     }
 
-    fn carry(&mut self, mut errand: Errand) {
-        let (now, node) = (self.now, errand.life.0);
+    fn carry(&mut self, mut call: StoreCall) {
+        let (now, node) = (self.now, call.life.0);
         let cut = self.store.mode == StoreMode::Down || self.store.cut.contains(&node);
-        let reply = match errand.step {
-            ErrandStep::Reply(result) => {
-                if self.starts[node] == errand.life.1 {
-                    self.input(node, Input::Store(errand.call, result));
+        let reply = match call.step {
+            CallStep::Reply(result) => {
+                if self.starts[node] == call.life.1 {
+                    self.input(node, Input::Store(call.id, result));
                 }
                 return;
             }
             _ if cut => Err(EdgeFault::Silent),
-            ErrandStep::Watch { ref key, after, until } => {
+            CallStep::Watch { ref key, after, until } => {
                 let record = self.store.find(key).cloned();
-                let changed = record.as_ref().is_some_and(|record| record.at > after);
+                let newer = record.as_ref().is_some_and(|record| record.at > after);
+                let changed = newer && !self.store.stale;
                 if !changed && now < until {
-                    errand.due = now + STEP;
-                    return self.errands.push(errand);
+                    call.due = now + STEP;
+                    return self.requests.push(call);
                 }
                 Ok(StoreReply::Found { record })
             }
-            ErrandStep::Request(request) => Ok(self.store.execute(request)),
+            CallStep::Request(request) => Ok(self.store.execute(request)),
         };
         let mute = self.store.mode == StoreMode::Mute;
         let reply = if mute { Err(EdgeFault::Silent) } else { reply };
         let back = now + self.store_trip();
         let (due, result) = match reply {
-            Ok(reply) if back <= errand.until => (back, Ok(reply)),
-            _ => (errand.until.max(now), Err(EdgeFault::Silent)),
+            Ok(reply) if back <= call.until => (back, Ok(reply)),
+            _ => (call.until.max(now), Err(EdgeFault::Silent)),
         };
-        errand.due = due;
-        errand.step = ErrandStep::Reply(result);
-        self.errands.push(errand);
+        call.due = due;
+        call.step = CallStep::Reply(result);
+        self.requests.push(call);
     }
 
     fn store_trip(&mut self) -> Span {
@@ -380,26 +388,26 @@
         let Some(to) = self.ids.iter().position(|id| id == to) else { return };
         if !self.cuts.contains(&(from, to)) {
             let due = self.now + Span(self.rng.u64(0..=self.delay.millis()));
-            self.letters.push(Letter { due, from, to, message });
+            self.packets.push(Packet { due, from, to, message });
         }
     }
 
     fn call_store(&mut self, i: usize, call: CallId, request: StoreRequest) {
         let life = (i, self.starts[i]);
         if self.store.mode == StoreMode::Down || self.store.cut.contains(&i) {
-            let step = ErrandStep::Reply(Err(EdgeFault::Unreachable));
+            let step = CallStep::Reply(Err(EdgeFault::Unreachable));
             let due = self.now + STEP;
-            return self.errands.push(Errand { due, life, call, until: due, step });
+            return self.requests.push(StoreCall { due, life, id: call, until: due, step });
         }
         let mut until = self.now + Timing::default().store;
         let due = self.now + self.store_trip();
         let step = match request {
             StoreRequest::Watch { key, after, wait } => {
                 until += wait;
-                ErrandStep::Watch { key, after, until: self.now + wait }
+                CallStep::Watch { key, after, until: self.now + wait }
             }
-            request => ErrandStep::Request(request),
+            request => CallStep::Request(request),
         };
-        self.errands.push(Errand { due, life, call, until, step });
+        self.requests.push(StoreCall { due, life, id: call, until, step });
     }
 }
--- a/crates/daemon/src/notes.rs
+++ b/crates/daemon/src/notes.rs
@@ -78,18 +78,18 @@
 
     /// Notes that the process stood still: what it knows may be old.
     pub(crate) fn on_pause(&mut self, now: Moment) {
-        self.read.hurry(now);
-        self.watch.hurry(now);
+        self.read.restart(now);
+        self.watch.restart(now);
     }
 
     /// Reads or watches the head when that is due, and answers operators who wait.
     pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
-        let patience = cx.settings.timing.store + cx.settings.timing.store;
-        if self.read.is_due(cx.now, patience) {
+        let timeout = cx.settings.timing.store + cx.settings.timing.store;
+        if self.read.is_due(cx.now, timeout) {
             let call = cx.out.store(Duty::Notes, StoreRequest::Get { key: HEAD_KEY.to_string() });
             self.read.sent(call, cx.now);
         }
-        if self.watch.is_due(cx.now, cx.settings.timing.watch + patience) {
+        if self.watch.is_due(cx.now, cx.settings.timing.watch + timeout) {
             let request = StoreRequest::Watch {
                 key: HEAD_KEY.to_string(),
                 after: self.revision,
@@ -107,7 +107,7 @@
         call: CallId,
         result: Result<StoreReply, EdgeFault>,
         members: &mut Members,
-        world: Surroundings<'_>,
+        hosts: &[Host],
         cx: &mut Context<'_>,
     ) {
         if let Some(sent) = self.read.answered(call) {
@@ -115,7 +115,7 @@
         } else if self.watch.answered(call).is_some() {
             self.on_watch(result, cx);
         } else {
-            self.on_apply(call, result, members, world, cx);
+            self.on_apply(call, result, members, hosts, cx);
         }
     }
 
@@ -229,10 +229,3 @@
         })
     }
 }
-
-/// What notes need to know of the rest of the daemon.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Surroundings<'a> {
-    /// The workers of all failure domains.
-    pub(crate) hosts: &'a [Host],
-}
--- a/crates/daemon/src/notes/answer.rs
+++ b/crates/daemon/src/notes/answer.rs
@@ -5,8 +5,8 @@
     Code, DesiredState, DomainId, Error, NoteVersion, RackStock, ReleaseNote, Service,
 };
 
+use super::Notes;
 use super::apply::refuse;
-use super::{Notes, Surroundings};
 use crate::edge::{Context, Output, Token};
 use crate::members::Members;
 
@@ -17,12 +17,12 @@
         &mut self,
         token: Token,
         call: OperatorCall,
-        world: Surroundings<'_>,
+        hosts: &[Host],
         cx: &mut Context<'_>,
     ) {
         let answer = match call {
             OperatorCall::Apply(note) => return self.begin(token, note, cx),
-            OperatorCall::Check(note) => self.check(&note, world),
+            OperatorCall::Check(note) => self.check(&note, hosts),
             OperatorCall::Diff(note) => self.diff(&note),
             _ => Ok(self.show()),
         };
@@ -32,9 +32,9 @@
         }
     }
 
-    fn check(&self, note: &ReleaseNote, world: Surroundings<'_>) -> Result<OperatorAnswer, Error> {
+    fn check(&self, note: &ReleaseNote, hosts: &[Host]) -> Result<OperatorAnswer, Error> {
         let next = self.base().try_apply(note)?;
-        let warning = check_fit(note, &next, world.hosts)?;
+        let warning = check_fit(note, &next, hosts)?;
         let check = CheckAnswer { code: Code::Done, would_be: next.version, warning };
         Ok(OperatorAnswer::Check(check))
     }
--- a/crates/daemon/src/notes/apply.rs
+++ b/crates/daemon/src/notes/apply.rs
@@ -4,11 +4,11 @@
 //! again under the same condition: the store takes it at most once, and a conflict shows either
 //! this note as accepted or, for certain, that it never will be.
 
-use bulrushlink_api::{EdgeFault, Expect, OperatorAnswer, Record, StoreReply, StoreRequest};
+use bulrushlink_api::{EdgeFault, Expect, Host, OperatorAnswer, Record, StoreReply, StoreRequest};
 use bulrushlink_core::{Code, Error, Moment, NoteVersion, ReleaseNote, Span};
 
 use super::answer::check_fit;
-use super::{FAULT_WAIT, HEAD_KEY, Head, Notes, Surroundings};
+use super::{FAULT_WAIT, HEAD_KEY, Head, Notes};
 use crate::edge::{CallId, Context, Duty, Output, Token};
 use crate::members::Members;
 use crate::timer::jitter;
@@ -94,13 +94,13 @@
         call: CallId,
         result: Result<StoreReply, EdgeFault>,
         members: &Members,
-        world: Surroundings<'_>,
+        hosts: &[Host],
         cx: &mut Context<'_>,
     ) {
         let Some(i) = self.applies.iter().position(|apply| apply.waits_for(call)) else { return };
         let apply = self.applies.swap_remove(i);
         match apply.stage {
-            Stage::Reading(_) => self.on_head(apply, result, members, world, cx),
+            Stage::Reading(_) => self.on_head(apply, result, members, hosts, cx),
             Stage::Writing(_, ref write) => {
                 let write = write.clone();
                 self.on_written(apply, write, result, cx);
@@ -114,7 +114,7 @@
         apply: Apply,
         result: Result<StoreReply, EdgeFault>,
         members: &Members,
-        world: Surroundings<'_>,
+        hosts: &[Host],
         cx: &mut Context<'_>,
     ) {
         let record = match result {
@@ -132,7 +132,7 @@
             let text = "the store doesn't show the version in force; nothing was written";
             return refuse(apply.token, &Error::new(Code::BadAnswer, text), cx);
         }
-        match next_write(&apply.note, record.as_ref(), members, world, cx.now) {
+        match next_write(&apply.note, record.as_ref(), members, hosts, cx.now) {
             Ok(Step::Accepted(version)) => self.accept(apply.token, version, None),
             Ok(Step::Write(write)) => self.write(apply, write, cx),
             Err(error) => refuse(apply.token, &error, cx),
@@ -229,7 +229,7 @@
     note: &ReleaseNote,
     record: Option<&Record>,
     members: &Members,
-    world: Surroundings<'_>,
+    hosts: &[Host],
     now: Moment,
 ) -> Result<Step, Error> {
     let expect = record.map_or(Expect::Absent, |record| Expect::At(record.at));
@@ -239,7 +239,7 @@
     }
     let settled = members.settlement(head.state.version, head.lapse, now).done;
     let next = head.try_apply(note, settled)?;
-    let warning = check_fit(note, &next.state, world.hosts)?;
+    let warning = check_fit(note, &next.state, hosts)?;
     Ok(Step::Write(Write { head: next, expect, warning }))
 }
 
--- a/crates/daemon/src/notes/tests.rs
+++ b/crates/daemon/src/notes/tests.rs
@@ -3,7 +3,7 @@
 };
 use bulrushlink_core::{Code, Moment, NoteVersion, ReleaseNote, Span};
 
-use super::{Head, Notes, Surroundings};
+use super::{Head, Notes};
 use crate::edge::{CallId, Context, Outbox, Output, Token};
 use crate::members::Members;
 use crate::node::tests::net::settings;
@@ -11,9 +11,8 @@
 use crate::settings::Settings;
 
 const GRACE: Span = Span::from_secs(60);
-const WORLD: Surroundings<'_> = Surroundings { hosts: &[] };
 
-struct Bench {
+struct Fixture {
     notes: Notes,
     members: Members,
     settings: Settings,
@@ -21,7 +20,7 @@
     out: Outbox,
 }
 
-impl Bench {
+impl Fixture {
     fn open() -> Self {
         let settings = settings("norte-0", &[("norte", 2)]);
         let now = Moment(10_000);
@@ -44,12 +43,12 @@
     /// Applies a note and returns the call that reads the head.
     fn apply(&mut self, token: u64, note: &ReleaseNote) -> CallId {
         let call = OperatorCall::Apply(note.clone());
-        let outputs = self.with(|notes, _, cx| notes.on_operator(Token(token), call, WORLD, cx));
+        let outputs = self.with(|notes, _, cx| notes.on_operator(Token(token), call, &[], cx));
         store_calls(&outputs)[0].0
     }
 
     fn store(&mut self, call: CallId, result: Result<StoreReply, EdgeFault>) -> Vec<Output> {
-        self.with(|notes, members, cx| notes.on_store(call, result, members, WORLD, cx))
+        self.with(|notes, members, cx| notes.on_store(call, result, members, &[], cx))
     }
 
     /// Ticks for `span` and returns all outputs.
@@ -109,44 +108,44 @@
 #[test]
 fn a_lower_version_never_replaces_a_higher_one() {
     let (one, two) = (note(0, "one", "norte"), note(1, "two", "sur"));
-    let mut bench = Bench::open();
-    bench.with(|notes, _, _| notes.on_note(head(&[one.clone(), two.clone()])));
-    bench.with(|notes, _, _| notes.on_note(head(std::slice::from_ref(&one))));
+    let mut fixture = Fixture::open();
+    fixture.with(|notes, _, _| notes.on_note(head(&[one.clone(), two.clone()])));
+    fixture.with(|notes, _, _| notes.on_note(head(std::slice::from_ref(&one))));
     let other = head(&[one.clone(), note(1, "other", "cuenca")]);
-    bench.with(|notes, _, _| notes.on_note(other));
+    fixture.with(|notes, _, _| notes.on_note(other));
     let expected = head(&[one.clone(), two]).state;
-    assert_eq!(bench.notes.state(), Some(&expected));
+    assert_eq!(fixture.notes.state(), Some(&expected));
 
-    let reads = store_calls(&bench.run(Span(100)));
-    bench.store(reads[0].0, found(&head(&[one]), 1));
-    assert_eq!(bench.notes.state(), Some(&expected));
-    assert!(!bench.members.permit(bench.now, GRACE), "a store that lags is no contact");
+    let reads = store_calls(&fixture.run(Span(100)));
+    fixture.store(reads[0].0, found(&head(&[one]), 1));
+    assert_eq!(fixture.notes.state(), Some(&expected));
+    assert!(!fixture.members.permit(fixture.now, GRACE), "a store that lags is no contact");
 }
 
 #[test]
 fn a_read_of_the_head_is_a_contact_and_a_watch_is_none() {
     let one = head(&[note(0, "one", "norte")]);
-    let mut bench = Bench::open();
-    let calls = store_calls(&bench.run(Span(100)));
+    let mut fixture = Fixture::open();
+    let calls = store_calls(&fixture.run(Span(100)));
     let (reads, watches): (Vec<_>, Vec<_>) =
         calls.into_iter().partition(|(_, request)| matches!(request, StoreRequest::Get { .. }));
-    bench.store(watches[0].0, found(&one, 1));
-    assert_eq!(bench.notes.version(), NoteVersion(1));
-    assert!(!bench.members.permit(bench.now, GRACE), "a watch may be stale");
-    bench.store(reads[0].0, found(&one, 1));
-    assert!(bench.members.permit(bench.now, GRACE));
+    fixture.store(watches[0].0, found(&one, 1));
+    assert_eq!(fixture.notes.version(), NoteVersion(1));
+    assert!(!fixture.members.permit(fixture.now, GRACE), "a watch may be stale");
+    fixture.store(reads[0].0, found(&one, 1));
+    assert!(fixture.members.permit(fixture.now, GRACE));
 }
 
 #[test]
 fn reads_go_on_within_8_s_of_each_other_though_answers_are_lost() {
-    let mut bench = Bench::open();
+    let mut fixture = Fixture::open();
     let gets = |outputs: &[Output]| {
         let calls = store_calls(outputs);
         calls.iter().filter(|(_, r)| matches!(r, StoreRequest::Get { .. })).count()
     };
-    assert_eq!(gets(&bench.run(Span(100))), 1);
+    assert_eq!(gets(&fixture.run(Span(100))), 1);
     for _ in 0..5 {
-        assert!(gets(&bench.run(Span::from_secs(8))) >= 1);
+        assert!(gets(&fixture.run(Span::from_secs(8))) >= 1);
     }
 }
 
@@ -155,33 +154,33 @@
     let (one, two) = (note(0, "one", "norte"), note(1, "two", "sur"));
     let base = head(std::slice::from_ref(&one));
     for (winner, code) in [("two", Code::NotePending), ("rival", Code::NoteConflict)] {
-        let mut bench = Bench::open();
-        let read = bench.apply(1, &two);
-        let write = puts(&bench.store(read, found(&base, 4)));
+        let mut fixture = Fixture::open();
+        let read = fixture.apply(1, &two);
+        let write = puts(&fixture.store(read, found(&base, 4)));
         let StoreRequest::Put { expect, .. } = &write[0].1 else { unreachable!() };
         assert_eq!(*expect, Expect::At(Revision(4)));
-        assert_eq!(codes(&bench.store(write[0].0, Err(EdgeFault::Silent))), vec![]);
-        let again = puts(&bench.run(Span::from_secs(1)));
+        assert_eq!(codes(&fixture.store(write[0].0, Err(EdgeFault::Silent))), vec![]);
+        let again = puts(&fixture.run(Span::from_secs(1)));
         assert_eq!(again[0].1, write[0].1);
         let next = head(&[one.clone(), note(1, winner, "sur")]);
         let conflict = StoreReply::Conflict { record: Some(record(&next, 5)) };
-        assert_eq!(codes(&bench.store(again[0].0, Ok(conflict))), vec![code]);
-        assert_eq!(bench.notes.version(), NoteVersion(2));
+        assert_eq!(codes(&fixture.store(again[0].0, Ok(conflict))), vec![code]);
+        assert_eq!(fixture.notes.version(), NoteVersion(2));
     }
 }
 
 #[test]
 fn a_doubtful_write_is_never_called_refused() {
-    let mut bench = Bench::open();
-    let read = bench.apply(1, &note(0, "one", "norte"));
-    let write = puts(&bench.store(read, Ok(StoreReply::Found { record: None })));
-    bench.store(write[0].0, Err(EdgeFault::Silent));
+    let mut fixture = Fixture::open();
+    let read = fixture.apply(1, &note(0, "one", "norte"));
+    let write = puts(&fixture.store(read, Ok(StoreReply::Found { record: None })));
+    fixture.store(write[0].0, Err(EdgeFault::Silent));
     let mut answers = Vec::new();
     for _ in 0..20 {
-        let outputs = bench.run(Span(500));
+        let outputs = fixture.run(Span(500));
         answers.extend(codes(&outputs));
         for (call, _) in puts(&outputs) {
-            answers.extend(codes(&bench.store(call, Err(EdgeFault::Unreachable))));
+            answers.extend(codes(&fixture.store(call, Err(EdgeFault::Unreachable))));
         }
     }
     assert_eq!(answers, vec![Code::TimedOut]);
@@ -189,22 +188,22 @@
 
 #[test]
 fn another_note_of_the_same_name_and_base_is_not_taken_for_the_accepted_one() {
-    let mut bench = Bench::open();
-    bench.with(|notes, _, _| notes.on_note(head(&[note(0, "one", "norte")])));
+    let mut fixture = Fixture::open();
+    fixture.with(|notes, _, _| notes.on_note(head(&[note(0, "one", "norte")])));
     let same = OperatorCall::Apply(note(0, "one", "norte"));
-    let outputs = bench.with(|notes, _, cx| notes.on_operator(Token(1), same, WORLD, cx));
+    let outputs = fixture.with(|notes, _, cx| notes.on_operator(Token(1), same, &[], cx));
     assert_eq!(codes(&outputs), vec![Code::NotePending]);
     let other = OperatorCall::Apply(note(0, "one", "sur"));
-    let outputs = bench.with(|notes, _, cx| notes.on_operator(Token(2), other, WORLD, cx));
+    let outputs = fixture.with(|notes, _, cx| notes.on_operator(Token(2), other, &[], cx));
     assert_eq!(codes(&outputs), vec![Code::NoteInvalid]);
 }
 
 #[test]
 fn an_invalid_note_is_refused_with_the_path_of_its_field() {
-    let mut bench = Bench::open();
-    bench.with(|notes, _, _| notes.on_note(head(&[note(0, "one", "norte")])));
+    let mut fixture = Fixture::open();
+    fixture.with(|notes, _, _| notes.on_note(head(&[note(0, "one", "norte")])));
     let check = OperatorCall::Check(note(1, "two", "norte"));
-    let outputs = bench.with(|notes, _, cx| notes.on_operator(Token(1), check, WORLD, cx));
+    let outputs = fixture.with(|notes, _, cx| notes.on_operator(Token(1), check, &[], cx));
     let Output::Operator(_, OperatorAnswer::Plain { code, field, .. }) = &outputs[0] else {
         panic!("{outputs:?}");
     };
@@ -213,27 +212,27 @@
 
 #[test]
 fn operators_on_their_way_are_bounded() {
-    let mut bench = Bench::open();
+    let mut fixture = Fixture::open();
     for token in 0..16 {
-        bench.apply(token, &note(0, &format!("note-{token}"), "norte"));
+        fixture.apply(token, &note(0, &format!("note-{token}"), "norte"));
     }
     let call = OperatorCall::Apply(note(0, "one-more", "norte"));
-    let outputs = bench.with(|notes, _, cx| notes.on_operator(Token(99), call, WORLD, cx));
+    let outputs = fixture.with(|notes, _, cx| notes.on_operator(Token(99), call, &[], cx));
     assert_eq!(codes(&outputs), vec![Code::Overloaded]);
 }
 
 #[test]
 fn a_peers_newer_version_is_asked_for_and_given() {
     let peer = "norte-1".parse().unwrap();
-    let mut bench = Bench::open();
-    let wanted = bench.with(|notes, _, cx| notes.on_version(&peer, NoteVersion(1), cx));
+    let mut fixture = Fixture::open();
+    let wanted = fixture.with(|notes, _, cx| notes.on_version(&peer, NoteVersion(1), cx));
     let ask = PeerMessage::NoteWanted { have: NoteVersion(0) };
     assert_eq!(wanted, vec![Output::Peer(peer.clone(), ask)]);
     let one = head(&[note(0, "one", "norte")]);
-    bench.with(|notes, _, _| notes.on_note(one.clone()));
-    let given = bench.with(|notes, _, cx| notes.on_wanted(&peer, NoteVersion(0), cx));
+    fixture.with(|notes, _, _| notes.on_note(one.clone()));
+    let given = fixture.with(|notes, _, cx| notes.on_wanted(&peer, NoteVersion(0), cx));
     assert_eq!(given, vec![Output::Peer(peer.clone(), PeerMessage::Note(one))]);
-    assert_eq!(bench.with(|notes, _, cx| notes.on_wanted(&peer, NoteVersion(1), cx)), vec![]);
+    assert_eq!(fixture.with(|notes, _, cx| notes.on_wanted(&peer, NoteVersion(1), cx)), vec![]);
 }
 
 #[test]
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -29,17 +29,17 @@
         Self { due, call: None, faults: 0 }
     }
 
-    /// Tells whether a call has to be made now. A call without an answer for `patience` is given
+    /// Tells whether a call has to be made now. A call without an answer for `timeout` is given
     /// up, so that a lost answer can't end the repetition.
-    pub(crate) fn is_due(&mut self, now: Moment, patience: Span) -> bool {
-        if self.call.is_some_and(|(_, sent)| now.since(sent) > patience) {
+    pub(crate) fn is_due(&mut self, now: Moment, timeout: Span) -> bool {
+        if self.call.is_some_and(|(_, sent)| now.since(sent) > timeout) {
             self.call = None;
         }
         self.call.is_none() && now >= self.due
     }
 
     /// Makes the next call due at once; one in progress is forgotten.
-    pub(crate) fn hurry(&mut self, now: Moment) {
+    pub(crate) fn restart(&mut self, now: Moment) {
         self.call = None;
         self.due = now;
     }
