--- a/crates/core/src/sched/fit.rs
+++ b/crates/core/src/sched/fit.rs
@@ -48,6 +48,19 @@
     }
 }
 
+/// Tells whether [`find`] may find room when no worker is avoided.
+pub(super) fn may_fit(fleet: &Fleet, view: View, shape: Shape) -> bool {
+    let want = u32::from(shape.tasks);
+    if fleet.fit(view, shape.accelerators) < want {
+        return false;
+    }
+    if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
+        return find_block(fleet, view, shape, &[]).is_some();
+    }
+    let domain = shape.adjacency == Adjacency::Domain;
+    domain || fleet.racks.iter().any(|rack| rack.fit(view, shape.accelerators) >= want)
+}
+
 /// Fills racks beginning with the one that has the most room, so that a gang spans few of them.
 fn find_across(fleet: &Fleet, view: View, shape: Shape, avoid: &[WorkerIx]) -> Option<Vec<Place>> {
     let size = shape.accelerators;
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -41,8 +41,6 @@
 
 impl View {
     const ALL: [Self; VIEWS] = [Self::Soft, Self::Hard, Self::Bind];
-    /// Sizes of tasks that room is counted for.
-    pub(super) const SIZES: [u8; SIZES] = [0, 1, 2, 3, 4, 5, 6, 7, 8];
 }
 
 /// One task on a worker.
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -14,6 +14,8 @@
 const STARTS_MAX: usize = 32;
 /// The most lanes that one pass looks at.
 const LANES_MAX: usize = 512;
+/// The most jobs that one pass offers a place in a block that drains.
+const BACKFILLS_MAX: usize = 32;
 /// Slack below which a deadline goes before the fair order.
 const TIGHT_SLACK: Span = Span::from_secs(300);
 /// Time by which a workspace that borrows all accelerators is set back.
@@ -36,6 +38,10 @@
     partial: Vec<(SpaceIx, Shape)>,
     /// The longest run of free accelerators in a block that drains.
     draining: Option<u8>,
+    /// Jobs that were offered a place in such a block.
+    backfills: usize,
+    /// Shapes that wait, whether they borrow, and whether there is room for one; sorted.
+    room: Vec<((Shape, bool), bool)>,
     /// Shapes for which no room was found under a view.
     full: Vec<(View, Shape)>,
 }
@@ -90,18 +96,25 @@
         let mut starts = STARTS_MAX;
         let promising = |lane: &LaneKey, outlook: &Outlook| outlook.may_hold(lane);
         self.sweep(&mut starts, &mut outlook, promising, |sched, ix, _| sched.try_guaranteed(ix));
-        let fit =
-            View::SIZES.map(|size| [View::Soft, View::Hard].map(|view| self.fleet.fit(view, size)));
+        self.look_ahead(&mut outlook);
         let probing = !self.fleet.quarantined().is_empty();
         let promising = |lane: &LaneKey, outlook: &Outlook| {
-            let view = usize::from(!lane.preemptible);
-            let room = fit[lane.shape.accelerators as usize][view];
-            room >= u32::from(lane.shape.tasks) || probing || outlook.may_backfill(lane)
+            probing || outlook.has_room(lane) || outlook.may_backfill(lane)
         };
         self.sweep(&mut starts, &mut outlook, promising, Self::try_borrowed);
         self.unfinished = starts == 0;
     }
 
+    /// Finds out which of the shapes that wait find room at all.
+    fn look_ahead(&self, outlook: &mut Outlook) {
+        for lane in self.queue.lanes() {
+            let key = (lane.key.shape, lane.key.preemptible);
+            let Err(i) = outlook.room.binary_search_by_key(&key, |room| room.0) else { continue };
+            let view = if lane.key.preemptible { View::Soft } else { View::Hard };
+            outlook.room.insert(i, (key, fit::may_fit(&self.fleet, view, lane.key.shape)));
+        }
+    }
+
     fn outlook(&self) -> Outlook {
         let mut outlook = Outlook { draining: self.draining_run(), ..Outlook::default() };
         for group in &self.guarantees.groups {
@@ -197,7 +210,8 @@
             self.begin(ix, places, Reason::Borrowing);
             return true;
         }
-        self.try_backfill(ix)
+        outlook.backfills += 1;
+        outlook.backfills <= BACKFILLS_MAX && self.try_backfill(ix)
     }
 
     /// Finds room for a job, unless none was found for its shape in this pass.
@@ -253,6 +267,13 @@
         unused || lane.class == Class::Urgent && own.into_iter().any(|g| holds(g.1, lane.shape))
     }
 
+    /// Tells whether there was room for the lane's shape when the pass began.
+    fn has_room(&self, lane: &LaneKey) -> bool {
+        let key = (lane.shape, lane.preemptible);
+        let found = self.room.binary_search_by_key(&key, |room| room.0);
+        found.is_ok_and(|i| self.room[i].1)
+    }
+
     /// Tells whether the first job of a lane may run in a block that drains.
     fn may_backfill(&self, lane: &LaneKey) -> bool {
         let shape = lane.shape;
