Let a deployment of one daemon be its own majority

Contacts were derived on heartbeats alone, so a single daemon lost its permit after the grace in an outage of the store, although nobody else can accept a note. The test failed first; contacts are now derived in every round too.

--- a/crates/daemon/src/members.rs
+++ b/crates/daemon/src/members.rs
@@ -146,6 +146,7 @@
         }
         let heartbeat = self.timing.heartbeat;
         self.due = cx.now + jitter(heartbeat, &mut self.rng);
+        self.learn(cx.now);
         for i in 0..self.peers.len() {
             if self.peers[i].domain == self.domain {
                 let ask = !self.peers[i].is_live(cx.now, heartbeat + heartbeat);
--- a/crates/daemon/src/members/tests.rs
+++ b/crates/daemon/src/members/tests.rs
@@ -4,7 +4,7 @@
 
 use super::{Announcement, Members};
 use crate::edge::{Context, Outbox, Output};
-use crate::node::tests::net::{Net, settings};
+use crate::node::tests::net::{Net, StoreMode, settings};
 use crate::peer::{Echo, Heartbeat, PeerMessage, Phase};
 
 const FIVE: &[(&str, usize)] = &[("cuenca", 5)];
@@ -252,6 +252,14 @@
     assert!(fixture.permit(), "cut off from all, it goes on within its grace");
 }
 
+#[test]
+fn a_deployment_of_one_daemon_is_its_own_majority() {
+    let mut net = deployed(&[("cuenca", 1)]);
+    net.store.mode = StoreMode::Down;
+    net.run(Span::from_secs(90));
+    assert!(net.may_start(0));
+}
+
 fn placers(net: &Net) -> Vec<Option<DaemonId>> {
     let running = (0..net.nodes.len()).filter(|i| net.runs(*i));
     let cuenca = "cuenca".parse().unwrap();
