Notice a deaf HTTP listener, open it anew, and never block the loop on it

In a trial with 80 file descriptors and 150 connections the library's accept thread panicked, the listener stayed deaf after all connections had gone, and the graceful stop hung in the server's drop, which connects to itself. Peers' accepts are tried again too, since an edge-triggered poll doesn't tell twice.

--- a/crates/daemon/src/json_log.rs
+++ b/crates/daemon/src/json_log.rs
@@ -30,7 +30,9 @@
         level.parse().map_err(|_| Error::at(Code::SettingsInvalid, "/log", "unknown level"))?;
     let sink = Box::new(JsonLog { level, daemon: daemon.clone() });
     CombinedLogger::init(vec![sink])
-        .map_err(|e| Error::new(Code::SettingsInvalid, format!("the log can't be opened: {e}")))
+        .map_err(|e| Error::new(Code::SettingsInvalid, format!("the log can't be opened: {e}")))?;
+    std::panic::set_hook(Box::new(|panic| log::error!("{panic}")));
+    Ok(())
 }
 
 impl SharedLogger for JsonLog {
--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -1,112 +1,62 @@
 //! One HTTP listener over `tiny_http`, with bounds on all that the library leaves open to us.
 //!
-//! One thread takes requests from the library and hands them to a few readers; requests with
-//! larger bodies go to readers of their own, so that slow senders hold up nobody but each other.
-//! Requests that wait for the node are kept in a bounded table until their answer comes, and
-//! answers are written by threads of their own, never by the node's loop.
+//! A thread takes requests from the library and hands them to a few readers; requests with larger
+//! bodies go to readers of their own, so that slow senders hold up nobody but each other. Requests
+//! that wait for the node are kept in a bounded table until their answer comes, and answers are
+//! written by threads of their own, never by the node's loop.
+//!
+//! The library's accept loop ends for good when the process has no file descriptor left, with an
+//! error or with a panic that only its own thread sees. The listener therefore asks itself for a
+//! sign of life every second, and opens anew on the same socket when none comes.
 
-use bulrushlink_api::poke;
+use bulrushlink_api::{Client, poke};
 use bulrushlink_core::{Code, Error, Span};
-use std::net::{SocketAddr, TcpListener};
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::Duration;
-use tiny_http::{Header, Method, Request, Response, Server};
+use tiny_http::{Request, Server};
 
 use crate::answers::Answer;
 use crate::calls::Results;
-use crate::edge::{Input, Token};
+use crate::edge::Token;
 use crate::pool::Pool;
 use bind::open_server;
+use desk::Desk;
 
 mod bind;
 mod body;
+mod desk;
 mod headers;
 #[cfg(test)]
 mod tests;
 
 pub(crate) use bind::bind;
+pub(crate) use desk::{Bounds, Front, Incoming, Outcome};
 
 /// Requests that wait for a reader, for each reader.
 const QUEUE_PER_READER: usize = 64;
-/// Threads that write answers.
-const WRITERS: usize = 4;
-/// Time to come back after an overload, in milliseconds.
-const OVERLOAD_RETRY_MS: u64 = 1_000;
+/// Path by which the listener asks itself for a sign of life; answered without a reader.
+const ALIVE_PATH: &str = "/alive";
+/// Time in which the sign of life has to come, in milliseconds.
+const ALIVE_TIMEOUT_MS: u64 = 3_000;
 /// Period of poking the library, in milliseconds.
 const POKE_MS: u64 = 100;
-/// Pause before a listener whose accept failed is opened anew, in milliseconds.
-const REOPEN_PAUSE_MS: u64 = 200;
-
-/// A request as the listener's front sees it.
-#[derive(Clone, Debug)]
-pub(crate) struct Incoming {
-    pub(crate) method: Method,
-    /// Path without the query.
-    pub(crate) path: String,
-    /// Text after `?`, if any.
-    pub(crate) query: String,
-    pub(crate) body: String,
-}
-
-/// What becomes of a request.
-pub(crate) enum Outcome {
-    /// It is answered at once.
-    Answer(Answer),
-    /// The node answers it by the token.
-    Ask(Box<dyn FnOnce(Token) -> Input>),
-}
-
-/// What differs between callers and operators.
-pub(crate) trait Front: Send + Sync + 'static {
-    /// Checks the headers, before the body is read.
-    fn admit(&self, request: &Request) -> Result<(), Error>;
-
-    /// Reads a request.
-    fn read(&self, incoming: Incoming) -> Result<Outcome, Error>;
-
-    /// Answers a request that can't be passed on.
-    fn refuse(&self, error: &Error, retry: Option<Span>) -> Answer;
-}
-
-/// Bounds of one listener.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Bounds {
-    /// Largest body, in bytes.
-    pub(crate) body: usize,
-    /// Most requests that wait for their answer.
-    pub(crate) waiting: usize,
-    /// Threads of each kind of readers.
-    pub(crate) readers: usize,
-}
-
-struct Waiting {
-    token: Token,
-    request: Request,
-}
-
-struct Written {
-    request: Request,
-    answer: Answer,
-}
+/// Pokes between two signs of life.
+const POKES_PER_PROBE: u32 = 10;
+/// The most servers of the library behind one socket; the oldest ends when one more is opened.
+const SERVERS_MAX: usize = 16;
 
 struct Shared {
     name: &'static str,
     socket: TcpListener,
-    front: Box<dyn Front>,
-    bounds: Bounds,
-    results: Results,
-    /// Last token given out; shared by all listeners of a daemon.
-    tokens: Arc<AtomicU64>,
-    /// Sorted by token.
-    waiting: Mutex<Vec<Waiting>>,
-    writers: Pool<Written>,
-    /// Answers that are being written or queued for it.
-    unwritten: Arc<AtomicUsize>,
-    /// Refuses everything from now on.
-    closing: AtomicBool,
+    desk: Arc<Desk>,
+    readers: Pool<Request>,
+    /// For bodies that may have to be waited for.
+    slow_readers: Pool<Request>,
     /// Ends the threads.
     closed: AtomicBool,
+    /// In the order of their opening. Only the last one accepts; the others have connections left.
     servers: Mutex<Vec<Arc<Server>>>,
 }
 
@@ -124,63 +74,42 @@
         tokens: Arc<AtomicU64>,
         results: Results,
     ) -> Result<Self, Error> {
-        let unwritten = Arc::new(AtomicUsize::new(0));
-        let counter = unwritten.clone();
-        let write = move |written: Written| {
-            respond(written.request, written.answer);
-            counter.fetch_sub(1, Ordering::SeqCst);
+        let desk = Arc::new(Desk::open(name, front, bounds, tokens, results));
+        let pool = |name: &str| {
+            let desk = desk.clone();
+            let queue = bounds.readers * QUEUE_PER_READER;
+            Pool::spawn(name, bounds.readers, queue, move |request| desk.serve(request))
         };
+        let (readers, slow_readers) = (pool("reader"), pool("reader-large"));
         let shared = Arc::new(Shared {
             name,
             socket,
-            front,
-            bounds,
-            results,
-            tokens,
-            waiting: Mutex::new(Vec::new()),
-            // There is room for every waiting request, so that no answer is ever lost here.
-            writers: Pool::spawn("writer", WRITERS, bounds.waiting, write),
-            unwritten,
-            closing: AtomicBool::new(false),
+            desk,
+            readers,
+            slow_readers,
             closed: AtomicBool::new(false),
             servers: Mutex::new(Vec::new()),
         });
-        let server = Arc::new(open_server(&shared.socket)?);
-        Shared::dispatch(&shared, server);
-        let poked = shared.clone();
-        let addr = bound_addr(&shared.socket)?;
-        spawn_thread(format!("{name}-poke"), move || poked.poke(addr));
+        Shared::open_one(&shared)?;
+        let addr = reachable(bound_addr(&shared.socket)?);
+        let watched = shared.clone();
+        spawn_thread(format!("{name}-watch"), move || Shared::watch(&watched, addr));
         Ok(Self { shared })
     }
 
     /// Answers a waiting request.
     pub(crate) fn answer(&self, token: Token, answer: Answer) {
-        let mut waiting = self.shared.lock();
-        let found = waiting.binary_search_by(|w| w.token.cmp(&token));
-        let found = found.ok().map(|i| waiting.remove(i).request);
-        self.shared.count(waiting.len());
-        drop(waiting);
-        let Some(request) = found else {
-            log::error!(token = token.0; "answer without a request on {}", self.shared.name);
-            return;
-        };
-        self.shared.unwritten.fetch_add(1, Ordering::SeqCst);
-        if let Err(Written { request, answer }) =
-            self.shared.writers.submit(Written { request, answer })
-        {
-            respond(request, answer);
-            self.shared.unwritten.fetch_sub(1, Ordering::SeqCst);
-        }
+        self.shared.desk.answer(token, answer);
     }
 
     /// Refuses everything from now on; answers to waiting requests still go out.
     pub(crate) fn close(&self) {
-        self.shared.closing.store(true, Ordering::SeqCst);
+        self.shared.desk.close();
     }
 
     /// Tells whether every request has its answer.
     pub(crate) fn is_flushed(&self) -> bool {
-        self.shared.lock().is_empty() && self.shared.unwritten.load(Ordering::SeqCst) == 0
+        self.shared.desk.is_flushed()
     }
 
     /// Ends the threads; connections are refused from then on.
@@ -189,15 +118,13 @@
         self.shared.closed.store(true, Ordering::SeqCst);
         let servers = std::mem::take(&mut *self.shared.servers());
         servers.iter().for_each(|server| server.unblock());
-        self.shared.lock().clear();
+        self.shared.desk.abandon_all();
+        // The library connects to itself to end its accept loop, which blocks when it is deaf.
+        spawn_thread(format!("{}-close", self.shared.name), move || drop(servers));
     }
 }
 
 impl Shared {
-    fn lock(&self) -> MutexGuard<'_, Vec<Waiting>> {
-        self.waiting.lock().expect("no holder of the table panics")
-    }
-
     fn servers(&self) -> MutexGuard<'_, Vec<Arc<Server>>> {
         self.servers.lock().expect("no holder of the list panics")
     }
@@ -206,122 +133,82 @@
         self.closed.load(Ordering::SeqCst)
     }
 
-    fn count(&self, waiting: usize) {
-        let daemon = self.results.daemon();
-        metrics::gauge!(
-            "bulrushlink_waiting_requests", "daemon" => daemon, "listener" => self.name
-        )
-        .set(waiting as f64);
+    fn is_open(&self, server: &Arc<Server>) -> bool {
+        self.servers().iter().any(|other| Arc::ptr_eq(other, server))
     }
 
-    /// Starts the thread that takes requests from the library.
-    fn dispatch(shared: &Arc<Self>, server: Arc<Server>) {
-        shared.servers().push(server.clone());
-        let pool = |name: &str| {
-            let reader = shared.clone();
-            let (threads, queue) =
-                (shared.bounds.readers, shared.bounds.readers * QUEUE_PER_READER);
-            Pool::spawn(name, threads, queue, move |request| reader.serve(request))
-        };
-        let (readers, slow) = (pool("reader"), pool("reader-large"));
+    /// Opens one more server of the library on the socket, with the thread that takes its requests.
+    fn open_one(shared: &Arc<Self>) -> Result<(), Error> {
+        let server = Arc::new(open_server(&shared.socket)?);
+        let mut servers = shared.servers();
+        if shared.is_closed() {
+            return Ok(());
+        }
+        if servers.len() >= SERVERS_MAX {
+            let oldest = servers.remove(0);
+            oldest.unblock();
+            spawn_thread(format!("{}-close", shared.name), move || drop(oldest));
+        }
+        servers.push(server.clone());
+        drop(servers);
         let shared = shared.clone();
-        spawn_thread(format!("{}-dispatch", shared.name), move || {
-            while !shared.is_closed() {
-                match server.recv() {
-                    Ok(request) => shared.pass_on(&readers, &slow, request),
-                    Err(_) if shared.is_closed() => return,
-                    Err(error) => Self::reopen(&shared, &error),
-                }
-            }
-        });
+        spawn_thread(format!("{}-dispatch", shared.name), move || shared.dispatch(&server));
+        Ok(())
     }
 
-    fn poke(&self, addr: SocketAddr) {
-        while !self.is_closed() {
-            std::thread::sleep(Duration::from_millis(POKE_MS));
-            poke(addr);
+    /// A server whose accept loop has ended still brings the requests of its connections.
+    fn dispatch(&self, server: &Arc<Server>) {
+        while self.is_open(server) {
+            match server.recv() {
+                Ok(request) => self.pass_on(request),
+                Err(error) => log::debug!("server of {} tells: {error}", self.name),
+            }
         }
     }
 
-    /// The library ends its accept loop at the first error, such as a lack of file descriptors.
-    /// The listener opens anew on the same socket, and this thread goes on with the connections
-    /// that there are.
-    fn reopen(shared: &Arc<Self>, error: &std::io::Error) {
-        log::error!("accept failed on {}, opening anew: {error}", shared.name);
-        std::thread::sleep(Duration::from_millis(REOPEN_PAUSE_MS));
-        match open_server(&shared.socket) {
-            Ok(server) if !shared.is_closed() => Self::dispatch(shared, Arc::new(server)),
-            Ok(_) => {}
-            Err(error) => log::error!("{} can't be opened anew: {error}", shared.name),
+    fn pass_on(&self, request: Request) {
+        let fast = body::is_buffered(&request);
+        if fast && request.url() == ALIVE_PATH {
+            return desk::respond(request, Answer::json(Code::Done, &"alive", None));
         }
-    }
-
-    fn pass_on(&self, readers: &Pool<Request>, slow: &Pool<Request>, request: Request) {
-        let pool = if body::is_buffered(&request) { readers } else { slow };
+        let pool = if fast { &self.readers } else { &self.slow_readers };
         if let Err(request) = pool.submit(request) {
             let error = Error::new(Code::Overloaded, "too many requests wait to be read");
-            self.refuse(request, &error);
+            self.desk.refuse(request, &error);
         }
     }
 
-    fn serve(&self, mut request: Request) {
-        match self.read(&mut request) {
-            Ok(Outcome::Answer(answer)) => self.finish(request, answer),
-            Ok(Outcome::Ask(input)) => self.ask(request, input),
-            Err(error) => self.refuse(request, &error),
-        }
-    }
-
-    fn read(&self, request: &mut Request) -> Result<Outcome, Error> {
-        headers::check(request)?;
-        self.front.admit(request)?;
-        let body = body::read(request, self.bounds.body)?;
-        let url = request.url();
-        let (path, query) = url.split_once('?').unwrap_or((url, ""));
-        let (path, query) = (path.to_string(), query.to_string());
-        self.front.read(Incoming { method: request.method().clone(), path, query, body })
-    }
-
-    /// The request is in the table before the node hears of it, so that no answer comes too early.
-    fn ask(&self, request: Request, input: Box<dyn FnOnce(Token) -> Input>) {
-        let mut waiting = self.lock();
-        let refused = if self.closing.load(Ordering::SeqCst) {
-            Some(Error::new(Code::Stopping, "the daemon is stopping"))
-        } else if waiting.len() >= self.bounds.waiting {
-            Some(Error::new(Code::Overloaded, "too many requests wait for their answer"))
-        } else {
-            None
-        };
-        if let Some(error) = refused {
-            drop(waiting);
-            return self.refuse(request, &error);
+    fn watch(shared: &Arc<Self>, addr: SocketAddr) {
+        for round in 1.. {
+            std::thread::sleep(Duration::from_millis(POKE_MS));
+            if shared.is_closed() {
+                return;
+            }
+            poke(addr);
+            if round % POKES_PER_PROBE == 0 && !is_alive(addr) && !shared.is_closed() {
+                log::error!(daemon = shared.desk.daemon(); "{} is deaf, opening anew", shared.name);
+                if let Err(error) = Self::open_one(shared) {
+                    log::error!("{} can't be opened anew yet: {error}", shared.name);
+                }
+            }
         }
-        let token = Token(self.tokens.fetch_add(1, Ordering::SeqCst) + 1);
-        waiting.push(Waiting { token, request });
-        self.count(waiting.len());
-        drop(waiting);
-        self.results.send(input(token));
     }
+}
 
-    fn refuse(&self, request: Request, error: &Error) {
-        let overload = matches!(error.code(), Code::Overloaded | Code::Stopping);
-        let retry = overload.then_some(Span(OVERLOAD_RETRY_MS));
-        metrics::counter!(
-            "bulrushlink_requests_refused_total",
-            "daemon" => self.results.daemon(), "listener" => self.name, "code" => error.code().number().to_string()
-        )
-        .increment(1);
-        self.finish(request, self.front.refuse(error, retry));
-    }
+/// Asks by a new connection, since those that exist may well be served by a deaf listener.
+fn is_alive(addr: SocketAddr) -> bool {
+    let client = Client::open(Span(ALIVE_TIMEOUT_MS), None);
+    client.get(&format!("http://{addr}{ALIVE_PATH}")).is_ok()
+}
 
-    fn finish(&self, request: Request, answer: Answer) {
-        if body::is_abandoned(&request, self.bounds.body) {
-            log::warn!("abandoned a connection on {} that announces a huge body", self.name);
-            body::abandon(request, &answer);
-        } else {
-            respond(request, answer);
-        }
-    }
+/// Returns an address of this host by which a listener on all addresses is reached.
+fn reachable(addr: SocketAddr) -> SocketAddr {
+    let ip = match addr.ip() {
+        ip if !ip.is_unspecified() => ip,
+        IpAddr::V4(_) => IpAddr::V4(Ipv4Addr::LOCALHOST),
+        IpAddr::V6(_) => IpAddr::V6(Ipv6Addr::LOCALHOST),
+    };
+    SocketAddr::new(ip, addr.port())
 }
 
 fn spawn_thread(name: String, run: impl FnOnce() + Send + 'static) {
@@ -329,20 +216,6 @@
     thread.expect("the operating system allows a handful of threads");
 }
 
-/// Writes an answer; a client that has gone away needs none.
-fn respond(request: Request, answer: Answer) {
-    let media = Header::from_bytes("Content-Type", answer.media).expect("a valid header");
-    let mut response =
-        Response::from_string(answer.body).with_status_code(answer.status).with_header(media);
-    if let Some(retry) = answer.retry {
-        let secs = retry.millis().div_ceil(1_000).max(1).to_string();
-        response.add_header(Header::from_bytes("Retry-After", secs).expect("a valid header"));
-    }
-    if let Err(error) = request.respond(response) {
-        log::debug!("an answer could not be written: {error}");
-    }
-}
-
 /// Returns the address that a socket is bound to.
 pub(crate) fn bound_addr(socket: &TcpListener) -> Result<SocketAddr, Error> {
     socket.local_addr().map_err(|e| Error::new(Code::Unreachable, e.to_string()))
--- a/crates/daemon/src/listener/tests.rs
+++ b/crates/daemon/src/listener/tests.rs
@@ -2,7 +2,8 @@
 use super::*;
 use crate::caller_http::CallerFront;
 use crate::calls::tests::Collector;
-use bulrushlink_api::{Client, HttpReply, JobAnswer, JobState};
+use crate::edge::Input;
+use bulrushlink_api::{HttpReply, JobAnswer, JobState};
 use std::io::{Read, Write};
 use std::net::TcpStream;
 
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -190,6 +190,10 @@
     }
 
     fn accept_ready(&mut self, cx: CX![], _: Ready) {
+        self.accept(cx);
+    }
+
+    fn accept(&mut self, cx: CX![]) {
         loop {
             let (stream, from) = match self.tcp.accept() {
                 Ok(accepted) => accepted,
@@ -197,6 +201,8 @@
                 Err(error) if error.kind() == ErrorKind::WouldBlock => return,
                 Err(error) => {
                     log::warn!(daemon:% = self.own; "accept of a peer failed: {error}");
+                    // The poll loop doesn't tell again of connections that wait already.
+                    after!(Duration::from_millis(SWEEP_MS), [cx], accept());
                     return;
                 }
             };
