--- a/crates/core/src/sched/fit.rs
+++ b/crates/core/src/sched/fit.rs
@@ -51,6 +51,19 @@
     }
 }
 
+/// Tells whether [`find`] may find room when no worker is avoided.
+pub(super) fn may_fit(fleet: &Fleet, view: View, shape: Shape) -> bool {
+    let want = u32::from(shape.tasks);
+    if fleet.fit(view, shape.accelerators) < want {
+        return false;
+    }
+    if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
+        return find_block(fleet, view, shape, &[]).is_some();
+    }
+    let domain = shape.adjacency == Adjacency::Domain;
+    domain || fleet.racks.iter().any(|rack| rack.fit(view, shape.accelerators) >= want)
+}
+
 /// Fills racks beginning with the one that has the most room, so that a gang spans few of them.
 fn find_across(fleet: &Fleet, view: View, shape: Shape, avoid: &[WorkerIx]) -> Option<Vec<Place>> {
     let size = shape.accelerators;
@@ -136,8 +149,8 @@
 }
 
 /// Picks `size` neighbouring positions out of `mask`: in the shortest run that holds them, so that
-/// the rest of the run still holds as many of the same size as before but one, aligned like a
-/// buddy block where that is possible, and at the run's edge.
+/// the rest of the run holds as many more as it can, aligned like a buddy block where that is
+/// possible, and at the run's edge.
 pub(super) fn pick(mask: AcceleratorSet, size: u8) -> Option<AcceleratorSet> {
     if size == 0 {
         return Some(AcceleratorSet::EMPTY);
@@ -148,8 +161,9 @@
         let below = (mask.0 << (63 - first) << 1).leading_ones();
         let below = if *first == 0 { 0 } else { below };
         let above = mask.0.checked_shr(u32::from(first + size)).unwrap_or(0).trailing_ones();
-        let splits = below % u32::from(size) + above % u32::from(size) >= u32::from(size);
-        (below + above, splits, !first.is_multiple_of(size), below.min(above), *first)
+        let n = u32::from(size);
+        let split = (below + above) / n - below / n - above / n;
+        (below + above, split, !first.is_multiple_of(size), below.min(above), *first)
     })?;
     Some(AcceleratorSet::run(best, size))
 }
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -2,7 +2,9 @@
 //! and what one duty learns to the others.
 
 use bulrushlink_api::{Dump, DumpSection, OperatorAnswer, OperatorCall};
-use bulrushlink_core::{Code, DaemonId, Moment, NoteVersion, Service, Span};
+use bulrushlink_core::{
+    Code, DaemonId, DesiredState, DomainId, DomainShare, Moment, NoteVersion, Service, Span,
+};
 use std::collections::VecDeque;
 
 use crate::edge::{Context, Duty, Input, Outbox, Output, Token};
@@ -10,7 +12,7 @@
 use crate::intake::{Intake, World};
 use crate::keeper::Keeper;
 use crate::members::{Announcement, Members};
-use crate::notes::{Notes, Surroundings};
+use crate::notes::Notes;
 use crate::peer::{PeerMessage, Phase};
 use crate::placer::Placer;
 use crate::settings::Settings;
@@ -120,8 +122,8 @@
             Input::Peer(from, message) => self.on_peer(&from, message, now, out),
             Input::Store(call, result) => match call.duty {
                 Duty::Notes => {
-                    let world = Surroundings { hosts: self.hosts.all() };
-                    self.notes.on_store(call, result, &mut self.members, world, &mut cx);
+                    let (members, hosts) = (&mut self.members, self.hosts.all());
+                    self.notes.on_store(call, result, members, hosts, &mut cx);
                 }
                 Duty::Intake => self.intake.on_store(call, result, world, &mut cx),
                 _ => self.placer.on_store(call, result, &mut cx),
@@ -147,15 +149,21 @@
             PeerMessage::NoteWanted { have } => self.notes.on_wanted(from, have, &mut cx),
             PeerMessage::Note(head) => self.notes.on_note(head),
             PeerMessage::ReportsTaken { seq } => self.keeper.on_taken(seq),
-            PeerMessage::WorkerSeen { worker, leaving } => {
+            PeerMessage::WorkerSeen { worker, leaving, busy } => {
                 self.hosts.on_leaving(&worker, leaving, now);
+                self.hosts.on_busy(&worker, busy);
             }
             PeerMessage::Update { .. } => {
                 let world =
                     World { state: self.notes.state(), members: &self.members, phase: self.phase };
                 self.intake.on_message(from, message, world, &mut cx);
             }
-            message => self.placer.on_message(from, message, &mut cx),
+            message => {
+                if let PeerMessage::Reports { worker, .. } = &message {
+                    self.hosts.on_alive(worker, now);
+                }
+                self.placer.on_message(from, message, &mut cx);
+            }
         }
     }
 
@@ -170,8 +178,7 @@
             }
             call => {
                 let mut cx = self.clock(now).context(&self.settings, out);
-                let world = Surroundings { hosts: self.hosts.all() };
-                return self.notes.on_operator(token, call, world, &mut cx);
+                return self.notes.on_operator(token, call, self.hosts.all(), &mut cx);
             }
         };
         out.push(Output::Operator(token, answer));
@@ -201,12 +208,12 @@
         let chosen = self.members.placer(domain, now).as_ref() == Some(&self.settings.daemon);
         self.placer.set_active(chosen && self.phase == Phase::Ready, &mut cx);
         if self.shared < self.notes.version()
-            && let Some(share) = self.notes.state().and_then(|state| state.share(domain))
+            && let Some(state) = self.notes.state()
         {
-            self.shared = self.notes.version();
-            self.placer.on_share(share, &mut cx);
+            self.shared = state.version;
+            self.placer.on_share(share(state, domain), &mut cx);
         }
-        self.hosts.set_hears(chosen, now);
+        self.hosts.set_hears_all(chosen, now);
         if self.listed != self.hosts.generation() {
             self.listed = self.hosts.generation();
             self.placer.on_hosts(self.hosts.own(), &mut cx);
@@ -250,14 +257,15 @@
     fn exit_when_drained(&mut self, now: Moment, out: &mut Outbox) {
         let Some(since) = self.draining else { return };
         let idle = self.intake.held() == 0 && self.placer.is_idle();
+        let seen = now.since(since) >= self.settings.timing.linger;
         let late = now.since(since) >= self.settings.timing.drain;
-        if !self.exited && (idle || late) {
+        if !self.exited && (idle && seen || late) {
             self.exited = true;
             out.push(Output::Exit);
         }
     }
 
-    fn dump(&self, now: Moment) -> Dump {
+    pub(crate) fn dump(&self, now: Moment) -> Dump {
         let section = |name: &str, state| DumpSection { name: name.to_string(), state };
         Dump {
             daemon: self.settings.daemon.clone(),
@@ -275,6 +283,16 @@
     }
 }
 
+/// Returns the share of `domain`; one that is in the state no more is out of service.
+fn share(state: &DesiredState, domain: &DomainId) -> DomainShare {
+    state.share(domain).unwrap_or_else(|| DomainShare {
+        version: state.version,
+        domain: domain.clone(),
+        service: Service::Out,
+        workspaces: Vec::new(),
+    })
+}
+
 /// What every [`Context`] of one input has in common.
 #[derive(Clone, Copy)]
 struct Clock {
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -1,14 +1,16 @@
 //! The end of a job: durable first, then told, then forgotten by the workers.
 
-use bulrushlink_api::{Expect, StoreRequest, WorkerOp};
-use bulrushlink_core::{Attempt, Ending, JobKey, Moment, Span};
+use bulrushlink_api::{Expect, Revision, StoreRequest, WorkerOp};
+use bulrushlink_core::{Attempt, Code, Ending, JobKey, Moment, Span};
 
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DONE_RETENTION, DoneRecord, Outcome};
+use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
 use crate::placer::records::Tag;
 
+/// Pause before room is looked for again for an accepted job that was refused.
+const REFUSED_PAUSE: Span = Span::from_secs(5);
 /// Time for which an ended job is remembered here.
 const ENDED_KEEP: Span = Span::from_secs(60);
 
@@ -22,9 +24,15 @@
         }
         job.place = Place::Out;
         job.cancel = None;
-        let ending = truthful(ending, job.attempt);
-        let step = EndStep::Open;
-        job.end = Some(End { ending, step, since: cx.now, unsure: false });
+        let refused = matches!(&ending, Ending::Refused(refusal) if is_passing(refusal.code));
+        if refused && (job.claim == Claim::Owned || job.wanted.epoch > 1) {
+            // What was accepted isn't given up for want of room.
+            job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
+            return;
+        }
+        let mut end = End::open(truthful(ending, job.attempt), cx.now);
+        end.loose = refused;
+        job.end = Some(end);
         self.drive_end(i, cx);
     }
 
@@ -41,7 +49,12 @@
                 self.forget_old(i, cx);
             }
             Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
-            Claim::Owned if job.writing.is_none() => self.write_done(i, cx),
+            Claim::Owned if job.writing.is_some() => {}
+            Claim::Owned if end.loose => {
+                end.step = EndStep::Removing;
+                self.remove(i, cx);
+            }
+            Claim::Owned => self.write_done(i, cx),
             _ => {}
         }
     }
@@ -92,10 +105,9 @@
         let job = &mut self.jobs[i];
         let Some(end) = &mut job.end else { return };
         end.step = EndStep::Removing;
-        if let Some(done) = earlier {
-            if done.digest == job.digest && job.said != Some(Said::Ended) {
-                end.ending = done.ending;
-            }
+        let silent = job.said != Some(Said::Ended);
+        if let Some(done) = earlier.filter(|done| silent && done.digest == job.digest) {
+            end.ending = done.ending;
         }
         self.remove(i, cx);
     }
@@ -104,11 +116,22 @@
         let job = &self.jobs[i];
         let key = job.key().clone();
         let Some(kept) = &job.kept else { return self.on_removed(i, cx) };
-        let request =
-            StoreRequest::Delete { key: crate::journal::JobRecord::path(&key), at: kept.at };
+        let request = StoreRequest::Delete { key: JobRecord::path(&key), at: kept.at };
         self.journal.call(Tag::Remove(key), request, None, cx);
     }
 
+    /// Removes a record of a job whose end is durable, left by an owner that had it in between.
+    pub(super) fn remove_again(&mut self, i: usize, at: Revision, cx: &mut Context<'_>) {
+        let job = &self.jobs[i];
+        let durable = job.claim == Claim::Owned && !job.gone;
+        let settled = job.end.as_ref().is_some_and(|end| end.step == EndStep::Settled);
+        if durable && settled {
+            let key = job.key().clone();
+            let request = StoreRequest::Delete { key: JobRecord::path(&key), at };
+            self.journal.call(Tag::Remove(key), request, None, cx);
+        }
+    }
+
     pub(super) fn on_removed(&mut self, i: usize, cx: &mut Context<'_>) {
         if let Some(end) = &mut self.jobs[i].end {
             end.step = EndStep::Settled;
@@ -141,10 +164,15 @@
 /// Tells whether an ended job may be dropped. A refusal that left no record doesn't bind a later
 /// submission of the same request.
 fn is_over(end: &End, claim: Claim, active: bool, now: Moment) -> bool {
-    let loose = claim == Claim::Memory && matches!(end.ending, Ending::Refused(_));
+    let loose = end.loose || claim == Claim::Memory && matches!(end.ending, Ending::Refused(_));
     end.step == EndStep::Settled && (loose || !active || now.since(end.since) > ENDED_KEEP)
 }
 
+/// Tells whether a refusal is of the moment, and no reason to give up what was accepted.
+const fn is_passing(code: Code) -> bool {
+    matches!(code, Code::QueueFull | Code::Overloaded | Code::NeverFits)
+}
+
 /// Tells whether an ending says that nothing ran.
 const fn is_unrun(ending: &Ending) -> bool {
     matches!(ending, Ending::Refused(_) | Ending::Cancelled { ran: false })
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -150,10 +150,16 @@
         let last = records.last().map(|record| record.key.clone());
         for found in records {
             let Some(record) = JobRecord::read(&found.value) else { continue };
-            let Err(i) = self.find(&record.spec.key) else { continue };
             if record.domain != self.domain {
                 continue;
             }
+            let i = match self.find(&record.spec.key) {
+                Err(i) => i,
+                Ok(i) => {
+                    self.remove_again(i, found.at, cx);
+                    continue;
+                }
+            };
             let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
             self.jobs.insert(i, job);
             self.take(i, found.at, record, cx);
@@ -232,7 +238,11 @@
         // A job that others had before may have run there, whatever the record says.
         let taken = job.spec.idempotent && job.wanted.epoch > 1;
         let least = Attempt(u32::from(taken));
-        job.attempt = job.attempt.max(seen).max(least);
+        job.attempt = match job.spec.idempotent {
+            true => job.attempt.max(seen).max(least),
+            // Without an intent in the store nothing of it was ever started.
+            false => Attempt(0),
+        };
         job.place = Place::Waiting;
         self.events.push_back(Event::Submit {
             spec: job.spec.clone(),
@@ -257,7 +267,8 @@
         }
         let key = self.jobs[i].key().clone();
         match (&self.jobs[i].place, self.jobs[i].claim) {
-            (Place::Leaving, _) => self.hand_over(i, world, cx),
+            (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
+            (Place::Leaving(_), _) => {}
             (Place::Out, _) => self.enter(&key, cx),
             (_, Claim::Memory) if !self.journal.is_down() => self.create(i, None, cx),
             _ => {}
--- a/crates/daemon/src/timer.rs
+++ b/crates/daemon/src/timer.rs
@@ -5,7 +5,8 @@
 
 use crate::edge::CallId;
 
-const BACKOFF_MAX_DOUBLINGS: u32 = 4;
+/// Doublings after which a backoff grows no more, whatever its bound.
+const BACKOFF_MAX_DOUBLINGS: u32 = 16;
 
 /// Returns a span between three quarters and five quarters of `span`.
 pub(crate) fn jitter(span: Span, rng: &mut fastrand::Rng) -> Span {
@@ -28,17 +29,17 @@
         Self { due, call: None, faults: 0 }
     }
 
-    /// Tells whether a call has to be made now. A call without an answer for `patience` is given
+    /// Tells whether a call has to be made now. A call without an answer for `timeout` is given
     /// up, so that a lost answer can't end the repetition.
-    pub(crate) fn is_due(&mut self, now: Moment, patience: Span) -> bool {
-        if self.call.is_some_and(|(_, sent)| now.since(sent) > patience) {
+    pub(crate) fn is_due(&mut self, now: Moment, timeout: Span) -> bool {
+        if self.call.is_some_and(|(_, sent)| now.since(sent) > timeout) {
             self.call = None;
         }
         self.call.is_none() && now >= self.due
     }
 
     /// Makes the next call due at once; one in progress is forgotten.
-    pub(crate) fn hurry(&mut self, now: Moment) {
+    pub(crate) fn restart(&mut self, now: Moment) {
         self.call = None;
         self.due = now;
     }
@@ -61,11 +62,17 @@
         self.due = now + span;
     }
 
-    /// Plans the next call after a fault; `span` doubles with each fault in a row.
-    pub(crate) fn back_off(&mut self, span: Span, now: Moment, rng: &mut fastrand::Rng) {
-        let doubled = span.millis() << self.faults.min(BACKOFF_MAX_DOUBLINGS);
+    /// Plans the next call after a fault: `first` later after the first one, and twice as late
+    /// with each fault in a row, up to `most`.
+    pub(crate) fn back_off(
+        &mut self,
+        (first, most): (Span, Span),
+        now: Moment,
+        rng: &mut fastrand::Rng,
+    ) {
+        let doubled = first.millis() << self.faults.min(BACKOFF_MAX_DOUBLINGS);
         self.faults = self.faults.saturating_add(1);
-        self.due = now + jitter(Span(doubled), rng);
+        self.due = now + jitter(Span(doubled).min(most.max(first)), rng);
     }
 
     /// Returns the number of faults in a row.
