Bound what recovery reads, and look single orphans up in the store

Readings of all open jobs now become rarer with their number, so that they cost a bounded rate; a task of an unknown job is looked up by its own key, and a record moved to another domain is hinted at until its placer has taken it. Outputs too large for the store end the job with a word, and a refusal of another body no longer reads as a conflict.

--- a/crates/daemon/src/intake/hold.rs
+++ b/crates/daemon/src/intake/hold.rs
@@ -80,6 +80,8 @@
     pub(super) refusal: Option<(Refusal, bool)>,
     pub(super) why: Option<Why>,
     pub(super) lookup: Lookup,
+    /// Moment of the last look into the store.
+    pub(super) looked: Moment,
 }
 
 impl Hold {
@@ -105,6 +107,7 @@
             refusal: None,
             why: None,
             lookup: Lookup::Not,
+            looked: now,
         }
     }
 
@@ -198,6 +201,8 @@
         let Some(placer) = world.members.placer(&domain, cx.now) else {
             return self.reroute(i);
         };
+        // The same domain as long as it can be reached, so that no second one takes the job too.
+        hold.domain = Some(domain.clone());
         let message = PeerMessage::Submit {
             domain,
             spec: submission.spec.clone(),
@@ -252,6 +257,11 @@
     /// Asks the store for a job once every placer that can be reached has denied it, or has had
     /// the time to.
     pub(super) fn look_up_when_lost(&mut self, i: usize, world: World<'_>, cx: &mut Context<'_>) {
+        let hold = &mut self.holds[i];
+        let stale = cx.now.since(hold.looked) >= Span(FOLLOW_MS);
+        if hold.lookup == Lookup::Open && stale {
+            hold.lookup = Lookup::Not;
+        }
         let hold = &self.holds[i];
         let open = hold.lookup == Lookup::Not && hold.status.is_none();
         let denied = self.domains(i, world).iter().all(|domain| {
--- a/crates/daemon/src/intake/lookup.rs
+++ b/crates/daemon/src/intake/lookup.rs
@@ -29,6 +29,7 @@
     pub(super) fn look_up(&mut self, i: usize, cx: &mut Context<'_>) {
         let hold = &mut self.holds[i];
         hold.lookup = Lookup::Running;
+        hold.looked = cx.now;
         let request = StoreRequest::Get { key: JobRecord::path(&hold.key) };
         let until = Some(cx.now + LOOKUP_BOUND);
         self.journal.call(Tag::Open(hold.token), request, until, cx);
--- a/crates/daemon/src/intake/updates.rs
+++ b/crates/daemon/src/intake/updates.rs
@@ -6,7 +6,7 @@
 use bulrushlink_core::{DaemonId, DomainId, Refusal, Span, Why};
 
 use super::answers::{ended_answer, present_answer, refusal_answer};
-use super::hold::{Ask, Hold};
+use super::hold::{Ask, Hold, Lookup};
 use super::{Intake, REPEAT_MS, World};
 use crate::edge::{Context, Token};
 use crate::journal::SpecDigest;
@@ -34,7 +34,10 @@
         let Some(i) = self.find(token) else { return };
         if let Ask::Submit(submission) = &self.holds[i].ask {
             let named = update.seq == Some(submission.seq);
-            let other = update.digest.as_ref().is_some_and(|digest| *digest != submission.digest);
+            // A refusal of another body leaves the identifier free.
+            let refusal = matches!(update.status, JobStatus::Refused(_) | JobStatus::Unsure(_));
+            let other = !refusal
+                && update.digest.as_ref().is_some_and(|digest| *digest != submission.digest);
             let conflict = update.status == JobStatus::Conflict && (named || !other);
             if other || conflict {
                 return self.answer_conflict(token, cx);
@@ -115,11 +118,12 @@
         if let Err(at) = hold.without.binary_search(&update.domain) {
             hold.without.insert(at, update.domain.clone());
         }
-        if hold.domain.as_ref() == Some(&update.domain) && hold.status.is_some() {
+        if hold.domain.as_ref() == Some(&update.domain) && hold.status.take().is_some() {
             // The placer has forgotten the job, and with it whether it started.
             hold.seen = true;
-            hold.status = None;
             hold.due = cx.now;
+            hold.domain = None;
+            hold.lookup = Lookup::Not;
         }
         self.look_up_when_lost(i, world, cx);
     }
--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -17,6 +17,8 @@
 const DOWN_FAULTS: u32 = 3;
 /// Calls a second while the store doesn't answer.
 const DOWN_RATE: u64 = 5;
+/// Duties that share the daemon's rate of store calls for jobs.
+const RATE_SHARES: u64 = 2;
 /// Calls that may go out in a burst, as a part of the rate of a second.
 const BURST_DIVISOR: u64 = 4;
 /// Fractions of a call that the rate is counted in.
@@ -186,7 +188,7 @@
     }
 
     fn refill(&mut self, cx: &Context<'_>) {
-        let full = u64::from(cx.settings.limits.store_rate);
+        let full = u64::from(cx.settings.limits.store_rate) / RATE_SHARES;
         let rate = if self.is_down() { full.min(DOWN_RATE) } else { full };
         let earned = cx.now.since(self.refilled).millis() * rate;
         let most = (rate / BURST_DIVISOR).max(1) * CALL_COST;
--- a/crates/daemon/src/placer/dump.rs
+++ b/crates/daemon/src/placer/dump.rs
@@ -1,11 +1,13 @@
 //! The placer's state as JSON.
 
-use bulrushlink_core::{Load, Moment, Why};
+use bulrushlink_api::Revision;
+use bulrushlink_core::{Load, Moment, State, Why};
 use serde::Serialize;
 
 use super::job::Job;
 use super::reports::Orphan;
 use super::{Placer, Standing};
+use crate::journal::Intent;
 
 #[derive(Serialize)]
 struct Dump<'a> {
@@ -16,6 +18,7 @@
     refused: usize,
     worker_calls: usize,
     store: StoreRow,
+    scheduler: State,
     now: Moment,
 }
 
@@ -24,6 +27,12 @@
     #[serde(flatten)]
     job: &'a Job,
     why: Option<Why>,
+    /// The last change of its record.
+    at: Option<Revision>,
+    /// Grows with each change of the record's owner.
+    epoch: u64,
+    /// The start that the record names.
+    intent: Option<&'a Intent>,
 }
 
 #[derive(Serialize)]
@@ -43,7 +52,7 @@
             Standing::Recovering => "recovering",
             Standing::Active => "active",
         };
-        let row = |job| Row { job, why: self.scheduler.why(job.key()) };
+        let row = |job| self.row(job);
         let dump = Dump {
             standing,
             load: self.scheduler.load(),
@@ -56,8 +65,20 @@
                 calls: self.journal.calls(),
                 open: self.journal.open_calls(),
             },
+            scheduler: self.scheduler.dump(),
             now,
         };
         serde_json::to_value(dump).unwrap_or_default()
     }
+
+    fn row<'a>(&self, job: &'a Job) -> Row<'a> {
+        let kept = job.kept.as_ref();
+        Row {
+            job,
+            why: self.scheduler.why(job.key()),
+            at: kept.map(|kept| kept.at),
+            epoch: kept.map(|kept| kept.record.epoch).unwrap_or_default(),
+            intent: kept.and_then(|kept| kept.record.intent.as_ref()),
+        }
+    }
 }
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -9,6 +9,8 @@
 use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
 use crate::placer::records::Tag;
 
+/// Most bytes of all outputs of a job; JSON may double them within a value of the store.
+const OUTPUT_MAX_BYTES: usize = 450_000;
 /// Pause before room is looked for again for an accepted job that was refused.
 const REFUSED_PAUSE: Span = Span::from_secs(5);
 /// Time for which an ended job is remembered here.
@@ -30,7 +32,7 @@
             job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
             return;
         }
-        let mut end = End::open(truthful(ending, job.attempt), cx.now);
+        let mut end = End::open(bounded(truthful(ending, job.attempt)), cx.now);
         end.loose = refused;
         job.end = Some(end);
         self.drive_end(i, cx);
@@ -178,6 +180,17 @@
     matches!(ending, Ending::Refused(_) | Ending::Cancelled { ran: false })
 }
 
+/// Ends a job whose outputs can't be kept whole in a way that tells so to everybody alike.
+fn bounded(ending: Ending) -> Ending {
+    let Ending::Completed { output } = &ending else { return ending };
+    let size: usize = output.iter().map(String::len).sum();
+    if size <= OUTPUT_MAX_BYTES {
+        return ending;
+    }
+    let reason = format!("completed, but its outputs of {size} bytes are too large to be kept");
+    Ending::Failed { reason }
+}
+
 /// Never says "not run" of a job of which an earlier attempt may have run.
 fn truthful(ending: Ending, attempt: Attempt) -> Ending {
     match ending {
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -30,6 +30,8 @@
     Done(JobKey),
     /// Removes the record of a job that has ended.
     Remove(JobKey),
+    /// Reads whether the job of tasks that nobody knows is open.
+    Orphan(JobKey),
     /// Lists open jobs.
     Sweep,
     /// Finds out whether the store answers again.
@@ -46,15 +48,17 @@
             | Self::ProbeDone(key)
             | Self::Done(key)
             | Self::Remove(key) => Some(key),
-            Self::Sweep | Self::Health => None,
+            Self::Orphan(_) | Self::Sweep | Self::Health => None,
         }
     }
 }
 
 impl Placer {
     pub(super) fn on_outcome(&mut self, tag: Tag, outcome: Outcome, cx: &mut Context<'_>) {
-        if tag == Tag::Sweep {
-            return self.on_page(outcome, cx);
+        match &tag {
+            Tag::Sweep => return self.on_page(outcome, cx),
+            Tag::Orphan(key) => return self.on_orphan(key, outcome, cx),
+            _ => {}
         }
         let Some(i) = tag.key().and_then(|key| self.find(key).ok()) else { return };
         if self.jobs[i].gone {
@@ -68,7 +72,7 @@
             Tag::ProbeDone(_) => self.on_probe_done(i, outcome, cx),
             Tag::Done(_) => self.on_done(i, outcome, cx),
             Tag::Remove(_) => self.on_removed(i, cx),
-            Tag::Sweep | Tag::Health => {}
+            Tag::Orphan(_) | Tag::Sweep | Tag::Health => {}
         }
     }
 
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -1,6 +1,6 @@
 //! Taking up and laying down: the store tells what is open, the workers tell what runs.
 
-use bulrushlink_api::{StoreRequest, TaskReport, TaskState};
+use bulrushlink_api::{Record, StoreRequest, TaskReport, TaskState};
 use bulrushlink_core::{
     Attempt, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
 };
@@ -16,8 +16,13 @@
 
 /// Time after which recovery goes on without workers and records that it hasn't heard of.
 const RECOVERY_BOUND: Span = Span::from_secs(5);
-/// Pause between two readings of all open jobs.
+/// Pause between two readings of all open jobs, and its growth with each record read: what they
+/// cost in a second is bounded.
 const SWEEP_PAUSE: Span = Span::from_secs(30);
+/// Growth of the pause with each record, in milliseconds.
+const SWEEP_RECORD_MS: u64 = 500;
+/// Pause between two hints to a placer that a record was moved to it.
+const MOVE_PAUSE: Span = Span::from_secs(5);
 
 /// What is known at a change of the placer.
 #[derive(Debug)]
@@ -32,11 +37,20 @@
     sweeping: Option<Moment>,
     /// Moment of the next reading.
     sweep_due: Moment,
+    /// Records read so far in this reading.
+    records: u64,
 }
 
 impl Recovery {
     pub(super) const fn open(now: Moment) -> Self {
-        Self { since: now, asked: Vec::new(), swept: None, sweeping: None, sweep_due: now }
+        Self {
+            since: now,
+            asked: Vec::new(),
+            swept: None,
+            sweeping: None,
+            sweep_due: now,
+            records: 0,
+        }
     }
 
     pub(super) fn expect(&mut self, worker: &WorkerId) {
@@ -130,6 +144,7 @@
     fn sweep(&mut self, cx: &mut Context<'_>) {
         if self.recovery.sweeping.is_none() {
             self.recovery.sweeping = Some(cx.now);
+            self.recovery.records = 0;
             self.read_page(String::new(), cx);
         }
     }
@@ -147,30 +162,35 @@
             self.recovery.sweeping = None;
             return;
         }
+        self.recovery.records += records.len() as u64;
         let last = records.last().map(|record| record.key.clone());
         for found in records {
-            let Some(record) = JobRecord::read(&found.value) else { continue };
-            if record.domain != self.domain {
-                continue;
-            }
-            let i = match self.find(&record.spec.key) {
-                Err(i) => i,
-                Ok(i) => {
-                    self.remove_again(i, found.at, cx);
-                    continue;
-                }
-            };
-            let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
-            self.jobs.insert(i, job);
-            self.take(i, found.at, record, cx);
+            self.take_found(&found, cx);
         }
         match last.filter(|_| more) {
             Some(after) => self.read_page(after, cx),
             None => {
                 self.recovery.swept = began;
                 self.recovery.sweeping = None;
-                let jitter = Span(self.rng.u64(..SWEEP_PAUSE.0 / 4));
-                self.recovery.sweep_due = cx.now + SWEEP_PAUSE + jitter;
+                let pause = SWEEP_PAUSE.0 + SWEEP_RECORD_MS * self.recovery.records;
+                let jitter = self.rng.u64(..pause / 4);
+                self.recovery.sweep_due = cx.now + Span(pause + jitter);
+            }
+        }
+    }
+
+    /// Takes an open job of this domain that nobody here knows.
+    pub(super) fn take_found(&mut self, found: &Record, cx: &mut Context<'_>) {
+        let Some(record) = JobRecord::read(&found.value) else { return };
+        if record.domain != self.domain {
+            return;
+        }
+        match self.find(&record.spec.key) {
+            Ok(i) => self.remove_again(i, found.at, cx),
+            Err(i) => {
+                let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
+                self.jobs.insert(i, job);
+                self.take(i, found.at, record, cx);
             }
         }
     }
@@ -302,8 +322,8 @@
         }
     }
 
-    /// Tells the other domain's placer of a job that its record has been moved to; the placer
-    /// finds the record by itself if this is lost.
+    /// Tells the other domain's placer of a job whose record has been moved to it, until the
+    /// placer has taken the record.
     fn submit_to(
         &mut self,
         i: usize,
@@ -311,6 +331,7 @@
         world: World<'_>,
         cx: &mut Context<'_>,
     ) {
+        self.jobs[i].place = Place::Leaving(cx.now + MOVE_PAUSE);
         let job = &self.jobs[i];
         if let Some(placer) = world.members.placer(&domain, cx.now) {
             let message = PeerMessage::Submit {
@@ -323,7 +344,8 @@
             };
             cx.out.peer(&placer, message);
         }
-        self.abandon(i, JobStatus::Elsewhere(domain), cx);
+        self.notify(i, &JobStatus::Elsewhere(domain), cx);
+        self.verify(i, cx);
     }
 }
 
--- a/crates/daemon/src/placer/reports.rs
+++ b/crates/daemon/src/placer/reports.rs
@@ -1,14 +1,16 @@
 //! Reports of tasks: of current attempts, of earlier ones, and of jobs nobody here knows.
 
-use bulrushlink_api::{TaskReport, TaskState, WorkerOp, WorkerReply};
-use bulrushlink_core::{Moment, Span, StartFault, WorkerId};
+use bulrushlink_api::{StoreRequest, TaskReport, TaskState, WorkerOp, WorkerReply};
+use bulrushlink_core::{JobKey, Moment, Span, StartFault, WorkerId};
 use serde::Serialize;
 
 use super::calls::WorkerCall;
 use super::gang::{Cause, PartState, partial_gang_bound};
 use super::job::{Claim, EndStep, Place};
+use super::records::Tag;
 use super::{Placer, Standing};
 use crate::edge::Context;
+use crate::journal::{JobRecord, Outcome};
 
 /// Time for which a task of a job that nobody knows is left alone.
 const ORPHAN_GRACE: Span = Span::from_secs(30);
@@ -20,6 +22,8 @@
     pub(super) report: TaskReport,
     /// Moment at which it was heard of first.
     pub(super) since: Moment,
+    /// Whether the store has no such job in this domain.
+    pub(super) jobless: bool,
 }
 
 /// What is done about an orphan.
@@ -28,6 +32,8 @@
     Drop,
     /// Ask the store first whether the job is still this owner's.
     Verify(usize),
+    /// Ask the store first whether there is such a job.
+    LookUp,
     Stop,
     Forget,
 }
@@ -71,7 +77,7 @@
             Ok(i) => self.orphans[i].report = report.clone(),
             Err(i) => {
                 let (worker, report) = (worker.clone(), report.clone());
-                self.orphans.insert(i, Orphan { worker, report, since: now });
+                self.orphans.insert(i, Orphan { worker, report, since: now, jobless: false });
             }
         }
     }
@@ -123,6 +129,10 @@
                     self.verify(i, cx);
                     self.orphans.push(orphan);
                 }
+                Verdict::LookUp => {
+                    self.look_up_orphan(&orphan.report.id.key, cx);
+                    self.orphans.push(orphan);
+                }
                 Verdict::Stop => {
                     self.send_plain(&orphan.worker, vec![WorkerOp::Stop { id }], cx);
                 }
@@ -143,9 +153,11 @@
         }
         let away = if ended { Verdict::Forget } else { Verdict::Stop };
         let Ok(i) = self.find(&orphan.report.id.key) else {
-            let swept = self.recovery.swept.is_some_and(|swept| swept > orphan.since);
-            let due = now.since(orphan.since) > ORPHAN_GRACE && swept && !self.journal.is_down();
-            return if due { away } else { Verdict::Keep };
+            return match now.since(orphan.since) > ORPHAN_GRACE {
+                true if orphan.jobless => away,
+                true => Verdict::LookUp,
+                false => Verdict::Keep,
+            };
         };
         let job = &self.jobs[i];
         let old = (orphan.worker.clone(), orphan.report.id.clone());
@@ -165,6 +177,29 @@
         }
     }
 
+    fn look_up_orphan(&mut self, key: &JobKey, cx: &mut Context<'_>) {
+        let tag = Tag::Orphan(key.clone());
+        if !self.journal.has(|other| *other == tag) {
+            let request = StoreRequest::Get { key: JobRecord::path(key) };
+            self.journal.call(tag, request, None, cx);
+        }
+    }
+
+    /// Takes the job of tasks that nobody knew, or lets them go.
+    pub(super) fn on_orphan(&mut self, key: &JobKey, outcome: Outcome, cx: &mut Context<'_>) {
+        let Outcome::Found(found) = outcome else { return };
+        if !self.is_active() {
+            return;
+        }
+        if let Some(record) = found {
+            self.take_found(&record, cx);
+        }
+        if self.find(key).is_err() {
+            let own = self.orphans.iter_mut().filter(|o| o.report.id.key == *key);
+            own.for_each(|orphan| orphan.jobless = true);
+        }
+    }
+
     /// Lists the tasks of a job that belong to no attempt known here.
     pub(super) fn orphans_of(&self, key: &bulrushlink_core::JobKey) -> Vec<(WorkerId, TaskReport)> {
         let first = self.orphans.partition_point(|o| o.report.id.key < *key);
