--- a/crates/daemon/src/harness.rs
+++ b/crates/daemon/src/harness.rs
@@ -157,7 +157,7 @@
         };
         note.added.domains = self.domains.iter().map(domain).collect();
         note.added.workspaces =
-            vec![WorkspaceSpec { id: "patrol".parse().unwrap(), guarantees: vec![], queue: 100 }];
+            vec![WorkspaceSpec { id: "patrol".parse().unwrap(), guarantees: vec![], queue: 5_000 }];
         note
     }
 
@@ -178,6 +178,17 @@
         self.input(node, Input::Operator(Token(0), OperatorCall::Apply(note)));
     }
 
+    /// Adds a workspace that is guaranteed a gang of `tasks` whole workers.
+    pub(crate) fn guarantee(&mut self, workspace: &str, tasks: u16) {
+        let note = serde_json::json!({ "base": 1, "id": workspace, "added": { "workspaces": [{
+            "id": workspace,
+            "guarantees": [{ "shape": { "tasks": tasks, "accelerators": 8 }, "count": 1 }],
+        }] } });
+        let note = serde_json::from_value(note).expect("the note has the right form");
+        self.input(0, Input::Operator(Token(0), OperatorCall::Apply(note)));
+        self.run(Span::from_secs(3));
+    }
+
     pub(crate) fn name(&self, i: usize) -> bulrushlink_core::DaemonId {
         settings("x", &self.domains).members[i].id.clone()
     }
--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -7,7 +7,7 @@
 use bulrushlink_core::{Code, DaemonId, DesiredState, Error, JobKey, Moment, Refusal, Span, route};
 
 use crate::edge::{CallId, CallerCall, CallerReply, Context, Duty, Output, Token};
-use crate::journal::{JobRecord, Journal, PAGE_RECORDS, SpecDigest};
+use crate::journal::{JobRecord, Journal, PAGE_RECORDS, Patience, SpecDigest};
 use crate::members::Members;
 use crate::peer::{PeerMessage, Phase};
 
@@ -24,6 +24,8 @@
 use hold::{Ask, Hold, Submission};
 use lookup::Tag;
 
+/// Intake's part of the daemon's rate of store calls.
+const STORE_PERCENT: u64 = 20;
 /// Pause before an unanswered message is repeated.
 const REPEAT_MS: u64 = 1_000;
 /// Pause between two questions for the state of a job that is known to be open.
@@ -71,7 +73,7 @@
     pub(crate) fn open(now: Moment) -> Self {
         Self {
             holds: Vec::new(),
-            journal: Journal::open(Duty::Intake, now, now.0),
+            journal: Journal::open(Duty::Intake, STORE_PERCENT, now, now.0),
             draining: None,
             submissions: 0,
             rng: fastrand::Rng::with_seed(now.0),
@@ -148,7 +150,7 @@
             limit: PAGE_RECORDS,
         };
         let tag = Tag::List(token, query.workspace.clone());
-        self.journal.call(tag, request, Some(cx.now + LIST_BOUND), cx);
+        self.journal.call(tag, request, Patience::Until(cx.now + LIST_BOUND), cx);
     }
 
     fn answer_overloaded(token: Token, call: &CallerCall, cx: &mut Context<'_>) {
--- a/crates/daemon/src/intake/lookup.rs
+++ b/crates/daemon/src/intake/lookup.rs
@@ -7,7 +7,7 @@
 use super::hold::{Ask, Lookup};
 use super::{Intake, World, no_such_job};
 use crate::edge::{CallerReply, Context, Output, Token};
-use crate::journal::{DoneRecord, JobRecord, Outcome};
+use crate::journal::{DoneRecord, JobRecord, Outcome, Patience};
 
 /// Time that the store has to tell of a job.
 const LOOKUP_BOUND: Span = Span::from_secs(1);
@@ -31,7 +31,7 @@
         hold.lookup = Lookup::Running;
         hold.looked = cx.now;
         let request = StoreRequest::Get { key: JobRecord::path(&hold.key) };
-        let until = Some(cx.now + LOOKUP_BOUND);
+        let until = Patience::Until(cx.now + LOOKUP_BOUND);
         self.journal.call(Tag::Open(hold.token), request, until, cx);
     }
 
@@ -55,7 +55,7 @@
             Outcome::Found(Some(record)) => self.on_record(i, &record, world, cx),
             Outcome::Found(None) => {
                 let request = StoreRequest::Get { key: DoneRecord::path(&self.holds[i].key) };
-                let until = Some(cx.now + LOOKUP_BOUND);
+                let until = Patience::Until(cx.now + LOOKUP_BOUND);
                 self.journal.call(Tag::Done(token), request, until, cx);
             }
             _ => self.on_unread(token, cx),
--- a/crates/daemon/src/journal.rs
+++ b/crates/daemon/src/journal.rs
@@ -16,7 +16,7 @@
 
 mod writer;
 
-pub(crate) use writer::{Journal, Outcome};
+pub(crate) use writer::{Journal, Outcome, Patience};
 
 /// Time for which the end of a job can be asked for.
 pub(crate) const DONE_RETENTION: Span = Span::from_secs(24 * 60 * 60);
--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -13,12 +13,12 @@
 const RETRY_FIRST_MS: u64 = 50;
 /// Longest pause before a call is repeated.
 const RETRY_MAX_MS: u64 = 2_000;
+/// Longest time that a call of [`Patience::Brief`] waits for its first try.
+const QUEUE_BOUND: Span = Span::from_secs(6);
 /// Calls in a row without an answer from which on the store is taken for down.
 const DOWN_FAULTS: u32 = 3;
 /// Calls a second while the store doesn't answer.
 const DOWN_RATE: u64 = 5;
-/// Duties that share the daemon's rate of store calls for jobs.
-const RATE_SHARES: u64 = 2;
 /// Calls that may go out in a burst, as a part of the rate of a second.
 const BURST_DIVISOR: u64 = 4;
 /// Fractions of a call that the rate is counted in.
@@ -44,6 +44,17 @@
     Lost,
 }
 
+/// How long a call is worth its while.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum Patience {
+    /// Until it is settled.
+    Endless,
+    /// For this time from its first try, and for [`QUEUE_BOUND`] before that; others go first.
+    Brief(Span),
+    /// Until this moment.
+    Until(Moment),
+}
+
 #[derive(Debug)]
 struct Op<T> {
     tag: T,
@@ -54,14 +65,16 @@
     tries: u32,
     /// Whether an earlier try may have had its effect.
     unsure: bool,
-    /// Moment from which the call is given up, unless `unsure`.
-    until: Option<Moment>,
+    /// When the call is given up, unless `unsure`.
+    patience: Patience,
 }
 
 /// Store calls of one duty, each with a tag that comes back with its outcome.
 #[derive(Debug)]
 pub(crate) struct Journal<T> {
     duty: Duty,
+    /// Part of the daemon's rate of store calls.
+    percent: u64,
     ops: Vec<Op<T>>,
     /// Calls without an answer since the last one that had one.
     faults: u32,
@@ -73,9 +86,10 @@
 }
 
 impl<T: Clone> Journal<T> {
-    pub(crate) fn open(duty: Duty, now: Moment, seed: u64) -> Self {
+    pub(crate) fn open(duty: Duty, percent: u64, now: Moment, seed: u64) -> Self {
         Self {
             duty,
+            percent,
             ops: Vec::new(),
             faults: 0,
             credit: CALL_COST,
@@ -95,6 +109,14 @@
         self.calls
     }
 
+    /// Tells whether a new call would wait too long for its turn.
+    pub(crate) fn is_crowded(&self, cx: &Context<'_>) -> bool {
+        let waiting = self.ops.iter().filter(|op| op.call.is_none()).count() as u64;
+        let rate = u64::from(cx.settings.limits.store_rate) * self.percent / 100;
+        // Each create is followed by one more call at least.
+        waiting * 2 * 1_000 >= rate * QUEUE_BOUND.0
+    }
+
     /// Returns the number of calls without an outcome.
     pub(crate) fn open_calls(&self) -> usize {
         self.ops.len()
@@ -121,10 +143,10 @@
         &mut self,
         tag: T,
         request: StoreRequest,
-        until: Option<Moment>,
+        patience: Patience,
         cx: &mut Context<'_>,
     ) {
-        let op = Op { tag, request, call: None, due: cx.now, tries: 0, unsure: false, until };
+        let op = Op { tag, request, call: None, due: cx.now, tries: 0, unsure: false, patience };
         self.ops.push(op);
         self.send_due(cx);
     }
@@ -188,7 +210,7 @@
     }
 
     fn refill(&mut self, cx: &Context<'_>) {
-        let full = u64::from(cx.settings.limits.store_rate) / RATE_SHARES;
+        let full = u64::from(cx.settings.limits.store_rate) * self.percent / 100;
         let rate = if self.is_down() { full.min(DOWN_RATE) } else { full };
         let earned = cx.now.since(self.refilled).millis() * rate;
         let most = (rate / BURST_DIVISOR).max(1) * CALL_COST;
@@ -199,7 +221,9 @@
     fn send_due(&mut self, cx: &mut Context<'_>) {
         self.refill(cx);
         let mut flying = self.ops.iter().filter(|op| op.call.is_some()).count();
-        for op in &mut self.ops {
+        let (last, first): (Vec<_>, Vec<_>) =
+            self.ops.iter_mut().partition(|op| matches!(op.patience, Patience::Brief(_)));
+        for op in first.into_iter().chain(last) {
             let free = flying < cx.settings.limits.store_calls && self.credit >= CALL_COST;
             if !free {
                 return;
@@ -207,6 +231,9 @@
             if op.call.is_some() || op.due > cx.now {
                 continue;
             }
+            if let Patience::Brief(span) = op.patience {
+                op.patience = Patience::Until(cx.now + span);
+            }
             op.call = Some(cx.out.store(self.duty, op.request.clone()));
             op.tries += 1;
             flying += 1;
@@ -225,7 +252,12 @@
     }
 
     fn is_over(&self, now: Moment) -> bool {
-        !self.unsure && self.until.is_some_and(|until| now >= until)
+        let until = match self.patience {
+            Patience::Endless => return false,
+            Patience::Until(until) => until,
+            Patience::Brief(_) => self.due + QUEUE_BOUND,
+        };
+        !self.unsure && now >= until
     }
 
     fn settle(&self, reply: StoreReply) -> Outcome {
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -45,6 +45,9 @@
 /// accelerators apart.
 const BACK_OFF_MS: u64 = 200;
 
+/// The placer's part of the daemon's rate of store calls.
+const STORE_PERCENT: u64 = 80;
+
 /// What a placer does.
 #[derive(Debug)]
 enum Standing {
@@ -106,7 +109,7 @@
             hosts: Vec::new(),
             former: Vec::new(),
             jobs: Vec::new(),
-            journal: Journal::open(Duty::Placer, now, incarnation),
+            journal: Journal::open(Duty::Placer, STORE_PERCENT, now, incarnation),
             calls: Vec::new(),
             orphans: Vec::new(),
             refused: Vec::new(),
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -6,7 +6,7 @@
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
+use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome, Patience};
 use crate::placer::records::Tag;
 
 /// Most bytes of all outputs of a job; JSON may double them within a value of the store.
@@ -95,7 +95,7 @@
             expect: Expect::Absent,
             lease: Some(DONE_RETENTION),
         };
-        self.journal.call(Tag::Done(key), request, None, cx);
+        self.journal.call(Tag::Done(key), request, Patience::Endless, cx);
     }
 
     pub(super) fn on_done(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -119,7 +119,7 @@
         let key = job.key().clone();
         let Some(kept) = &job.kept else { return self.on_removed(i, cx) };
         let request = StoreRequest::Delete { key: JobRecord::path(&key), at: kept.at };
-        self.journal.call(Tag::Remove(key), request, None, cx);
+        self.journal.call(Tag::Remove(key), request, Patience::Endless, cx);
     }
 
     /// Removes a record of a job whose end is durable, left by an owner that had it in between.
@@ -130,7 +130,7 @@
         if durable && settled {
             let key = job.key().clone();
             let request = StoreRequest::Delete { key: JobRecord::path(&key), at };
-            self.journal.call(Tag::Remove(key), request, None, cx);
+            self.journal.call(Tag::Remove(key), request, Patience::Endless, cx);
         }
     }
 
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -1,13 +1,13 @@
 //! The placer's records in the store: who may start what, settled one write at a time.
 
 use bulrushlink_api::{Expect, Record, Revision, StoreRequest};
-use bulrushlink_core::{Ending, Event, JobKey, Moment, Span};
+use bulrushlink_core::{Ending, Event, JobKey, Span};
 
 use super::Placer;
 use super::gang::Verdict;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DoneRecord, JobRecord, Kept, OPEN_PREFIX, Outcome};
+use crate::journal::{DoneRecord, JobRecord, Kept, OPEN_PREFIX, Outcome, Patience};
 use crate::peer::JobStatus;
 
 /// Time that the store has to say whether a refused job is known to it.
@@ -80,14 +80,14 @@
     pub(super) fn tick_store(&mut self, cx: &mut Context<'_>) {
         if self.journal.is_down() && self.journal.open_calls() == 0 {
             let request = StoreRequest::Get { key: OPEN_PREFIX.to_string() };
-            self.journal.call(Tag::Health, request, None, cx);
+            self.journal.call(Tag::Health, request, Patience::Endless, cx);
         }
     }
 
     /// Begins to make a job durable.
-    pub(super) fn create(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+    pub(super) fn create(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.jobs[i].claim = Claim::Creating;
-        self.put(i, until, cx);
+        self.put(i, patience, cx);
     }
 
     /// Writes the record if it isn't yet as wanted.
@@ -95,11 +95,11 @@
         let job = &self.jobs[i];
         let stale = job.kept.as_ref().is_some_and(|kept| kept.record != job.wanted);
         if job.writing.is_none() && job.claim == Claim::Owned && stale {
-            self.put(i, None, cx);
+            self.put(i, Patience::Endless, cx);
         }
     }
 
-    fn put(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+    fn put(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.seq += 1;
         let job = &mut self.jobs[i];
         job.wanted.seq = self.seq;
@@ -112,7 +112,7 @@
             lease: None,
         };
         let tag = Tag::Record(job.key().clone());
-        self.journal.call(tag, request, until, cx);
+        self.journal.call(tag, request, patience, cx);
     }
 
     fn on_record(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -149,7 +149,7 @@
         job.verifying = Some(cx.now);
         let key = job.key().clone();
         let request = StoreRequest::Get { key: JobRecord::path(&key) };
-        self.journal.call(Tag::Verify(key), request, None, cx);
+        self.journal.call(Tag::Verify(key), request, Patience::Endless, cx);
     }
 
     fn on_verified(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -171,7 +171,7 @@
     fn check(&mut self, i: usize, cx: &mut Context<'_>) {
         let key = self.jobs[i].key().clone();
         let request = StoreRequest::Get { key: DoneRecord::path(&key) };
-        self.journal.call(Tag::Check(key), request, None, cx);
+        self.journal.call(Tag::Check(key), request, Patience::Endless, cx);
     }
 
     fn on_check(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -252,7 +252,7 @@
         }
         job.kept = Some(Kept { at, record });
         job.claim = Claim::Taking;
-        self.put(i, None, cx);
+        self.put(i, Patience::Endless, cx);
     }
 
     /// Gives a job up to another owner. What runs of it goes on for that one to find.
@@ -292,7 +292,8 @@
         }
         self.jobs[i].claim = Claim::Probing;
         let request = StoreRequest::Get { key: JobRecord::path(&key) };
-        self.journal.call(Tag::ProbeOpen(key), request, Some(cx.now + PROBE_BOUND), cx);
+        let until = Patience::Until(cx.now + PROBE_BOUND);
+        self.journal.call(Tag::ProbeOpen(key), request, until, cx);
     }
 
     fn on_probe_open(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -305,7 +306,7 @@
             Outcome::Found(None) => {
                 let key = self.jobs[i].key().clone();
                 let request = StoreRequest::Get { key: DoneRecord::path(&key) };
-                let until = Some(cx.now + PROBE_BOUND);
+                let until = Patience::Until(cx.now + PROBE_BOUND);
                 self.journal.call(Tag::ProbeDone(key), request, until, cx);
             }
             _ => self.settle_refusal(i, true),
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -11,7 +11,7 @@
 use super::{Placer, Standing, worker_info};
 use crate::edge::Context;
 use crate::intake::World;
-use crate::journal::{JobRecord, OPEN_PREFIX, Outcome, PAGE_RECORDS};
+use crate::journal::{JobRecord, OPEN_PREFIX, Outcome, PAGE_RECORDS, Patience};
 use crate::peer::{JobStatus, PeerMessage};
 
 /// Time after which recovery goes on without workers and records that it hasn't heard of.
@@ -152,7 +152,7 @@
     fn read_page(&mut self, after: String, cx: &mut Context<'_>) {
         let prefix = OPEN_PREFIX.to_string();
         let request = StoreRequest::List { prefix, after, limit: PAGE_RECORDS };
-        self.journal.call(Tag::Sweep, request, None, cx);
+        self.journal.call(Tag::Sweep, request, Patience::Endless, cx);
     }
 
     pub(super) fn on_page(&mut self, outcome: Outcome, cx: &mut Context<'_>) {
@@ -285,12 +285,14 @@
         if self.jobs[i].end.is_some() {
             return self.drive_end(i, cx);
         }
-        let key = self.jobs[i].key().clone();
         match (&self.jobs[i].place, self.jobs[i].claim) {
             (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
             (Place::Leaving(_), _) => {}
-            (Place::Out, _) => self.enter(&key, cx),
-            (_, Claim::Memory) if !self.journal.is_down() => self.create(i, None, cx),
+            (Place::Out, _) => {
+                let key = self.jobs[i].key().clone();
+                self.enter(&key, cx);
+            }
+            (_, Claim::Memory) if !self.journal.is_down() => self.create(i, Patience::Endless, cx),
             _ => {}
         }
     }
--- a/crates/daemon/src/placer/reports.rs
+++ b/crates/daemon/src/placer/reports.rs
@@ -10,7 +10,7 @@
 use super::records::Tag;
 use super::{Placer, Standing};
 use crate::edge::Context;
-use crate::journal::{JobRecord, Outcome};
+use crate::journal::{JobRecord, Outcome, Patience};
 
 /// Time for which a task of a job that nobody knows is left alone.
 const ORPHAN_GRACE: Span = Span::from_secs(30);
@@ -181,7 +181,7 @@
         let tag = Tag::Orphan(key.clone());
         if !self.journal.has(|other| *other == tag) {
             let request = StoreRequest::Get { key: JobRecord::path(key) };
-            self.journal.call(tag, request, None, cx);
+            self.journal.call(tag, request, Patience::Endless, cx);
         }
     }
 
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -7,7 +7,7 @@
 use super::job::{Claim, End, EndStep, Job, Place};
 use super::{Placer, Standing};
 use crate::edge::Context;
-use crate::journal::{JobRecord, SpecDigest};
+use crate::journal::{JobRecord, Patience, SpecDigest};
 use crate::peer::{JobStatus, PeerMessage};
 
 /// Time for which a refused submission is remembered.
@@ -124,9 +124,16 @@
         cx: &mut Context<'_>,
     ) {
         let light = submit.held && submit.spec.idempotent;
-        if !light && self.journal.is_down() {
+        let refusal = if light {
+            None
+        } else if self.journal.is_down() {
+            Some(store_refusal())
+        } else {
+            self.journal.is_crowded(cx).then(crowded_refusal)
+        };
+        if let Some(refusal) = refusal {
             let key = submit.spec.key.clone();
-            let status = JobStatus::Unsure(store_refusal());
+            let status = JobStatus::Unsure(refusal);
             self.remember_refusal(from, submit.seq, &status, cx.now);
             return self.answer(from, &key, status, Some(submit.seq), cx);
         }
@@ -144,8 +151,8 @@
         if self.jobs[i].end.is_some() {
             self.probe(i, cx);
         } else {
-            let until = (!light).then(|| cx.now + CREATE_BOUND);
-            self.create(i, until, cx);
+            let brief = Patience::Brief(CREATE_BOUND);
+            self.create(i, if light { Patience::Endless } else { brief }, cx);
         }
     }
 
@@ -213,7 +220,9 @@
     /// Refuses a job that the store couldn't make durable; it certainly isn't there.
     pub(super) fn refuse_undurable(&mut self, i: usize, cx: &mut Context<'_>) {
         self.withdraw(i, cx);
-        let mut end = End::open(Ending::Refused(store_refusal()), cx.now);
+        let down = self.journal.is_down();
+        let refusal = if down { store_refusal() } else { crowded_refusal() };
+        let mut end = End::open(Ending::Refused(refusal), cx.now);
         (end.step, end.unsure) = (EndStep::Settled, true);
         self.jobs[i].end = Some(end);
         self.jobs[i].claim = Claim::Memory;
@@ -341,6 +350,15 @@
     }
 }
 
+fn crowded_refusal() -> Refusal {
+    Refusal {
+        code: Code::Overloaded,
+        reason: "more jobs come than may be written to the store; this submission is not run"
+            .to_string(),
+        retry: Some(STORE_RETRY),
+    }
+}
+
 fn store_refusal() -> Refusal {
     Refusal {
         code: Code::StoreUnavailable,
--- a/crates/daemon/src/placer/tests.rs
+++ b/crates/daemon/src/placer/tests.rs
@@ -395,3 +395,84 @@
     let token = net.status(3, &fill.spec().key, None);
     assert_eq!(net.wait(token, LONG).code, Code::Completed, "what ran ran to its end");
 }
+
+#[test]
+fn a_job_costs_four_store_calls_and_its_intent_one_more() {
+    for (idempotent, calls) in [(true, 4), (false, 5)] {
+        let mut net = Net::open(ONE, 15);
+        net.run(Span::from_secs(1));
+        let keys = |r: &StoreRequest| match r {
+            StoreRequest::Get { key } | StoreRequest::Put { key, .. } => key.clone(),
+            StoreRequest::Delete { key, .. } => key.clone(),
+            _ => String::new(),
+        };
+        let own = Rc::new(Cell::new(0));
+        let seen = own.clone();
+        net.store_rule = Box::new(move |_, request| {
+            seen.set(seen.get() + u32::from(keys(request).ends_with("patrol/a")));
+            Fate::Well
+        });
+        let token = net.submit(0, &job("a", 2, idempotent, Some(LONG)));
+        assert_eq!(net.wait(token, LONG).code, Code::Completed);
+        net.run(Span::from_secs(60));
+        assert_eq!(own.get(), calls);
+    }
+}
+
+#[test]
+fn a_burst_beyond_the_rate_of_the_store_is_refused_at_once_and_the_rest_is_kept() {
+    let mut net = Net::open(ONE, 16);
+    let bodies: Vec<_> =
+        (0..600).map(|n| long_job(&format!("j{n}"), 1, n % 2 == 0, Span(100))).collect();
+    let tokens: Vec<_> = bodies.iter().map(|body| net.submit(0, body)).collect();
+    net.run(Span::from_secs(9));
+    let (mut accepted, mut refused) = (0, 0);
+    for (token, body) in tokens.iter().zip(&bodies) {
+        let code = net.answer(*token).expect("all are answered within 9 s").code;
+        match code {
+            Code::Accepted | Code::Running => accepted += 1,
+            Code::Overloaded => refused += 1,
+            code => panic!("{code} for {body:?}"),
+        }
+    }
+    assert!(accepted > 100 && refused > 100, "{accepted} {refused}");
+    net.run(Span::from_secs(120));
+    for (token, body) in tokens.iter().zip(&bodies) {
+        let ran = !net.record.runs_of(&body.spec().key).is_empty();
+        assert_eq!(ran, net.answer(*token).unwrap().code != Code::Overloaded);
+    }
+    let counts = net.store.counts();
+    assert_eq!(counts.limited, 0);
+}
+
+#[test]
+fn a_job_that_is_not_idempotent_goes_on_from_its_checkpoint_when_it_is_reclaimed() {
+    let mut net = Net::open(ONE, 17);
+    net.guarantee("shift", 4);
+    let mut borrower = long_job("a", 4, false, Span::from_secs(40));
+    borrower.checkpoint = true;
+    let token = net.submit(0, &borrower);
+    assert_eq!(net.wait(token, LONG).code, Code::Accepted);
+    net.run(Span::from_secs(10));
+    assert_eq!(running(&net, &borrower.spec().key), 4);
+    let mut owner = long_job("b", 4, false, Span::from_secs(5));
+    owner.workspace = "shift".parse().unwrap();
+    owner.urgency = bulrushlink_core::Urgency::Urgent;
+    let token = net.submit(0, &owner);
+    assert_eq!(net.wait(token, LONG).code, Code::Accepted);
+    net.run(Span(8_300));
+    let started = net.record.runs_of(&owner.spec().key).len();
+    assert_eq!(started, 4, "the guarantee is reclaimed in time");
+    net.run(Span::from_secs(120));
+    for body in [&borrower, &owner] {
+        let token = net.status(0, &body.spec().key, None);
+        assert_eq!(net.wait(token, LONG).code, Code::Completed);
+    }
+    let runs = net.record.runs_of(&borrower.spec().key);
+    let saved = |run: &bulrushlink_standin::Run| {
+        run.end == Some(bulrushlink_standin::RunEnd::Stopped { saved: true, lapsed: false })
+    };
+    assert_eq!(runs.iter().filter(|run| saved(run)).count(), 4);
+    assert_eq!(net.attempts(&borrower.spec().key).len(), 2);
+    assert_whole(&net);
+}
