Say that a job failed only where it is certain that it ran, and by its owner alone

An end other than completion now also needs one more write of the record, because another owner may have seen the job complete.

--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -56,6 +56,11 @@
                 end.step = EndStep::Removing;
                 self.remove(i, cx);
             }
+            // Another owner may see the job completed where this one doesn't.
+            Claim::Owned if !end.claimed && !matches!(end.ending, Ending::Completed { .. }) => {
+                end.claimed = true;
+                self.put(i, Patience::Endless, cx);
+            }
             Claim::Owned => self.write_done(i, cx),
             _ => {}
         }
--- a/crates/daemon/src/placer/gang.rs
+++ b/crates/daemon/src/placer/gang.rs
@@ -87,6 +87,8 @@
     pub(super) state: PartState,
     /// Moment at which the worker was last known to have the task.
     pub(super) heard: Moment,
+    /// Whether it is certain that the task has run.
+    pub(super) ran: bool,
     /// Moment at which the last reservation that was granted was asked for.
     pub(super) reserved: Moment,
 }
@@ -162,7 +164,13 @@
 
 impl Gang {
     pub(super) fn open(attempt: Attempt, placement: Placement, now: Moment) -> Self {
-        let part = |place| Part { place, state: PartState::Unknown, heard: now, reserved: now };
+        let part = |place| Part {
+            place,
+            state: PartState::Unknown,
+            heard: now,
+            ran: false,
+            reserved: now,
+        };
         Self {
             attempt,
             parts: placement.into_iter().map(part).collect(),
@@ -301,8 +309,9 @@
 
     /// Decides what a gang of which nothing runs any more came to.
     ///
-    /// Only a job whose second run does no harm may be said not to have started once a start was
-    /// sent; the others failed if it is certain that they didn't complete.
+    /// Once a start was sent, only a job whose second run does no harm may be said not to have
+    /// started, unless no worker has any of it. The others failed if it is certain that they ran
+    /// and that they didn't complete.
     pub(super) fn verdict(&self, cause: &Cause, idempotent: bool) -> Verdict {
         if self.is_completed() {
             return Verdict::Completed(self.outputs());
@@ -313,24 +322,24 @@
                 _ => Verdict::NotStarted(None, StartFault::Busy),
             };
         }
-        let never = !self.found && self.all(|state| *state == PartState::Absent);
+        let ran = self.parts.iter().any(|part| part.ran);
+        let absent = self.all(|state| *state == PartState::Absent);
+        let never = !self.found && !ran && absent;
         let cut = self.parts.iter().find(|part| part.state.is_cut());
-        let traced =
-            !self.found || self.parts.iter().any(|p| matches!(p.state, PartState::Ended(_)));
         match (cause, cut) {
             (Cause::Start(worker, fault), _) if idempotent || never => {
                 Verdict::NotStarted(worker.clone(), *fault)
             }
             (Cause::Stop(..), _) if never => Verdict::NotStarted(None, StartFault::Busy),
-            (Cause::Stop(..), _) if idempotent || cut.is_some() => self.vacated(),
+            (Cause::Stop(..), _) if idempotent || ran && cut.is_some() => self.vacated(),
             (Cause::Member(worker, reason), _) if idempotent => {
                 Verdict::Failed(worker.clone(), reason.clone())
             }
             (Cause::Lost(..), _) if idempotent => Verdict::Unsettled,
-            (Cause::Member(worker, reason) | Cause::Lost(worker, reason), Some(_)) if traced => {
+            (Cause::Member(worker, reason) | Cause::Lost(worker, reason), Some(_)) if ran => {
                 Verdict::Failed(worker.clone(), reason.clone())
             }
-            (Cause::Start(..), Some(part)) if traced => {
+            (Cause::Start(..), Some(part)) if ran => {
                 let reason = "not all tasks could be started".to_string();
                 Verdict::Failed(part.place.worker.clone(), reason)
             }
@@ -363,6 +372,8 @@
 
 impl Part {
     pub(super) fn raise(&mut self, state: PartState) {
+        self.ran |=
+            matches!(state, PartState::Started | PartState::Confirmed | PartState::Ended(_));
         if state.rank() > self.state.rank() {
             self.state = state;
         }
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -69,11 +69,14 @@
     pub(super) unsure: bool,
     /// Whether it binds no later submission of the same request, so that nothing of it is kept.
     pub(super) loose: bool,
+    /// Whether the record was written once more to make sure that this owner may say so.
+    pub(super) claimed: bool,
 }
 
 impl End {
     pub(super) const fn open(ending: Ending, now: Moment) -> Self {
-        Self { ending, step: EndStep::Open, since: now, unsure: false, loose: false }
+        let step = EndStep::Open;
+        Self { ending, step, since: now, unsure: false, loose: false, claimed: false }
     }
 }
 
@@ -210,13 +213,15 @@
         self.said == Some(Said::Ended)
     }
 
-    /// Tells whether an end may be told: what a later owner can't contradict doesn't wait for the
+    /// Tells whether an end may be told: what no other owner can contradict doesn't wait for the
     /// store when that is down.
     fn may_tell(&self, end: &End, down: bool, now: Moment) -> bool {
-        let firm = matches!(
-            end.ending,
-            Ending::Completed { .. } | Ending::Failed { .. } | Ending::Unknown { .. }
-        );
+        let alone = self.is_light() && matches!(self.claim, Claim::Memory | Claim::Creating);
+        let firm = match end.ending {
+            Ending::Completed { .. } => true,
+            Ending::Failed { .. } | Ending::Unknown { .. } => alone,
+            Ending::Cancelled { .. } | Ending::Refused(_) => false,
+        };
         let late = down || now.since(end.since) > STORE_PATIENCE;
         let least = if end.loose { EndStep::Settled } else { EndStep::Removing };
         end.step >= least || firm && late
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -99,7 +99,7 @@
         }
     }
 
-    fn put(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
+    pub(super) fn put(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.seq += 1;
         let job = &mut self.jobs[i];
         job.wanted.seq = self.seq;
