--- a/crates/daemon/src/intake/answers.rs
+++ b/crates/daemon/src/intake/answers.rs
@@ -6,6 +6,12 @@
 use crate::journal::JobRecord;
 use crate::peer::JobStatus;
 
+/// Reason of an answer about a job that waits without a record.
+const WAITS_UNKEPT: &str =
+    "the store could not make the job durable yet, so that it may be lost; ask for its status";
+/// Reason of an answer about a job that runs without a record.
+const RUNS_UNKEPT: &str = "the job runs, but the store could not make it durable yet, so that it may be lost; ask for \
+     its status";
 /// Time to come back for the state of an open job.
 const OPEN_RETRY: Span = Span::from_secs(2);
 /// Time to come back when nothing could be settled.
@@ -61,20 +67,16 @@
     JobAnswer { reason, output, ..bare(Some(key.clone()), ending.code(), state) }
 }
 
-/// Says where an open job is.
+/// Says where an open job is. What isn't durable may be lost, and is never called accepted.
 pub(super) fn present_answer(key: &JobKey, status: &JobStatus, why: Option<Why>) -> JobAnswer {
-    let (code, state, durable) = match status {
-        JobStatus::Running { durable } => (Code::Running, JobState::Running, *durable),
-        JobStatus::Waiting { durable: true } => (Code::Accepted, JobState::Accepted, true),
-        _ => (Code::TimedOut, JobState::Unknown, false),
-    };
-    let reason = if durable {
-        String::new()
-    } else {
-        "the store could not make the job durable yet, so that it may be lost; ask for its status"
-            .to_string()
-    };
     let retry = Some(OPEN_RETRY);
+    let (code, state, reason) = match status {
+        JobStatus::Running { durable: true } => (Code::Running, JobState::Running, ""),
+        JobStatus::Waiting { durable: true } => (Code::Accepted, JobState::Accepted, ""),
+        JobStatus::Running { .. } => (Code::TimedOut, JobState::Unknown, RUNS_UNKEPT),
+        _ => (Code::TimedOut, JobState::Unknown, WAITS_UNKEPT),
+    };
+    let reason = reason.to_string();
     JobAnswer { reason, retry, why, ..bare(Some(key.clone()), code, state) }
 }
 
--- a/crates/daemon/src/placer/gang.rs
+++ b/crates/daemon/src/placer/gang.rs
@@ -354,9 +354,9 @@
             }
             _ => None,
         });
-        let is_saved = |state: &PartState| match state {
-            PartState::Ended(TaskState::Stopped { saved, .. }) => *saved,
-            state => state.is_completed(),
+        // A task that has completed can't go on from a checkpoint: it would run again.
+        let is_saved = |state: &PartState| {
+            matches!(state, PartState::Ended(TaskState::Stopped { saved: true, .. }))
         };
         failed.unwrap_or_else(|| Verdict::Vacated { saved: self.all(is_saved) })
     }
