--- a/crates/daemon/src/harness.rs
+++ b/crates/daemon/src/harness.rs
@@ -3,8 +3,8 @@
 //! from their answers, never from the daemons' state.
 
 use bulrushlink_api::{
-    EdgeFault, Host, HostList, JobAnswer, OperatorCall, StoreReply, StoreRequest, SubmitBody,
-    WorkerBatch, WorkerReply,
+    EdgeFault, Host, HostList, JobAnswer, JobList, OperatorCall, StoreReply, StoreRequest,
+    SubmitBody, WorkerBatch, WorkerReply,
 };
 use bulrushlink_core::{
     Attempt, DomainSpec, JobKey, Moment, ReleaseNote, Service, Span, WorkerId, WorkspaceSpec,
@@ -77,6 +77,7 @@
     pub(crate) workers: Vec<WorkerSim>,
     pub(crate) record: Record,
     pub(crate) told: Vec<Told>,
+    pub(crate) lists: Vec<(Token, JobList)>,
     pub(crate) exited: Vec<usize>,
     pub(crate) store_rule: StoreRule,
     pub(crate) worker_rule: WorkerRule,
@@ -121,6 +122,7 @@
             workers,
             record,
             told: Vec::new(),
+            lists: Vec::new(),
             exited: Vec::new(),
             store_rule: Box::new(|_, _| Fate::Well),
             worker_rule: Box::new(|_, _, _| Fate::Well),
@@ -427,7 +429,8 @@
                 self.told.push(Told { at: self.now, token, answer });
             }
             Output::Exit => self.exited.push(i),
-            Output::Caller(_, CallerReply::List(_)) | Output::Operator(..) => {}
+            Output::Caller(token, CallerReply::List(list)) => self.lists.push((token, list)),
+            Output::Operator(..) => {}
         }
     }
 
--- a/crates/daemon/src/intake/tests.rs
+++ b/crates/daemon/src/intake/tests.rs
@@ -1,7 +1,7 @@
-use bulrushlink_api::{JobState, SubmitBody};
+use bulrushlink_api::{JobList, JobState, ListQuery, StatusQuery, SubmitBody};
 use bulrushlink_core::{Code, Span};
 
-use crate::edge::Input;
+use crate::edge::{CallerCall, Input};
 use crate::harness::{Fate, Net, job, long_job};
 
 const ONE: &[(&str, usize)] = &[("cuenca", 1)];
@@ -219,3 +219,41 @@
     assert!(answer.retry.is_some());
     net.input(0, Input::Tick);
 }
+
+#[test]
+fn open_jobs_are_listed_and_explained() {
+    let mut net = Net::open(TWO, 10);
+    for n in 0..3 {
+        let token = net.submit(n, &long_job(&format!("j{n}"), 4, false, LONG));
+        assert_eq!(net.wait(token, LONG).code, Code::Accepted);
+    }
+    net.run(Span::from_secs(2));
+    let query = |after: Option<&str>| ListQuery {
+        workspace: "patrol".parse().unwrap(),
+        after: after.map(|id| id.parse().unwrap()),
+    };
+    net.caller(4, CallerCall::List(query(None)));
+    net.caller(4, CallerCall::List(query(Some("j1"))));
+    net.run(Span::from_secs(1));
+    let jobs = |i: usize| -> Vec<_> {
+        let list: &JobList = &net.lists[i].1;
+        assert!(list.complete && !list.more);
+        list.jobs
+            .iter()
+            .map(|job| (job.key.clone().unwrap().request.to_string(), job.code))
+            .collect()
+    };
+    assert_eq!(jobs(0).len(), 3);
+    assert_eq!(jobs(0).iter().filter(|(_, code)| *code == Code::Running).count(), 2);
+    assert_eq!(jobs(1), jobs(0)[2..]);
+    let waiting = jobs(0).into_iter().find(|(_, code)| *code == Code::Accepted).unwrap().0;
+    let key = format!("patrol/{waiting}").parse().unwrap();
+    let token = net.caller(4, CallerCall::Status(StatusQuery { key, wait: None, why: true }));
+    let why = net.wait(token, LONG).why.expect("the reason was asked for");
+    assert_eq!(why.phase, "waiting");
+    assert!(!why.text.is_empty());
+    down(&mut net);
+    net.caller(4, CallerCall::List(query(None)));
+    net.run(Span::from_secs(5));
+    assert!(!net.lists[2].1.complete);
+}
--- a/crates/daemon/src/placer/starts.rs
+++ b/crates/daemon/src/placer/starts.rs
@@ -120,8 +120,13 @@
         if let Some((worker, fault)) = refusal {
             return self.fail(i, Cause::Start(worker, fault), cx);
         }
+        let down = self.journal.is_down();
         let job = &mut self.jobs[i];
+        let Place::Placed(gang) = &job.place else { return };
+        let recorded = job.is_recorded(gang.attempt, down, cx.now);
         let Place::Placed(gang) = &mut job.place else { return };
+        assert!(recorded, "{} starts without authority", job.spec.key);
+        assert!(job.spec.idempotent || !job.committed, "{} starts twice", job.spec.key);
         gang.committed = true;
         gang.enter(Phase::Committing, cx.now);
         job.committed = true;
