--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -11,7 +11,7 @@
 /// One worker in this many may be quarantined at the same time.
 const QUARANTINE_PART: usize = 8;
 /// The largest job that probes a worker, in accelerators.
-const PROBE_ACCELERATORS_MAX: u32 = 2;
+pub(super) const PROBE_ACCELERATORS_MAX: u32 = 2;
 
 impl Scheduler {
     /// Notes that a job completed on its workers. Those that failed it before are to blame.
@@ -99,6 +99,16 @@
         self.actions.push(Action::Readmit(id));
     }
 
+    /// Returns a quarantined worker that is due for a probe.
+    pub(super) fn probe_due(&self) -> Option<WorkerIx> {
+        self.fleet.quarantined().iter().copied().find(|worker| {
+            let state = self.fleet.worker(*worker);
+            let quarantine = state.health.quarantine();
+            let due = quarantine.is_some_and(|q| q.prober.is_none() && q.probe <= self.now);
+            due && !state.info.leaving && state.shunned == Moment(0)
+        })
+    }
+
     /// Starts a small idempotent job on a quarantined worker whose probe is due.
     pub(super) fn try_probe(&mut self, ix: JobIx) -> bool {
         if self.fleet.quarantined().is_empty() {
@@ -110,13 +120,7 @@
         if !small || !job.repeatable() || job.is_urgent() {
             return false;
         }
-        let due = self.fleet.quarantined().iter().copied().find(|worker| {
-            let state = self.fleet.worker(*worker);
-            let quarantine = state.health.quarantine();
-            let due = quarantine.is_some_and(|q| q.prober.is_none() && q.probe <= self.now);
-            due && !state.info.leaving && state.shunned == Moment(0)
-        });
-        let Some(worker) = due else { return false };
+        let Some(worker) = self.probe_due() else { return false };
         let state = self.fleet.worker(worker);
         let free = AcceleratorSet::run(0, state.info.accelerators).without(state.busy);
         let Some(set) = pick(free, shape.accelerators) else { return false };
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -1,9 +1,10 @@
 //! One pass over the waiting jobs: who is next, and on what terms it may start.
 
-use crate::job::{Shape, Urgency};
+use crate::job::{GANG_MAX_TASKS, Shape, Urgency};
 use crate::sched::Scheduler;
+use crate::sched::blame::PROBE_ACCELERATORS_MAX;
 use crate::sched::fit::{self, Place};
-use crate::sched::fleet::View;
+use crate::sched::fleet::{SIZES, VIEWS, View};
 use crate::sched::guarantee::holds;
 use crate::sched::jobs::{Job, JobIx, Phase, Reason};
 use crate::sched::queue::{Class, Entry, LaneKey};
@@ -21,6 +22,9 @@
 /// Time by which a workspace that borrows all accelerators is set back.
 const FAIR_SETBACK: Span = Span::from_secs(15 * 60);
 
+/// Kinds of adjacency.
+const ADJACENCIES: usize = 3;
+
 /// Order of the lanes' heads; the smallest is next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct Rank {
@@ -40,10 +44,35 @@
     draining: Option<u8>,
     /// Jobs that were offered a place in such a block.
     backfills: usize,
-    /// Shapes that wait, whether they borrow, and whether there is room for one; sorted.
-    room: Vec<((Shape, bool), bool)>,
-    /// Shapes for which no room was found under a view.
-    full: Vec<(View, Shape)>,
+    room: RoomTable,
+    /// Whether a quarantined worker is due for a probe.
+    probing: bool,
+}
+
+/// Whether there is room for a shape under a view, as far as it was looked for.
+#[derive(Debug)]
+struct RoomTable(Vec<Option<bool>>);
+
+impl Default for RoomTable {
+    fn default() -> Self {
+        Self(vec![None; VIEWS * ADJACENCIES * SIZES * usize::from(GANG_MAX_TASKS)])
+    }
+}
+
+impl RoomTable {
+    fn index(view: View, shape: Shape) -> usize {
+        let outer = view as usize * ADJACENCIES + shape.adjacency as usize;
+        let tasks = usize::from(GANG_MAX_TASKS);
+        (outer * SIZES + usize::from(shape.accelerators)) * tasks + usize::from(shape.tasks) - 1
+    }
+
+    fn get(&self, view: View, shape: Shape) -> Option<bool> {
+        self.0[Self::index(view, shape)]
+    }
+
+    fn entry(&mut self, view: View, shape: Shape) -> &mut Option<bool> {
+        &mut self.0[Self::index(view, shape)]
+    }
 }
 
 impl Scheduler {
@@ -97,9 +126,10 @@
         let promising = |lane: &LaneKey, outlook: &Outlook| outlook.may_hold(lane);
         self.sweep(&mut starts, &mut outlook, promising, |sched, ix, _| sched.try_guaranteed(ix));
         self.look_ahead(&mut outlook);
-        let probing = !self.fleet.quarantined().is_empty();
+        outlook.probing = self.probe_due().is_some();
         let promising = |lane: &LaneKey, outlook: &Outlook| {
-            probing || outlook.has_room(lane) || outlook.may_backfill(lane)
+            let small = outlook.may_probe(lane) || outlook.may_backfill(lane);
+            small || outlook.room.get(lane.view(), lane.shape) == Some(true)
         };
         self.sweep(&mut starts, &mut outlook, promising, Self::try_borrowed);
         self.unfinished = starts == 0;
@@ -108,10 +138,9 @@
     /// Finds out which of the shapes that wait find room at all.
     fn look_ahead(&self, outlook: &mut Outlook) {
         for lane in self.queue.lanes() {
-            let key = (lane.key.shape, lane.key.preemptible);
-            let Err(i) = outlook.room.binary_search_by_key(&key, |room| room.0) else { continue };
-            let view = if lane.key.preemptible { View::Soft } else { View::Hard };
-            outlook.room.insert(i, (key, fit::may_fit(&self.fleet, view, lane.key.shape)));
+            let view = lane.key.view();
+            let room = outlook.room.entry(view, lane.key.shape);
+            room.get_or_insert_with(|| fit::may_fit(&self.fleet, view, lane.key.shape));
         }
     }
 
@@ -218,12 +247,12 @@
     fn look(&self, ix: JobIx, view: View, outlook: &mut Outlook) -> Option<Vec<Place>> {
         let job = self.jobs.get(ix);
         let shape = job.spec.shape;
-        if outlook.full.contains(&(view, shape)) {
+        if outlook.room.get(view, shape) == Some(false) {
             return None;
         }
         let found = fit::find(&self.fleet, view, shape, &job.failed_on);
         if found.is_none() && job.failed_on.is_empty() {
-            outlook.full.push((view, shape));
+            *outlook.room.entry(view, shape) = Some(false);
         }
         found
     }
@@ -267,11 +296,10 @@
         unused || lane.class == Class::Urgent && own.into_iter().any(|g| holds(g.1, lane.shape))
     }
 
-    /// Tells whether there was room for the lane's shape when the pass began.
-    fn has_room(&self, lane: &LaneKey) -> bool {
-        let key = (lane.shape, lane.preemptible);
-        let found = self.room.binary_search_by_key(&key, |room| room.0);
-        found.is_ok_and(|i| self.room[i].1)
+    /// Tells whether the first job of a lane may probe a quarantined worker.
+    fn may_probe(&self, lane: &LaneKey) -> bool {
+        let small = lane.shape.tasks == 1 && lane.shape.total() <= PROBE_ACCELERATORS_MAX;
+        self.probing && small && lane.preemptible && lane.class != Class::Urgent
     }
 
     /// Tells whether the first job of a lane may run in a block that drains.
--- a/crates/core/src/sched/queue.rs
+++ b/crates/core/src/sched/queue.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::job::Shape;
+use crate::sched::fleet::View;
 use crate::sched::jobs::JobIx;
 use crate::sched::spaces::SpaceIx;
 
@@ -35,6 +36,13 @@
     pub(super) avoiding: Option<JobIx>,
 }
 
+impl LaneKey {
+    /// Returns the room that the jobs may start in.
+    pub(super) const fn view(&self) -> View {
+        if self.preemptible { View::Soft } else { View::Hard }
+    }
+}
+
 /// Where a job stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub(super) struct Ticket {
