Protect work that was stopped often, and leave silent workers alone for longer

A job stopped three times for others is firm where it holds nobody's guarantee; a victim's cost grows with its stops. A worker that doesn't answer starts loses the guarantees bound to it, so that a guaranteed job doesn't wait for it. Shapes out of range are refused instead of indexed with.

--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -34,14 +34,17 @@
         if let Some(guarantee) = self.unused(ix) {
             return self.use_whole(ix, guarantee);
         }
-        if !self.jobs.get(ix).is_urgent() {
-            return false;
-        }
-        if let Some(choice) = self.part_of_larger(ix) {
+        self.jobs.get(ix).is_urgent() && (self.try_part(ix) || self.oust_batch(ix))
+    }
+
+    /// Starts a waiting job in a part of a larger guarantee of its workspace, or claims it.
+    pub(super) fn try_part(&mut self, ix: JobIx) -> bool {
+        let choice = self.part_of_larger(ix);
+        let found = choice.is_some();
+        if let Some(choice) = choice {
             self.claim(ix, choice);
-            return true;
         }
-        self.oust_batch(ix)
+        found
     }
 
     /// Finds an unused guarantee of exactly the job's shape, a free one first.
@@ -119,7 +122,8 @@
         own
     }
 
-    /// Returns the work in accelerator milliseconds that stopping the borrowers of `places` loses.
+    /// Returns the work in accelerator milliseconds that stopping the borrowers of `places` loses,
+    /// weighed by how often each was stopped before.
     pub(super) fn cost(&self, places: &[Place]) -> u64 {
         let victims = self.victims(places);
         victims.iter().map(|victim| self.stop_cost(*victim)).sum()
@@ -134,7 +138,8 @@
             true => job.unsaved(self.now).min(CHECKPOINT_COST),
             false => job.unsaved(self.now),
         };
-        (lost.0 + 1) * u64::from(job.spec.shape.total().max(1))
+        let before = u64::from(job.moves) + 1;
+        (lost.0 + 1) * u64::from(job.spec.shape.total().max(1)) * before
     }
 
     /// Returns the jobs that have to go before `places` can be used.
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -128,6 +128,9 @@
         let mut heads: Vec<_> = heads.map(|ix| (self.jobs.get(ix).submitted(), ix)).collect();
         heads.sort_unstable();
         for (_, ix) in heads.into_iter().take(DRAINS_MAX) {
+            if self.try_part(ix) {
+                continue;
+            }
             let Some((ready, places)) = self.plan(ix) else { continue };
             let firm = !self.jobs.get(ix).preemptible();
             let held = firm && places.iter().any(|place| !self.held_back(place).is_empty());
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -164,7 +164,7 @@
     }
 
     fn count_room(&self, view: View) -> Room {
-        if !self.is_usable() || (view != View::Bind && self.shunned > Moment(0)) {
+        if !self.is_usable() || self.shunned > Moment(0) {
             return Room::default();
         }
         let slots = self.slots(view);
--- a/crates/core/src/sched/health.rs
+++ b/crates/core/src/sched/health.rs
@@ -48,6 +48,8 @@
 pub(super) struct Health {
     /// Failures of different jobs since the last job that it completed.
     pub(super) strikes: Vec<Strike>,
+    /// Starts in a row that the worker didn't answer.
+    pub(super) misses: u8,
     quarantine: Option<Quarantine>,
 }
 
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -28,7 +28,7 @@
         let fresh = attempt == Attempt(0);
         let space = self.spaces.intern(&spec.key.workspace);
         let refused = if fresh { self.refuse(&spec, space) } else { None };
-        let unknown = !fresh && !spec.idempotent;
+        let unknown = !fresh && (!spec.idempotent || spec.shape.check().is_err());
         let ix = self.add_job(spec, space, attempt, age);
         if let Some(refusal) = refused {
             self.finish(ix, Ending::Refused(refusal));
@@ -73,6 +73,9 @@
     }
 
     fn refuse(&mut self, spec: &JobSpec, space: SpaceIx) -> Option<Refusal> {
+        if let Err(error) = spec.shape.check() {
+            return Some(refusal(Code::NeverFits, error.to_string(), None));
+        }
         let own = self.spaces.get(space);
         let retry = Some(own.retry_after(self.now));
         if self.share.is_some() && !own.known {
@@ -180,6 +183,9 @@
         age: Span,
         ran: Span,
     ) {
+        if spec.shape.check().is_err() {
+            return;
+        }
         let ix = match self.jobs.find(&spec.key) {
             Some(ix) => {
                 let job = self.jobs.get(ix);
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -71,6 +71,8 @@
     Guaranteed,
     #[display("runs on accelerators that no guarantee holds")]
     Unheld,
+    #[display("was stopped often; isn't stopped again on accelerators that no guarantee holds")]
+    Protected,
     #[display("borrows accelerators of an unused guarantee and can be stopped for it")]
     Borrowing,
     #[display("is short enough to run in a block that drains for a larger gang")]
--- a/crates/core/src/sched/outcome.rs
+++ b/crates/core/src/sched/outcome.rs
@@ -17,6 +17,8 @@
 const FAILURES_MAX: u8 = 3;
 /// Time for which nothing is started on a worker that refused a start.
 const SHUN: Span = Span::from_secs(3);
+/// Doublings of that time for a worker that stays silent.
+const SHUN_DOUBLINGS_MAX: u8 = 5;
 /// Wait after a start that wasn't permitted or couldn't be recorded.
 const START_AGAIN: Span = Span(500);
 /// The longest wait between two starts that don't come about.
@@ -84,6 +86,9 @@
             job.phase = Phase::Running;
             job.since = now;
         }
+        for place in &job.places {
+            self.fleet.health_mut(place.worker).misses = 0;
+        }
     }
 
     pub(super) fn on_start_failed(
@@ -129,11 +134,23 @@
                 self.fleet.set_leaving(worker);
                 self.give_up(worker);
             }
-            StartFault::Silent => self.fleet.shun(worker, self.now + SHUN),
+            StartFault::Silent => self.note_silence(worker),
             StartFault::Unrecorded | StartFault::NotPermitted => {}
         }
     }
 
+    /// Leaves a silent worker alone for a while, and from the second time on for longer and
+    /// without any guarantee bound to it.
+    fn note_silence(&mut self, worker: WorkerIx) {
+        let health = self.fleet.health_mut(worker);
+        let before = health.misses;
+        health.misses = before.saturating_add(1);
+        self.fleet.shun(worker, self.now + Span(SHUN.0 << before.min(SHUN_DOUBLINGS_MAX)));
+        if before > 0 {
+            self.give_up(worker);
+        }
+    }
+
     pub(super) fn on_completed(&mut self, key: &JobKey, attempt: Attempt, output: Vec<String>) {
         let Some(ix) = self.live(key, attempt) else { return };
         let job = self.jobs.get(ix);
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -17,6 +17,8 @@
 const LANES_MAX: usize = 512;
 /// The most jobs that one pass offers a place in a block that drains.
 const BACKFILLS_MAX: usize = 32;
+/// Stops for others' sake after which a job isn't stopped again where it holds nobody's guarantee.
+const STOPS_MAX: u8 = 3;
 /// Slack below which a deadline goes before the fair order.
 const TIGHT_SLACK: Span = Span::from_secs(300);
 /// Time by which a workspace that borrows all accelerators is set back.
@@ -232,7 +234,9 @@
         }
         let preemptible = self.jobs.get(ix).preemptible();
         if let Some(places) = self.look(ix, View::Hard, outlook) {
-            self.begin(ix, places, Reason::Unheld);
+            let often = self.jobs.get(ix).moves >= STOPS_MAX;
+            let reason = if often { Reason::Protected } else { Reason::Unheld };
+            self.begin(ix, places, reason);
             return true;
         }
         if preemptible && let Some(places) = self.look(ix, View::Soft, outlook) {
@@ -261,7 +265,7 @@
     pub(super) fn begin(&mut self, ix: JobIx, places: Vec<Place>, reason: Reason) {
         self.unlist(ix);
         let job = self.jobs.get_mut(ix);
-        job.firm = !job.preemptible();
+        job.firm = !job.preemptible() || reason == Reason::Protected;
         self.start(ix, places, reason);
     }
 
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -30,7 +30,8 @@
             let space = self.spaces.get_mut(ix);
             space.known = true;
             space.queue = workspace.queue;
-            for (shape, count) in &workspace.guarantees {
+            let valid = workspace.guarantees.iter().filter(|(shape, _)| shape.check().is_ok());
+            for (shape, count) in valid {
                 match wanted.iter_mut().find(|w| (w.0, w.1) == (ix, *shape)) {
                     Some(w) => w.2 += count,
                     None => wanted.push((ix, *shape, *count)),
@@ -306,6 +307,7 @@
         for workspace in &share.workspaces {
             let space = spaces.intern(&workspace.id);
             for (shape, count) in &workspace.guarantees {
+                shape.check()?;
                 for _ in 0..*count {
                     guarantees.add(space, *shape);
                 }
