--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -4,23 +4,21 @@
 //! more careful. Room is counted under three views at once, so that most questions about a gang
 //! are answered from sums without looking at a worker.
 
+mod worker;
+
+pub(super) use worker::{SIZES, Seat, VIEWS, View, Worker};
+
 use serde::Serialize;
 
 use crate::ids::{RackId, WorkerId};
-use crate::job::TASK_MAX_ACCELERATORS;
 use crate::sched::event::WorkerInfo;
 use crate::sched::health::Health;
 use crate::sched::jobs::JobIx;
 use crate::units::{AcceleratorSet, Moment, Span};
+use worker::{Closure, RELEASE_KEPT, Release, Room};
 
-/// Sizes of tasks that capacity is counted for, from no accelerator to the most.
-pub(super) const SIZES: usize = TASK_MAX_ACCELERATORS as usize + 1;
-/// Ways to look at the room of a worker.
-pub(super) const VIEWS: usize = 3;
 /// The longest run of accelerators on one worker.
 const RUN_MAX: usize = 64;
-/// Time for which a release explains a report that still shows the accelerators busy.
-const RELEASE_KEPT: Span = Span::from_secs(60);
 /// Time for which accelerators that refused a start are avoided when no report comes.
 const FOREIGN_KEPT: Span = Span::from_secs(30);
 
@@ -28,180 +26,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub(super) struct WorkerIx(pub(super) u16);
 
-/// What counts as room.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum View {
-    /// Free now, for work that can be stopped again.
-    Soft,
-    /// Free now and held back for no guarantee, for work that can't be stopped.
-    Hard,
-    /// Neither firmly used nor held back: where an unused guarantee can be bound.
-    Bind,
-}
-
-impl View {
-    const ALL: [Self; VIEWS] = [Self::Soft, Self::Hard, Self::Bind];
-}
-
-/// One task on a worker.
-#[derive(Clone, Copy, Debug, Serialize)]
-pub(super) struct Seat {
-    pub(super) job: JobIx,
-    pub(super) task: u16,
-    pub(super) set: AcceleratorSet,
-    /// Whether the task can't be stopped for somebody's guarantee.
-    pub(super) firm: bool,
-}
-
-/// Part of a block that only its owner may start in.
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Closure {
-    owner: JobIx,
-    set: AcceleratorSet,
-    slots: u16,
-}
-
-/// Accelerators that were given free at a known moment.
-#[derive(Clone, Copy, Debug, Serialize)]
-struct Release {
-    at: Moment,
-    set: AcceleratorSet,
-}
-
-/// One worker.
-#[derive(Debug, Serialize)]
-pub(super) struct Worker {
-    pub(super) info: WorkerInfo,
-    pub(super) rack: u16,
-    pub(super) health: Health,
-    /// Whether it is gone; its place in the fleet is then free for another one.
-    gone: bool,
-    /// No start before this moment, after one that went wrong here.
-    pub(super) shunned: Moment,
-    /// Union of the sets of all seats, which are disjoint.
-    pub(super) busy: AcceleratorSet,
-    /// The part of `busy` whose seats are firm; disjoint from `reserved`.
-    pub(super) firm: AcceleratorSet,
-    /// Held back for guarantees.
-    pub(super) reserved: AcceleratorSet,
-    /// Union of the sets of all closures.
-    pub(super) closed: AcceleratorSet,
-    /// Reported busy, though the ledger holds it free.
-    pub(super) foreign: AcceleratorSet,
-    foreign_at: Moment,
-    firm_slots: u16,
-    /// Firm and reserved slots together are at most the worker's slots.
-    reserved_slots: u16,
-    closed_slots: u16,
-    pub(super) seats: Vec<Seat>,
-    closures: Vec<Closure>,
-    releases: Vec<Release>,
-    room: [Room; VIEWS],
-    /// Accelerators of a healthy worker, and those of them that are free; else zero.
-    healthy: (u32, u32),
-}
-
-/// Room of a worker under one view.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
-struct Room {
-    /// Number of tasks of each size that fit at the same time.
-    tasks: [u16; SIZES],
-    /// Longest run of accelerators; `None` without a slot.
-    run: Option<u8>,
-}
-
-impl Worker {
-    pub(super) fn total(&self) -> AcceleratorSet {
-        AcceleratorSet::run(0, self.info.accelerators)
-    }
-
-    /// Tells whether it counts as healthy hardware.
-    pub(super) fn is_usable(&self) -> bool {
-        !self.gone && !self.info.leaving && !self.health.is_quarantined()
-    }
-
-    pub(super) fn is_gone(&self) -> bool {
-        self.gone
-    }
-
-    /// Returns the accelerators that are room under `view`, on a healthy worker.
-    pub(super) fn mask(&self, view: View) -> AcceleratorSet {
-        let total = self.total();
-        match view {
-            View::Soft => total.without(self.busy).without(self.closed).without(self.foreign),
-            View::Hard => self.mask(View::Soft).without(self.reserved),
-            View::Bind => total.without(self.firm).without(self.reserved),
-        }
-    }
-
-    /// Returns the slots that are room under `view`, on a healthy worker.
-    pub(super) fn slots(&self, view: View) -> u16 {
-        let used = self.seats.len() as u16;
-        let soft = self.info.slots.saturating_sub(used + self.closed_slots);
-        let bind = self.info.slots.saturating_sub(self.firm_slots + self.reserved_slots);
-        match view {
-            View::Soft => soft,
-            View::Hard => soft.min(bind),
-            View::Bind => bind,
-        }
-    }
-
-    /// Tells whether nothing runs on `set` and `slots` more tasks may start there.
-    pub(super) fn is_free(&self, set: AcceleratorSet, slots: u16) -> bool {
-        let used = self.seats.len() as u16;
-        !self.busy.with(self.foreign).overlaps(set) && used + slots <= self.info.slots
-    }
-
-    /// Returns the accelerators and slots that are closed to a job, by closures of others.
-    pub(super) fn closed_to(&self, job: JobIx) -> (AcceleratorSet, u16) {
-        let others = self.closures.iter().filter(|c| c.owner != job);
-        others.fold((AcceleratorSet::EMPTY, 0), |sum, c| (sum.0.with(c.set), sum.1 + c.slots))
-    }
-
-    /// Number of tasks of `size` accelerators that fit under `view`.
-    pub(super) fn fit(&self, view: View, size: u8) -> u16 {
-        self.room[view as usize].tasks[size as usize]
-    }
-
-    fn count_room(&self, view: View) -> Room {
-        if !self.is_usable() || self.shunned > Moment(0) {
-            return Room::default();
-        }
-        let slots = self.slots(view);
-        let mut room = Room::default();
-        if slots == 0 {
-            return room;
-        }
-        let mut longest = 0;
-        for len in run_lengths(self.mask(view)) {
-            longest = longest.max(len);
-            for size in 1..SIZES {
-                room.tasks[size] += u16::from(len) / size as u16;
-            }
-        }
-        room.tasks[0] = slots;
-        for tasks in &mut room.tasks {
-            *tasks = (*tasks).min(slots);
-        }
-        room.run = Some(longest);
-        room
-    }
-}
-
-/// Returns the lengths of the maximal runs of `set`.
-fn run_lengths(set: AcceleratorSet) -> impl Iterator<Item = u8> {
-    let mut rest = set.0;
-    std::iter::from_fn(move || {
-        if rest == 0 {
-            return None;
-        }
-        let first = rest.trailing_zeros();
-        let len = (rest >> first).trailing_ones();
-        rest &= !AcceleratorSet::run(first as u8, len as u8).0;
-        Some(len as u8)
-    })
-}
-
 /// Workers that are adjacent to each other.
 #[derive(Debug, Serialize)]
 pub(super) struct Rack {
@@ -366,27 +190,7 @@
     }
 
     fn vacancy(&mut self, info: WorkerInfo, rack: u16) -> WorkerIx {
-        let worker = Worker {
-            info,
-            rack,
-            health: Health::default(),
-            gone: false,
-            shunned: Moment(0),
-            busy: AcceleratorSet::EMPTY,
-            firm: AcceleratorSet::EMPTY,
-            reserved: AcceleratorSet::EMPTY,
-            closed: AcceleratorSet::EMPTY,
-            foreign: AcceleratorSet::EMPTY,
-            foreign_at: Moment(0),
-            firm_slots: 0,
-            reserved_slots: 0,
-            closed_slots: 0,
-            seats: Vec::new(),
-            closures: Vec::new(),
-            releases: Vec::new(),
-            room: Default::default(),
-            healthy: (0, 0),
-        };
+        let worker = Worker::open(info, rack);
         match self.workers.iter().position(|w| w.gone) {
             Some(i) => {
                 self.workers[i] = worker;
@@ -666,43 +470,3 @@
         self.refresh(ix);
     }
 }
-
-impl Worker {
-    fn hold_firm(&mut self, set: AcceleratorSet) {
-        assert!(!self.reserved.overlaps(set), "{}: {set} is held back", self.info.id);
-        self.firm = self.firm.with(set);
-        self.firm_slots += 1;
-    }
-
-    fn sum_closures(&mut self) {
-        self.closed = self.closures.iter().fold(AcceleratorSet::EMPTY, |sum, c| sum.with(c.set));
-        self.closed_slots = self.closures.iter().map(|c| c.slots).sum();
-    }
-
-    /// Checks the sums of one worker.
-    ///
-    /// # Panics
-    ///
-    /// Panics when the ledger contradicts itself.
-    pub(super) fn check(&self) {
-        let id = &self.info.id;
-        let mut busy = AcceleratorSet::EMPTY;
-        let mut firm = AcceleratorSet::EMPTY;
-        for seat in &self.seats {
-            assert!(!busy.overlaps(seat.set), "{id}: two tasks on {}", seat.set);
-            busy = busy.with(seat.set);
-            if seat.firm {
-                firm = firm.with(seat.set);
-            }
-        }
-        assert_eq!((busy, firm), (self.busy, self.firm), "{id}: sums of seats");
-        assert!(!self.firm.overlaps(self.reserved), "{id}: firm work on a guarantee");
-        let firm_slots = self.seats.iter().filter(|s| s.firm).count();
-        assert_eq!(firm_slots, self.firm_slots as usize, "{id}: firm slots");
-    }
-
-    /// Slots that firm work and guarantees hold together.
-    pub(super) fn held_slots(&self) -> u16 {
-        self.firm_slots + self.reserved_slots
-    }
-}
--- a/crates/core/src/sched/guarantee.rs
+++ b/crates/core/src/sched/guarantee.rs
@@ -323,13 +323,18 @@
         }
     }
 
-    /// Gives up all unused cells on a worker.
+    /// Gives up all that isn't in use on a worker.
     pub(super) fn leave_worker(&mut self, worker: WorkerIx, fleet: &mut Fleet) {
         for i in 0..self.table.len() {
             let ix = InstanceIx(i as u16);
             for c in 0..self.get(ix).cells.len() {
-                if self.get(ix).cells[c].worker == Some(worker) {
-                    self.unbind_cell(ix, c, fleet);
+                let cell = &self.get(ix).cells[c];
+                if cell.worker != Some(worker) {
+                    continue;
+                }
+                match cell.user {
+                    None => self.unbind_cell(ix, c, fleet),
+                    Some(_) => self.shrink_cell(ix, c, fleet),
                 }
             }
         }
