Lend draining blocks to work with checkpoints, and drain late

Cause: a block that drained for a gang idled, and began to drain after 60 s of waiting, so that one gang or another drained all the time. Ruled out: more drains, more moves and a larger weight of run times, which were no better. Now a draining block is lent to work that can be stopped with a checkpoint, is cleared in one go once nothing else is left in it, and a job waits for six times its expected run time first (5 min to 1 h); batch work is set back by 1 min instead of 30.

--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -263,7 +263,7 @@
             self.guarantees.get_mut(choice.guarantee).cells[*cell].user = Some(ix);
         }
         for place in &choice.places {
-            self.fleet.close(place.worker, ix, place.set, place.tasks);
+            self.fleet.close(place, ix, false);
         }
         let victims = self.victims(&choice.places);
         let now = self.now;
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -1,8 +1,9 @@
 //! Keeps a block free for a gang that has waited long, so that small jobs don't starve it.
 //!
-//! Nothing new starts in the block but jobs that are expected to end before it is free, and what
-//! can be moved away cheaply is. The cost is accelerators that idle while the block drains, so few
-//! blocks drain at the same time.
+//! Nothing new starts in the block but jobs that can be stopped again with a checkpoint, and short
+//! ones that are expected to end before it is free. Once nothing else is left in it, what runs
+//! there is stopped and the gang starts. The cost is accelerators that idle when no such work
+//! waits, so few blocks drain at the same time.
 
 use serde::Serialize;
 
@@ -12,21 +13,25 @@
 use crate::sched::fit::{self, Place, pick};
 use crate::sched::fleet::{View, WorkerIx};
 use crate::sched::guarantee::is_block;
-use crate::sched::jobs::{JobIx, Phase, Reason};
+use crate::sched::jobs::{Job, JobIx, Phase, Reason};
 use crate::units::{AcceleratorSet, Moment, Span};
 
-/// Wait after which a block is kept free for a job.
-const DRAIN_AFTER: Span = Span::from_secs(60);
+/// Wait in expected run times after which a block is kept free for a job.
+const DRAIN_STRETCH: u64 = 6;
+/// The shortest such wait.
+const DRAIN_AFTER_MIN: Span = Span::from_secs(300);
+/// The longest such wait.
+const DRAIN_AFTER_MAX: Span = Span::from_secs(3600);
 /// The most blocks that drain at the same time.
-const DRAINS_MAX: usize = 2;
+const DRAINS_MAX: usize = 1;
+/// The most waiting jobs that one search for a block looks at.
+const OWNERS_MAX: usize = 4;
 /// Time between two searches for a block.
 const PLAN_INTERVAL: Span = Span::from_secs(3);
 /// Run time that moving a job may lose.
 const MOVE_LOSS_MAX: Span = Span::from_secs(60);
-/// Jobs that are expected to end sooner than this aren't moved.
-const MOVE_SAVES_MIN: Span = Span::from_secs(15);
 /// The most times that one job is moved.
-const MOVES_MAX: u8 = 2;
+const MOVES_MAX: u8 = 1;
 /// Time that moving a job takes.
 const MOVE_TIME: Span = Span::from_secs(8);
 
@@ -101,8 +106,9 @@
     fn tend_drain(&mut self, ix: JobIx) {
         let job = self.jobs.get(ix);
         let shape = job.spec.shape;
-        let view = if job.preemptible() { View::Soft } else { View::Hard };
-        if let Some(places) = fit::find(&self.fleet, view, shape, &job.failed_on) {
+        if let Some(places) =
+            fit::find(&self.fleet, job.view().max(View::Soft), shape, &job.failed_on)
+        {
             return self.begin(ix, places, Reason::Unheld);
         }
         let job = self.jobs.get(ix);
@@ -115,7 +121,7 @@
         if lost || self.guarantee_is_open(ix) {
             return self.requeue(ix, Reason::Queued);
         }
-        self.move_borrowers(ix);
+        self.clear_block(ix);
     }
 
     /// Chooses a block for the job that has waited beyond the bound and is first in order.
@@ -123,11 +129,11 @@
         let lanes = self.queue.lanes().iter();
         let heads = lanes.map(|lane| lane.entries[0].job).filter(|ix| {
             let job = self.jobs.get(*ix);
-            job.age(self.now) >= DRAIN_AFTER && job.spec.shape.total() > 1
+            job.age(self.now) >= self.drain_after(job) && job.spec.shape.total() > 1
         });
         let mut heads: Vec<_> = heads.map(|ix| (self.jobs.get(ix).submitted(), ix)).collect();
         heads.sort_unstable();
-        for (_, ix) in heads.into_iter().take(DRAINS_MAX) {
+        for (_, ix) in heads.into_iter().take(OWNERS_MAX) {
             if self.try_part(ix) {
                 continue;
             }
@@ -140,18 +146,25 @@
             self.unlist(ix);
             self.count_waiting(ix, true);
             for place in &places {
-                self.fleet.close(place.worker, ix, place.set, place.tasks);
+                self.fleet.close(place, ix, true);
             }
             let now = self.now;
             let job = self.jobs.get_mut(ix);
             job.places = places;
             job.enter(Phase::Claiming, Reason::Draining, now);
             self.drains.push(Drain { owner: ix, ready });
-            self.move_borrowers(ix);
+            self.clear_block(ix);
             return;
         }
     }
 
+    /// Returns the wait after which a block is kept free for a job.
+    fn drain_after(&self, job: &Job) -> Span {
+        let expected = self.kinds.expect(job.space, &job.spec.kind, job.spec.declared);
+        let wait = Span(expected.median.0.saturating_mul(DRAIN_STRETCH));
+        wait.clamp(DRAIN_AFTER_MIN, DRAIN_AFTER_MAX)
+    }
+
     /// Finds the block that is free first.
     fn plan(&self, ix: JobIx) -> Option<(Moment, Vec<Place>)> {
         let shape = self.jobs.get(ix).spec.shape;
@@ -245,13 +258,20 @@
         runs && !job.firm && job.preemptible() && job.moves < MOVES_MAX && cheap
     }
 
-    /// Stops the work in a draining block that is cheap to move and would hold it for long.
-    fn move_borrowers(&mut self, owner: JobIx) {
+    /// Stops the work in a draining block once all of it can be moved cheaply; until then it runs
+    /// on, and what is free is lent.
+    fn clear_block(&mut self, owner: JobIx) {
         let places = self.jobs.get(owner).places.clone();
-        for victim in self.victims(&places) {
-            if self.is_movable(victim) && self.remaining(victim) >= MOVE_SAVES_MIN {
-                self.stop(victim, StopReason::Defragmented);
-            }
+        let victims = self.victims(&places);
+        let leaving = |ix: &JobIx| matches!(self.jobs.get(*ix).phase, Phase::Stopping(..));
+        if !victims.iter().all(|ix| leaving(ix) || self.is_movable(*ix)) {
+            return;
+        }
+        for place in &places {
+            self.fleet.bar(place.worker, owner);
+        }
+        for victim in victims {
+            self.stop(victim, StopReason::Defragmented);
         }
     }
 
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::{RackId, WorkerId};
 use crate::sched::event::WorkerInfo;
+use crate::sched::fit::Place;
 use crate::sched::health::Health;
 use crate::sched::jobs::JobIx;
 use crate::units::{AcceleratorSet, Moment, Span};
@@ -85,7 +86,7 @@
             racks: Vec::new(),
             names: Vec::new(),
             tasks: Default::default(),
-            by_run: [lists(), lists(), lists()],
+            by_run: std::array::from_fn(|_| lists()),
             shunned: Vec::new(),
             quarantined: Vec::new(),
             accelerators: 0,
@@ -368,10 +369,21 @@
         self.refresh(ix);
     }
 
-    /// Lets nobody but `owner` start on `set` from now on.
-    pub(super) fn close(&mut self, ix: WorkerIx, owner: JobIx, set: AcceleratorSet, slots: u16) {
+    /// Lets nobody but `owner` start on the place from now on; work that can be stopped again with
+    /// a checkpoint still may when it is `lent`.
+    pub(super) fn close(&mut self, place: &Place, owner: JobIx, lent: bool) {
+        let worker = self.worker_mut(place.worker);
+        worker.closures.push(Closure { owner, set: place.set, slots: place.tasks, lent });
+        worker.sum_closures();
+        self.refresh(place.worker);
+    }
+
+    /// Lends the owner's places on a worker no more.
+    pub(super) fn bar(&mut self, ix: WorkerIx, owner: JobIx) {
         let worker = self.worker_mut(ix);
-        worker.closures.push(Closure { owner, set, slots });
+        for closure in worker.closures.iter_mut().filter(|c| c.owner == owner) {
+            closure.lent = false;
+        }
         worker.sum_closures();
         self.refresh(ix);
     }
--- a/crates/core/src/sched/fleet/worker.rs
+++ b/crates/core/src/sched/fleet/worker.rs
@@ -11,13 +11,16 @@
 /// Sizes of tasks that capacity is counted for, from no accelerator to the most.
 pub(in crate::sched) const SIZES: usize = TASK_MAX_ACCELERATORS as usize + 1;
 /// Ways to look at the room of a worker.
-pub(in crate::sched) const VIEWS: usize = 3;
+pub(in crate::sched) const VIEWS: usize = 4;
 /// Time for which a release explains a report that still shows the accelerators busy.
 pub(super) const RELEASE_KEPT: Span = Span::from_secs(60);
 
 /// What counts as room.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
 pub(in crate::sched) enum View {
+    /// Free now, for work that can be stopped again with a checkpoint; blocks that drain are lent
+    /// to it.
+    Lent,
     /// Free now, for work that can be stopped again.
     Soft,
     /// Free now and held back for no guarantee, for work that can't be stopped.
@@ -27,7 +30,7 @@
 }
 
 impl View {
-    pub(super) const ALL: [Self; VIEWS] = [Self::Soft, Self::Hard, Self::Bind];
+    pub(super) const ALL: [Self; VIEWS] = [Self::Lent, Self::Soft, Self::Hard, Self::Bind];
 }
 
 /// One task on a worker.
@@ -46,6 +49,8 @@
     pub(super) owner: JobIx,
     pub(super) set: AcceleratorSet,
     pub(super) slots: u16,
+    /// Whether work may start there that can be stopped again with a checkpoint.
+    pub(super) lent: bool,
 }
 
 /// Accelerators that were given free at a known moment.
@@ -73,6 +78,8 @@
     pub(in crate::sched) reserved: AcceleratorSet,
     /// Union of the sets of all closures.
     pub(in crate::sched) closed: AcceleratorSet,
+    /// Union of the sets of the closures that aren't lent.
+    pub(super) barred: AcceleratorSet,
     /// Reported busy, though the ledger holds it free.
     pub(in crate::sched) foreign: AcceleratorSet,
     pub(super) foreign_at: Moment,
@@ -80,6 +87,7 @@
     /// Firm and reserved slots together are at most the worker's slots.
     pub(super) reserved_slots: u16,
     pub(super) closed_slots: u16,
+    pub(super) barred_slots: u16,
     pub(in crate::sched) seats: Vec<Seat>,
     pub(super) closures: Vec<Closure>,
     pub(super) releases: Vec<Release>,
@@ -115,7 +123,8 @@
     pub(in crate::sched) fn mask(&self, view: View) -> AcceleratorSet {
         let total = self.total();
         match view {
-            View::Soft => total.without(self.busy).without(self.closed).without(self.foreign),
+            View::Lent => total.without(self.busy).without(self.barred).without(self.foreign),
+            View::Soft => self.mask(View::Lent).without(self.closed),
             View::Hard => self.mask(View::Soft).without(self.reserved),
             View::Bind => total.without(self.firm).without(self.reserved),
         }
@@ -124,9 +133,11 @@
     /// Returns the slots that are room under `view`, on a healthy worker.
     pub(in crate::sched) fn slots(&self, view: View) -> u16 {
         let used = self.seats.len() as u16;
+        let lent = self.info.slots.saturating_sub(used + self.barred_slots);
         let soft = self.info.slots.saturating_sub(used + self.closed_slots);
         let bind = self.info.slots.saturating_sub(self.firm_slots + self.reserved_slots);
         match view {
+            View::Lent => lent,
             View::Soft => soft,
             View::Hard => soft.min(bind),
             View::Bind => bind,
@@ -201,11 +212,13 @@
             firm: AcceleratorSet::EMPTY,
             reserved: AcceleratorSet::EMPTY,
             closed: AcceleratorSet::EMPTY,
+            barred: AcceleratorSet::EMPTY,
             foreign: AcceleratorSet::EMPTY,
             foreign_at: Moment(0),
             firm_slots: 0,
             reserved_slots: 0,
             closed_slots: 0,
+            barred_slots: 0,
             seats: Vec::new(),
             closures: Vec::new(),
             releases: Vec::new(),
@@ -223,6 +236,9 @@
     pub(super) fn sum_closures(&mut self) {
         self.closed = self.closures.iter().fold(AcceleratorSet::EMPTY, |sum, c| sum.with(c.set));
         self.closed_slots = self.closures.iter().map(|c| c.slots).sum();
+        let barred = self.closures.iter().filter(|c| !c.lent);
+        self.barred = barred.clone().fold(AcceleratorSet::EMPTY, |sum, c| sum.with(c.set));
+        self.barred_slots = barred.map(|c| c.slots).sum();
     }
 
     /// Checks the sums of one worker.
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -16,7 +16,7 @@
 /// Expected run time beyond which a longer one doesn't set a job back further.
 const RUN_WEIGHED_MAX: Span = Span::from_secs(30 * 60);
 /// Time by which batch work is set back.
-const BATCH_SETBACK: Span = Span::from_secs(30 * 60);
+const BATCH_SETBACK: Span = Span::from_secs(60);
 /// Factor on the median run time that the latest start allows for at most.
 const SLACK_FACTOR: u64 = 3;
 
@@ -133,7 +133,7 @@
             class: Class::Plain,
             space: job.space,
             shape: spec.shape,
-            preemptible: job.preemptible(),
+            view: job.view(),
             batch,
             avoiding: (!job.failed_on.is_empty()).then_some(ix),
         };
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -7,7 +7,7 @@
 use crate::job::{JobSpec, Placement, Refusal, TaskPlace, Urgency};
 use crate::sched::event::{StartFault, StopReason};
 use crate::sched::fit::Place;
-use crate::sched::fleet::{Fleet, WorkerIx};
+use crate::sched::fleet::{Fleet, View, WorkerIx};
 use crate::sched::guarantee::InstanceIx;
 use crate::sched::queue::Ticket;
 use crate::sched::spaces::SpaceIx;
@@ -149,6 +149,15 @@
         self.spec.idempotent || self.spec.checkpoint
     }
 
+    /// Returns the room that it may start in.
+    pub(super) const fn view(&self) -> View {
+        match (self.spec.checkpoint, self.spec.idempotent) {
+            (true, _) => View::Lent,
+            (false, true) => View::Soft,
+            (false, false) => View::Hard,
+        }
+    }
+
     /// Tells whether another start is allowed, after an attempt that may have run.
     pub(super) const fn repeatable(&self) -> bool {
         self.spec.idempotent
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -131,7 +131,7 @@
         outlook.probing = self.probe_due().is_some();
         let promising = |lane: &LaneKey, outlook: &Outlook| {
             let small = outlook.may_probe(lane) || outlook.may_backfill(lane);
-            small || outlook.room.get(lane.view(), lane.shape) == Some(true)
+            small || outlook.room.get(lane.view, lane.shape) == Some(true)
         };
         self.sweep(&mut starts, &mut outlook, promising, Self::try_borrowed);
         self.unfinished = starts == 0;
@@ -140,7 +140,7 @@
     /// Finds out which of the shapes that wait find room at all.
     fn look_ahead(&self, outlook: &mut Outlook) {
         for lane in self.queue.lanes() {
-            let view = lane.key.view();
+            let view = lane.key.view;
             let room = outlook.room.entry(view, lane.key.shape);
             room.get_or_insert_with(|| fit::may_fit(&self.fleet, view, lane.key.shape));
         }
@@ -232,17 +232,18 @@
         if self.try_probe(ix) {
             return true;
         }
-        let preemptible = self.jobs.get(ix).preemptible();
-        if let Some(places) = self.look(ix, View::Hard, outlook) {
-            let often = self.jobs.get(ix).moves >= STOPS_MAX;
-            let reason = if often { Reason::Protected } else { Reason::Unheld };
+        let job = self.jobs.get(ix);
+        let (last, often) = (job.view(), job.moves >= STOPS_MAX);
+        for view in [View::Hard, View::Soft, View::Lent].into_iter().filter(|v| *v >= last) {
+            let Some(places) = self.look(ix, view, outlook) else { continue };
+            let reason = match view {
+                View::Hard if often => Reason::Protected,
+                View::Hard => Reason::Unheld,
+                View::Soft | View::Lent | View::Bind => Reason::Borrowing,
+            };
             self.begin(ix, places, reason);
             return true;
         }
-        if preemptible && let Some(places) = self.look(ix, View::Soft, outlook) {
-            self.begin(ix, places, Reason::Borrowing);
-            return true;
-        }
         outlook.backfills += 1;
         outlook.backfills <= BACKFILLS_MAX && self.try_backfill(ix)
     }
@@ -275,8 +276,7 @@
         if job.phase != Phase::Waiting || job.reason != Reason::Queued {
             return job.reason.clone();
         }
-        let view = if job.preemptible() { View::Soft } else { View::Hard };
-        let room = self.fleet.fit(view, shape.accelerators);
+        let room = self.fleet.fit(job.view(), shape.accelerators);
         let soft = self.fleet.fit(View::Soft, shape.accelerators);
         let wanted = u32::from(shape.tasks);
         if room >= wanted && shape.tasks > 1 {
@@ -303,13 +303,13 @@
     /// Tells whether the first job of a lane may probe a quarantined worker.
     fn may_probe(&self, lane: &LaneKey) -> bool {
         let small = lane.shape.tasks == 1 && lane.shape.total() <= PROBE_ACCELERATORS_MAX;
-        self.probing && small && lane.preemptible && lane.class != Class::Urgent
+        self.probing && small && lane.view != View::Hard && lane.class != Class::Urgent
     }
 
     /// Tells whether the first job of a lane may run in a block that drains.
     fn may_backfill(&self, lane: &LaneKey) -> bool {
         let shape = lane.shape;
         let room = self.draining.unwrap_or_default();
-        lane.preemptible && shape.tasks == 1 && (1..=room).contains(&shape.accelerators)
+        lane.view != View::Hard && shape.tasks == 1 && (1..=room).contains(&shape.accelerators)
     }
 }
--- a/crates/core/src/sched/queue.rs
+++ b/crates/core/src/sched/queue.rs
@@ -28,21 +28,14 @@
     pub(super) class: Class,
     pub(super) space: SpaceIx,
     pub(super) shape: Shape,
-    /// Whether the jobs can be stopped for a guarantee.
-    pub(super) preemptible: bool,
+    /// The room that the jobs may start in.
+    pub(super) view: View,
     /// Whether the jobs give way to the workspace's other jobs.
     pub(super) batch: bool,
     /// Whether the jobs avoid workers that they failed on; such jobs stand alone.
     pub(super) avoiding: Option<JobIx>,
 }
 
-impl LaneKey {
-    /// Returns the room that the jobs may start in.
-    pub(super) const fn view(&self) -> View {
-        if self.preemptible { View::Soft } else { View::Hard }
-    }
-}
-
 /// Where a job stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub(super) struct Ticket {
