--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -7,7 +7,7 @@
 use crate::job::{JobSpec, Placement, Refusal, TaskPlace, Urgency};
 use crate::sched::event::{StartFault, StopReason};
 use crate::sched::fit::Place;
-use crate::sched::fleet::{Fleet, WorkerIx};
+use crate::sched::fleet::{Fleet, View, WorkerIx};
 use crate::sched::guarantee::InstanceIx;
 use crate::sched::queue::Ticket;
 use crate::sched::spaces::SpaceIx;
@@ -71,6 +71,8 @@
     Guaranteed,
     #[display("runs on accelerators that no guarantee holds")]
     Unheld,
+    #[display("was stopped often; isn't stopped again on accelerators that no guarantee holds")]
+    Protected,
     #[display("borrows accelerators of an unused guarantee and can be stopped for it")]
     Borrowing,
     #[display("is short enough to run in a block that drains for a larger gang")]
@@ -147,6 +149,15 @@
         self.spec.idempotent || self.spec.checkpoint
     }
 
+    /// Returns the room that it may start in.
+    pub(super) const fn view(&self) -> View {
+        match (self.spec.checkpoint, self.spec.idempotent) {
+            (true, _) => View::Lent,
+            (false, true) => View::Soft,
+            (false, false) => View::Hard,
+        }
+    }
+
     /// Tells whether another start is allowed, after an attempt that may have run.
     pub(super) const fn repeatable(&self) -> bool {
         self.spec.idempotent
