--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -1,9 +1,12 @@
 //! Routing chooses the failure domain for a job; a pure function, so that every daemon agrees
 //! when it has heard the same.
 
+#[cfg(test)]
+mod tests;
+
 use crate::error::Code;
 use crate::ids::DomainId;
-use crate::job::{Adjacency, JobSpec, Refusal};
+use crate::job::{Adjacency, JobSpec, Refusal, Urgency};
 use crate::note::{DesiredState, Service};
 use crate::sched::Load;
 use crate::units::Span;
@@ -15,13 +18,16 @@
 
 /// Differences in pressure below this many thousandths don't count.
 const PRESSURE_STEP: u64 = 20;
+/// Differences in free accelerators below this many don't count.
+const ROOM_STEP: u64 = 4;
 
 /// A failure domain as a daemon hears of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DomainView {
     /// The domain.
     pub id: DomainId,
-    /// Load that its placer announced last.
+    /// Load that its placer announced last. A daemon that has sent jobs there since takes their
+    /// accelerators off `free` and `block`, and adds them to `queued`.
     pub load: Load,
     /// Whether its placer can be reached.
     pub reachable: bool,
@@ -59,23 +65,32 @@
 }
 
 /// Orders domains: first those where the workspace holds a matching guarantee, then those that
-/// have room now, then by what is busy or waits there for each healthy accelerator.
+/// have room now, the tightest first, then by what is busy or waits there for each healthy
+/// accelerator.
 ///
-/// Equals are told apart by the job's key, so that a burst that many daemons route on the same
-/// news spreads over the domains instead of meeting in the first one by name.
+/// A job goes where it leaves the least room, so that whole racks stay free in some domain. Equals
+/// are told apart by the job's key, so that a burst that many daemons route on the same news
+/// spreads over the domains instead of meeting in the first one by name.
 fn rank(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> (bool, bool, u64, u64) {
     let guaranteed = state.share(&view.id).is_some_and(|share| {
         let own = share.workspaces.iter().find(|w| w.id == spec.key.workspace);
         own.is_some_and(|w| w.guarantees.iter().any(|(shape, _)| *shape == spec.shape))
     });
-    (!guaranteed, !has_room(spec, &view.load), pressure(&view.load), spread(spec, view))
+    let load = &view.load;
+    let order = match room(spec, load) {
+        Some(room) if spec.urgency != Urgency::Urgent => u64::from(room) / ROOM_STEP,
+        _ => pressure(load),
+    };
+    (!guaranteed, room(spec, load).is_none(), order, spread(spec, view))
 }
 
-/// Tells whether the job could start now, as far as the load tells.
-fn has_room(spec: &JobSpec, load: &Load) -> bool {
+/// Returns the free accelerators of which the job would take some, if it could start now as far
+/// as the load tells.
+fn room(spec: &JobSpec, load: &Load) -> Option<u32> {
     let total = spec.shape.total();
-    let block = spec.shape.adjacency == Adjacency::Domain || load.block >= total;
-    block && load.free >= load.queued + total
+    let near = spec.shape.tasks > 1 && spec.shape.adjacency != Adjacency::Domain;
+    let room = if near { load.block } else { load.free };
+    (room >= total).then_some(room)
 }
 
 /// Accelerators that are busy or asked for, in coarse steps per thousand healthy ones.
--- /dev/null
+++ b/crates/core/src/route/tests.rs
@@ -0,0 +1,124 @@
+use super::{DomainView, route};
+use crate::error::Code;
+use crate::job::{Adjacency, JobSpec, Shape, Urgency};
+use crate::note::{
+    DesiredState, DomainSpec, Entries, Guarantee, ReleaseNote, Service, WorkspaceSpec,
+};
+use crate::sched::Load;
+use crate::units::Span;
+
+const GANG: Shape = Shape { tasks: 4, accelerators: 8, adjacency: Adjacency::Rack };
+const SMALL: Shape = Shape { tasks: 1, accelerators: 2, adjacency: Adjacency::Domain };
+
+fn state(out: &[&str], guarantee: Option<(Shape, &str)>) -> DesiredState {
+    let domain = |id: &str| DomainSpec {
+        id: id.parse().unwrap(),
+        region: "ec-sierra".parse().unwrap(),
+        service: if out.contains(&id) { Service::Out } else { Service::In },
+        grace: DomainSpec::GRACE,
+    };
+    let guarantees = guarantee.map(|(shape, domain)| Guarantee {
+        shape,
+        count: 1,
+        domain: Some(domain.parse().unwrap()),
+    });
+    let workspace = WorkspaceSpec {
+        id: "review".parse().unwrap(),
+        guarantees: guarantees.into_iter().collect(),
+        queue: WorkspaceSpec::QUEUE,
+    };
+    let added =
+        Entries { domains: ["a", "b", "c"].map(domain).to_vec(), workspaces: vec![workspace] };
+    let note = ReleaseNote {
+        base: Default::default(),
+        id: "first".to_string(),
+        added,
+        changed: Entries::default(),
+        withdrawn: Default::default(),
+    };
+    DesiredState::default().try_apply(&note).unwrap()
+}
+
+fn views(loads: [(u32, u32, u32); 3]) -> Vec<DomainView> {
+    let view = |(id, (free, block, queued)): (&str, (u32, u32, u32))| DomainView {
+        id: id.parse().unwrap(),
+        load: Load { total: 128, free, queued, waiting: queued / 8, block },
+        reachable: true,
+    };
+    ["a", "b", "c"].into_iter().zip(loads).map(view).collect()
+}
+
+fn job(request: usize, shape: Shape) -> JobSpec {
+    JobSpec {
+        key: format!("review/r{request}").parse().unwrap(),
+        kind: "footage".parse().unwrap(),
+        shape,
+        urgency: Urgency::Normal,
+        declared: Span::from_secs(60),
+        deadline: None,
+        idempotent: true,
+        checkpoint: true,
+        domain: None,
+        input: String::new(),
+    }
+}
+
+fn chosen(job: &JobSpec, state: &DesiredState, views: &[DomainView]) -> String {
+    route(job, state, views).unwrap().to_string()
+}
+
+#[test]
+fn a_gang_goes_to_the_tightest_rack_that_holds_it() {
+    let views = views([(100, 24, 0), (90, 64, 0), (40, 32, 0)]);
+    assert_eq!(chosen(&job(1, GANG), &state(&[], None), &views), "c");
+}
+
+#[test]
+fn a_small_job_fills_the_fullest_domain_with_room_whatever_waits_there() {
+    let views = views([(100, 64, 0), (1, 1, 0), (12, 8, 64)]);
+    assert_eq!(chosen(&job(1, SMALL), &state(&[], None), &views), "c");
+}
+
+#[test]
+fn without_room_the_least_loaded_domain_takes_the_job() {
+    let views = views([(16, 16, 300), (16, 16, 100), (16, 16, 200)]);
+    assert_eq!(chosen(&job(1, GANG), &state(&[], None), &views), "b");
+}
+
+#[test]
+fn a_matching_guarantee_goes_first() {
+    let views = views([(128, 64, 0), (0, 0, 500), (128, 64, 0)]);
+    assert_eq!(chosen(&job(1, GANG), &state(&[], Some((GANG, "b"))), &views), "b");
+}
+
+#[test]
+fn a_burst_on_the_same_news_spreads_over_equal_domains() {
+    let views = views([(128, 64, 0); 3]);
+    let state = state(&[], None);
+    let mut counts = [0; 3];
+    for request in 0..300 {
+        let id = chosen(&job(request, SMALL), &state, &views);
+        counts[["a", "b", "c"].iter().position(|other| *other == id).unwrap()] += 1;
+    }
+    assert!(counts.iter().all(|count| (70..=130).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn neither_a_withdrawn_nor_an_unreachable_domain_is_chosen() {
+    let mut views = views([(128, 64, 0), (128, 64, 0), (128, 64, 0)]);
+    views[1].reachable = false;
+    let open = state(&["c"], None);
+    assert_eq!(chosen(&job(1, SMALL), &open, &views), "a");
+    let named = JobSpec { domain: Some("c".parse().unwrap()), ..job(1, SMALL) };
+    let refusal = route(&named, &open, &views).unwrap_err();
+    assert_eq!(refusal.code, Code::NoDomain);
+    assert!(refusal.retry.is_some());
+}
+
+#[test]
+fn an_unknown_workspace_is_refused_for_good() {
+    let mut spec = job(1, SMALL);
+    spec.key.workspace = "stranger".parse().unwrap();
+    let refusal = route(&spec, &state(&[], None), &views([(128, 64, 0); 3])).unwrap_err();
+    assert_eq!((refusal.code, refusal.retry), (Code::UnknownWorkspace, None));
+}
--- a/examples/policy/baseline.rs
+++ b/examples/policy/baseline.rs
@@ -5,8 +5,9 @@
 //! worker that keeps failing, and hand waiting jobs over while their domain is out.
 
 use bulrushlink_core::{
-    Action, Attempt, Code, DomainShare, Ending, Event, JobKey, JobSpec, Load, Moment, Placement,
-    Refusal, Service, Span, StopReason, WorkerId, WorkspaceId,
+    Action, Adjacency, Attempt, Code, DesiredState, DomainId, DomainShare, DomainView, Ending,
+    Event, JobKey, JobSpec, Load, Moment, Placement, Refusal, Service, Span, StopReason, WorkerId,
+    WorkspaceId,
 };
 
 use crate::fit::{Bench, Choice, find};
@@ -44,6 +45,26 @@
     }
 }
 
+/// Chooses the domain in service that has room for the job, then the least loaded one.
+pub(crate) fn route(
+    spec: &JobSpec,
+    state: &DesiredState,
+    views: &[DomainView],
+) -> Option<DomainId> {
+    let total = spec.shape.total();
+    let open = |view: &&DomainView| state.domain(&view.id).map(|d| d.service) == Some(Service::In);
+    let rank = |(i, view): &(usize, &DomainView)| {
+        let load = &view.load;
+        let near = spec.shape.adjacency == Adjacency::Domain || load.block >= total;
+        let room = near && load.free >= load.queued + total;
+        let busy = load.queued + load.total.saturating_sub(load.free);
+        let spread = (spec.declared.0 as usize + i) % views.len();
+        (!room, busy * 50 / load.total.max(1), spread)
+    };
+    let open = views.iter().filter(open).enumerate();
+    open.min_by_key(rank).map(|(_, view)| view.id.clone())
+}
+
 /// How a baseline chooses.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Rule {
--- a/examples/policy/run.rs
+++ b/examples/policy/run.rs
@@ -4,14 +4,14 @@
 mod sample;
 
 use bulrushlink_core::{
-    Attempt, DesiredState, DomainView, Ending, Entries, Event, JobKey, Load, Moment, ReleaseNote,
-    Scheduler, Service, Span, route,
+    Attempt, DesiredState, DomainId, DomainView, Ending, Entries, Event, JobKey, JobSpec, Load,
+    Moment, ReleaseNote, Scheduler, Service, Span, route,
 };
 
 use serde::Serialize;
 
 use crate::agenda::{Agenda, Happening};
-use crate::baseline::{Baseline, Policy, Rule};
+use crate::baseline::{self, Baseline, Policy, Rule};
 use crate::table::Table;
 use crate::workload::{Deployment, ENTRY_HOSTS, Workload};
 
@@ -44,6 +44,15 @@
         }
     }
 
+    /// Chooses the domain of a job: the product's way for the core, the least loaded domain for the
+    /// baselines, which do worse behind the product's router.
+    fn route(self, spec: &JobSpec, state: &DesiredState, views: &[DomainView]) -> Option<DomainId> {
+        match self {
+            Self::Core => route(spec, state, views).ok(),
+            Self::FirstFit | Self::BestFit => baseline::route(spec, state, views),
+        }
+    }
+
     fn open(self, seed: u64) -> Box<dyn Policy> {
         match self {
             Self::Core => Box::new(Scheduler::open(seed)),
@@ -95,6 +104,7 @@
 
 struct Run<'a> {
     deployment: &'a Deployment,
+    contender: Contender,
     workload: &'a Workload,
     policies: Vec<Box<dyn Policy>>,
     /// Tick that is planned, by domain.
@@ -108,8 +118,9 @@
     idle: Vec<Option<Moment>>,
     outcomes: Vec<Outcome>,
     announced: Vec<Load>,
-    /// What each entry host has routed since the last announcement, by host and domain.
-    routed: Vec<Vec<Load>>,
+    /// Accelerators of the jobs that each entry host has routed since the last announcement, by
+    /// host and domain.
+    routed: Vec<Vec<u32>>,
     samples: Vec<Sample>,
     left: usize,
     stops: Stops,
@@ -130,6 +141,7 @@
     let count = workload.jobs.len();
     let mut run = Run {
         deployment,
+        contender,
         workload,
         policies: (0..domains).map(|i| contender.open(seed + i as u64)).collect(),
         ticks: vec![None; domains],
@@ -141,7 +153,7 @@
         idle: vec![None; count],
         outcomes: vec![Outcome::default(); count],
         announced: vec![Load::default(); domains],
-        routed: vec![vec![Load::default(); domains]; ENTRY_HOSTS],
+        routed: vec![vec![0; domains]; ENTRY_HOSTS],
         samples: Vec::new(),
         left: count,
         stops: Stops::default(),
@@ -271,18 +283,17 @@
         let routed = &mut self.routed[truth.entry];
         let view = |i: usize| DomainView {
             id: self.workload.domains[i].clone(),
-            load: sum(self.announced[i], routed[i]),
+            load: corrected(self.announced[i], routed[i]),
             reachable: true,
         };
         let views: Vec<_> = (0..routed.len()).map(view).collect();
-        let Ok(chosen) = route(&truth.spec, &self.state, &views) else {
+        let Some(chosen) = self.contender.route(&truth.spec, &self.state, &views) else {
             self.agenda.add(now + ROUTE_RETRY, Happening::Route(job));
             return;
         };
         let domain = self.workload.domains.iter().position(|id| *id == chosen);
         let domain = domain.expect("the router chooses among the domains");
-        routed[domain].queued += truth.spec.shape.total();
-        routed[domain].waiting += 1;
+        routed[domain] += truth.spec.shape.total();
         self.jobs[job] = State::Inside(domain);
         let (spec, attempt) = (truth.spec.clone(), self.last[job]);
         let event = Event::Submit { spec, attempt, age: now.since(truth.arrives) };
@@ -341,7 +352,7 @@
     fn announce(&mut self, now: Moment) {
         self.announced = self.policies.iter().map(|policy| policy.load()).collect();
         for routed in &mut self.routed {
-            routed.fill(Load::default());
+            routed.fill(0);
         }
         self.agenda.add(now + ANNOUNCE_EVERY, Happening::Announce);
     }
@@ -376,6 +387,12 @@
     key.request.as_str()[1..].parse().expect("requests are numbered")
 }
 
-fn sum(a: Load, b: Load) -> Load {
-    Load { queued: a.queued + b.queued, waiting: a.waiting + b.waiting, ..a }
+/// Returns an announced load, corrected by what was routed there since.
+fn corrected(announced: Load, routed: u32) -> Load {
+    Load {
+        queued: announced.queued + routed,
+        free: announced.free.saturating_sub(routed),
+        block: announced.block.saturating_sub(routed),
+        ..announced
+    }
 }
