--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -161,7 +161,9 @@
         command.words.len() <= args.len() && command.words.iter().zip(args).all(|(w, a)| w == a)
     };
     let Some(command) = COMMANDS.iter().find(named) else {
-        let text = format!("there is no command {:?}; see bulrushlink --help", args[0]);
+        let group = COMMANDS.iter().any(|command| command.words[0] == args[0]);
+        let name = args[..if group { args.len().min(2) } else { 1 }].join(" ");
+        let text = format!("there is no command {name:?}; see bulrushlink --help");
         return Err(Error::new(Code::Usage, text));
     };
     let rest = &args[command.words.len()..];
--- a/crates/cli/src/notes.rs
+++ b/crates/cli/src/notes.rs
@@ -1,14 +1,14 @@
 //! What operators do with release notes.
 
-use bulrushlink_api::{ApplyAnswer, CheckAnswer, HttpReply, PlanAnswer};
+use bulrushlink_api::{ApplyAnswer, CheckAnswer, PlanAnswer};
 use bulrushlink_core::{Code, Error, ReleaseNote};
-use serde::de::DeserializeOwned;
 use std::time::{Duration, Instant};
 
 use crate::connect::Operators;
-use crate::options::{Parsed, read_file};
+use crate::options::{Parsed, read_file, read_json};
+use crate::process::expect;
 use crate::status::Status;
-use crate::{Streams, process, table};
+use crate::{Streams, table};
 
 /// Pause between two questions of `note apply`, in milliseconds.
 const POLL_PAUSE_MS: u64 = 500;
@@ -76,10 +76,5 @@
 
 fn read(parsed: &Parsed) -> Result<ReleaseNote, Error> {
     let path = parsed.operand("NOTE.json")?;
-    let text = read_file(path)?;
-    serde_json::from_str(&text).map_err(|e| Error::at(Code::Malformed, path, e.to_string()))
-}
-
-fn expect<T: DeserializeOwned>(reply: &HttpReply) -> Result<T, Error> {
-    process::expect(reply)
+    read_json(path, &read_file(path)?)
 }
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -1,8 +1,9 @@
 //! One set of options for all commands, so that a script can give the same ones everywhere.
 
-use bulrushlink_api::SubmitBody;
+use bulrushlink_api::{SubmitBody, from_json};
 use bulrushlink_core::{Code, Error, JobKey, Shape, Span, Urgency};
 use getopts::{Matches, Options};
+use serde::de::DeserializeOwned;
 use std::io::Read;
 use std::str::FromStr;
 
@@ -120,11 +121,10 @@
             return Ok(vec![self.body()?]);
         };
         let text = read_file(&path)?;
-        let bad = |e: serde_json::Error| Error::at(Code::Malformed, path.clone(), e.to_string());
         if text.trim_start().starts_with('[') {
-            return serde_json::from_str(&text).map_err(bad);
+            return read_json(&path, &text);
         }
-        serde_json::from_str(&text).map(|body| vec![body]).map_err(bad)
+        read_json(&path, &text).map(|body| vec![body])
     }
 
     fn body(&self) -> Result<SubmitBody, Error> {
@@ -160,6 +160,11 @@
     }
 }
 
+/// Reads the JSON text of a file; an error names the file and the field.
+pub(crate) fn read_json<T: DeserializeOwned>(path: &str, text: &str) -> Result<T, Error> {
+    from_json(text).map_err(|error| error.under(&format!("{path}:")))
+}
+
 /// Reads a whole file, or standard input for `-`.
 pub(crate) fn read_file(path: &str) -> Result<String, Error> {
     let mut text = String::new();
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -57,11 +57,28 @@
         named && view.reachable && service == Some(Service::In)
     };
     let best = views.iter().filter(open).min_by_key(|view| rank(spec, state, view));
-    best.map(|view| view.id.clone()).ok_or_else(|| Refusal {
-        code: Code::NoDomain,
-        reason: "no failure domain in service can be reached".to_string(),
-        retry: Some(NO_DOMAIN_RETRY),
-    })
+    best.map(|view| view.id.clone()).ok_or_else(|| no_domain(spec, state))
+}
+
+/// Says why no domain can take the job, and whether that may change without a release note.
+fn no_domain(spec: &JobSpec, state: &DesiredState) -> Refusal {
+    let refuse = |reason, retry| Refusal { code: Code::NoDomain, reason, retry };
+    let Some(id) = &spec.domain else {
+        let reason = "no failure domain in service can be reached".to_string();
+        return refuse(reason, Some(NO_DOMAIN_RETRY));
+    };
+    match state.domain(id).map(|domain| domain.service) {
+        None => {
+            let version = state.version;
+            refuse(format!("failure domain {id} is not in release note {version}"), None)
+        }
+        Some(Service::Out) => {
+            refuse(format!("failure domain {id} is out of service"), Some(NO_DOMAIN_RETRY))
+        }
+        Some(Service::In) => {
+            refuse(format!("failure domain {id} can't be reached"), Some(NO_DOMAIN_RETRY))
+        }
+    }
 }
 
 /// Orders domains: first those where the workspace holds a matching guarantee, then those that
