--- /dev/null
+++ b/tests/system/main.rs
@@ -0,0 +1,5 @@
+//! Whole deployments of separate processes on loopback.
+
+mod processes;
+mod sessions;
+mod support;
--- a/tests/processes.rs
+++ b/tests/system/processes.rs
@@ -1,12 +1,10 @@
 //! The promises with real processes on loopback: signals, and a store that fails on command. No
 //! verdict depends on how fast the machine is.
 
-mod support;
-
+use crate::support::{Processes, eventually};
 use bulrushlink_api::{JobAnswer, JobState, SubmitBody};
 use bulrushlink_core::{Adjacency, DomainId, JobKey, Shape, Span, Urgency};
 use bulrushlink_standin::{Faults, RecordPage, Run};
-use support::{Processes, eventually};
 
 fn job(name: &str, domain: &str, run_ms: u64, idempotent: bool) -> SubmitBody {
     SubmitBody {
--- a/tests/sessions.rs
+++ b/tests/system/sessions.rs
@@ -1,9 +1,7 @@
 //! Whole sessions of a caller and of an operator at the command line, kept as golden files.
 
-mod support;
-
+use crate::support::Processes;
 use std::fmt::Write;
-use support::Processes;
 
 /// Runs the lines of a session and returns what a person sees on the terminal. Progress, which
 /// depends on the time that things take, is left out.
--- a/tests/support/mod.rs
+++ b/tests/system/support.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -155,11 +155,7 @@
 }
 
 impl DaemonProcess {
-    fn choose(
-        local: &LocalSettings,
-        member: &bulrushlink_daemon::Member,
-        folder: &PathBuf,
-    ) -> Self {
+    fn choose(local: &LocalSettings, member: &bulrushlink_daemon::Member, folder: &Path) -> Self {
         let mut settings = local.of(&member.id);
         settings.callers = free(member.addr.ip());
         settings.operators = free(member.addr.ip());
@@ -182,7 +178,7 @@
         self.process = Self::run(&self.settings);
     }
 
-    fn run(settings: &PathBuf) -> Process {
+    fn run(settings: &Path) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"));
         Process::spawn(command.arg("--settings").arg(settings).stderr(Stdio::null()))
     }
