--- a/crates/daemon/src/listener.rs
+++ b/crates/daemon/src/listener.rs
@@ -7,7 +7,7 @@
 //!
 //! The library's accept loop ends for good when the process has no file descriptor left, with an
 //! error or with a panic that only its own thread sees. The listener therefore asks itself for a
-//! sign of life every second, and opens anew on the same socket when none comes.
+//! sign of life every two seconds, and opens anew on the same socket when none comes.
 
 use bulrushlink_api::{Client, poke};
 use bulrushlink_core::{Code, Error, Span};
@@ -41,7 +41,7 @@
 /// Time in which the sign of life has to come, in milliseconds.
 const ALIVE_TIMEOUT_MS: u64 = 3_000;
 /// Period of poking the library, in milliseconds.
-const POKE_MS: u64 = 100;
+const POKE_MS: u64 = 200;
 /// Pokes between two signs of life.
 const POKES_PER_PROBE: u32 = 10;
 /// The most servers of the library behind one socket; the oldest ends when one more is opened.
