--- a/crates/core/src/sched/queue.rs
+++ b/crates/core/src/sched/queue.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::job::Shape;
+use crate::sched::fleet::View;
 use crate::sched::jobs::JobIx;
 use crate::sched::spaces::SpaceIx;
 
@@ -27,8 +28,8 @@
     pub(super) class: Class,
     pub(super) space: SpaceIx,
     pub(super) shape: Shape,
-    /// Whether the jobs can be stopped for a guarantee.
-    pub(super) preemptible: bool,
+    /// The room that the jobs may start in.
+    pub(super) view: View,
     /// Whether the jobs give way to the workspace's other jobs.
     pub(super) batch: bool,
     /// Whether the jobs avoid workers that they failed on; such jobs stand alone.
