Quarantine only on evidence that other workers do better

Cause: failures of three kinds of jobs within a second, all of them bad, reached the score of a good worker before any retry elsewhere had failed too. tests/decisions.rs failed first with a wave of bad jobs of five kinds. Now failures without a completion elsewhere count two points at most, below the limit, and a job that fails on a second worker takes back what it said. References to ended jobs in the strikes are dropped with the job.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -223,6 +223,7 @@
     fn forget(&mut self, ix: JobIx) -> JobKey {
         self.unlist(ix);
         self.vacate(ix);
+        self.let_go(ix);
         self.adrift.retain(|other| *other != ix);
         if self.fresh == Some(ix) {
             self.fresh = None;
--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -27,20 +27,22 @@
                 self.readmit(*worker);
             }
         }
-        let mut failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
-        failing.extend(&self.jobs.get(ix).failed_on);
-        failing.sort_unstable();
-        failing.dedup();
-        failing.retain(|worker| !workers.contains(worker));
-        for worker in failing {
+        let failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
+        for worker in failing.into_iter().filter(|worker| !workers.contains(worker)) {
+            self.fleet.health_mut(worker).confirm(space, &kind);
+            self.judge(worker);
+        }
+        let failed_on = self.jobs.get(ix).failed_on.clone();
+        for worker in failed_on.into_iter().filter(|worker| !workers.contains(worker)) {
+            let strike = Strike { job: None, space, kind: kind.clone(), weight: Weight::Job };
             let health = self.fleet.health_mut(worker);
-            health.confirm(space, &kind, ix);
-            health.release(ix, true);
+            health.release(ix, false);
+            health.strike(strike);
             self.judge(worker);
         }
     }
 
-    /// Notes that a job failed on a worker; returns whether it was a probe.
+    /// Notes that a job failed on a worker; one that fails on several is to blame itself. Returns whether it was a probe.
     pub(super) fn note_failure(&mut self, ix: JobIx, worker: Option<WorkerIx>) -> bool {
         let Some(worker) = worker else { return false };
         let job = self.jobs.get_mut(ix);
@@ -56,19 +58,23 @@
         if !failing.contains(&worker) {
             failing.push(worker);
         }
+        let failed_on = self.jobs.get(ix).failed_on.clone();
+        if failed_on.len() > 1 {
+            for other in failed_on {
+                self.fleet.health_mut(other).release(ix, false);
+            }
+            return false;
+        }
         let strike = Strike { job: Some(ix), space, kind, weight: Weight::Alone };
         self.fleet.health_mut(worker).strike(strike);
         self.judge(worker);
         false
     }
 
-    /// Lets go of a job that ends without completing. One that failed on several workers is to
-    /// blame itself.
-    pub(super) fn acquit(&mut self, ix: JobIx) {
-        let failed_on = self.jobs.get(ix).failed_on.clone();
-        let blame = failed_on.len() < 2;
-        for worker in failed_on {
-            self.fleet.health_mut(worker).release(ix, blame);
+    /// Lets go of a job that ends; what it said about workers stays.
+    pub(super) fn let_go(&mut self, ix: JobIx) {
+        for worker in self.jobs.get(ix).failed_on.clone() {
+            self.fleet.health_mut(worker).release(ix, true);
         }
     }
 
--- a/crates/core/src/sched/health.rs
+++ b/crates/core/src/sched/health.rs
@@ -15,6 +15,9 @@
 
 /// Score at which a worker is quarantined.
 pub(super) const SCORE_MAX: u32 = 3;
+/// Kinds of jobs that count though nothing of them has completed elsewhere; less than the score
+/// at which a worker is quarantined.
+const ALONE_MAX: usize = 2;
 /// Strikes kept for each worker.
 const STRIKES_MAX: usize = 8;
 /// Time until the first probe of a quarantined worker.
@@ -75,7 +78,7 @@
 
     /// Notes a failure; one job counts once.
     pub(super) fn strike(&mut self, strike: Strike) {
-        if self.strikes.iter().any(|s| s.job == strike.job) {
+        if strike.job.is_some() && self.strikes.iter().any(|s| s.job == strike.job) {
             return;
         }
         if self.strikes.len() == STRIKES_MAX {
@@ -84,14 +87,11 @@
         self.strikes.push(strike);
     }
 
-    /// Notes that a job of the kind has completed elsewhere; `job` is that job.
-    pub(super) fn confirm(&mut self, space: SpaceIx, kind: &KindId, job: JobIx) {
-        for strike in &mut self.strikes {
-            if strike.job == Some(job) {
-                strike.weight = Weight::Job;
-            } else if strike.space == space && strike.kind == *kind {
-                strike.weight = strike.weight.max(Weight::Kind);
-            }
+    /// Notes that a job of the kind has completed elsewhere.
+    pub(super) fn confirm(&mut self, space: SpaceIx, kind: &KindId) {
+        let alike = self.strikes.iter_mut().filter(|s| s.space == space && s.kind == *kind);
+        for strike in alike {
+            strike.weight = strike.weight.max(Weight::Kind);
         }
     }
 
@@ -106,7 +106,7 @@
     /// Adds up the failures; `lone` tells whether a kind of job fails on no other worker.
     pub(super) fn score(&self, lone: impl Fn(SpaceIx, &KindId) -> bool) -> u32 {
         let mut sum = 0;
-        let mut alone: Vec<(SpaceIx, &KindId)> = Vec::new();
+        let mut alone: Vec<(SpaceIx, &KindId)> = Vec::with_capacity(ALONE_MAX);
         for strike in &self.strikes {
             let kind = (strike.space, &strike.kind);
             match strike.weight {
@@ -114,12 +114,11 @@
                 Weight::Kind => sum += 1,
                 Weight::Alone if lone(kind.0, kind.1) && !alone.contains(&kind) => {
                     alone.push(kind);
-                    sum += 1;
                 }
                 Weight::Alone => {}
             }
         }
-        sum
+        sum + alone.len().min(ALONE_MAX) as u32
     }
 
     pub(super) fn enter(&mut self, now: Moment) {
--- a/crates/core/src/sched/outcome.rs
+++ b/crates/core/src/sched/outcome.rs
@@ -180,7 +180,6 @@
         let probe = self.note_failure(ix, worker);
         let job = self.jobs.get_mut(ix);
         if !job.repeatable() {
-            self.acquit(ix);
             return self.finish(ix, Ending::Failed { reason });
         }
         if probe {
@@ -191,12 +190,10 @@
         let (failures, space) = (job.failures, job.space);
         if failures >= FAILURES_MAX {
             let reason = format!("failed on {failures} workers, at last: {reason}");
-            self.acquit(ix);
             return self.finish(ix, Ending::Failed { reason });
         }
         if !self.spaces.get_mut(space).take_token() {
             let reason = format!("failed, and the workspace's retries are used up: {reason}");
-            self.acquit(ix);
             return self.finish(ix, Ending::Failed { reason });
         }
         self.requeue(ix, Reason::Retry(failures));
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -2,8 +2,11 @@
 
 mod table;
 
-use bulrushlink_core::{Adjacency, Code, Ending, Event, Service, Span, StopReason, Urgency};
-use table::{Table, shape, spec, workspace};
+use bulrushlink_core::{
+    AcceleratorSet, Action, Adjacency, Attempt, Code, Ending, Event, Service, Span, StopReason,
+    Urgency, UsageReport,
+};
+use table::{Table, shape, spec, worker_id, workspace};
 
 const DOMAIN: Adjacency = Adjacency::Domain;
 /// Bound on the start of an urgent or guaranteed job.
@@ -124,13 +127,13 @@
 #[test]
 fn a_bad_worker_is_quarantined_probed_and_trusted_again() {
     let mut table = Table::open(1, 8, 4, vec![workspace("a", &[])]);
-    table.broken = vec![table::worker_id(0)];
+    table.broken = vec![worker_id(0)];
     for i in 0..200 {
         table.submit(spec("a", &format!("j{i}"), shape(1, 1, DOMAIN)), secs(20));
         table.advance(secs(1));
     }
     table.advance(secs(30));
-    assert_eq!(table.quarantined, vec![table::worker_id(0)]);
+    assert_eq!(table.quarantined, vec![worker_id(0)]);
     table.broken.clear();
     for i in 200..300 {
         table.submit(spec("a", &format!("j{i}"), shape(1, 1, DOMAIN)), secs(20));
@@ -145,7 +148,9 @@
 fn a_wave_of_bad_jobs_leaves_good_workers_alone() {
     let mut table = Table::open(1, 8, 4, vec![workspace("a", &[])]);
     for i in 0..100 {
-        table.submit_as(spec("a", &format!("j{i}"), shape(1, 2, DOMAIN)), secs(20), true);
+        let mut job = spec("a", &format!("j{i}"), shape(1, 2, DOMAIN));
+        job.kind = format!("kind-{}", i % 5).parse().unwrap();
+        table.submit_as(job, secs(20), true);
         table.advance(secs(1));
     }
     table.advance(secs(600));
@@ -195,9 +200,66 @@
     let gang = spec("a", "gang", shape(2, 8, Adjacency::Rack));
     table.submit(gang.clone(), secs(60));
     table.advance(secs(10));
-    let actions = table.sched.decide(Event::WorkerLost(table::worker_id(0)), table.now);
-    let stopped = actions.iter().any(|action| {
-        matches!(action, bulrushlink_core::Action::Stop { reason: StopReason::GangIncomplete, .. })
-    });
+    let actions = table.sched.decide(Event::WorkerLost(worker_id(0)), table.now);
+    let stopped = actions
+        .iter()
+        .any(|action| matches!(action, Action::Stop { reason: StopReason::GangIncomplete, .. }));
     assert!(stopped, "{actions:?}");
 }
+
+#[test]
+fn a_job_that_may_have_run_is_not_started_again() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let mut job = spec("a", "j", shape(1, 1, DOMAIN));
+    job.idempotent = false;
+    job.checkpoint = true;
+    let event = Event::Submit { spec: job, attempt: Attempt(1), age: secs(5) };
+    let actions = table.sched.decide(event, table.now);
+    let unknown = matches!(&actions[..], [Action::Finish { ending: Ending::Unknown { .. }, .. }]);
+    assert!(unknown, "{actions:?}");
+}
+
+#[test]
+fn reports_that_lag_only_make_it_more_careful() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    table.report(0, AcceleratorSet(0x0f), secs(1));
+    table.submit(spec("a", "first", shape(1, 4, DOMAIN)), secs(60));
+    let set = table.placement("first").unwrap()[0].set;
+    assert_eq!(set, AcceleratorSet(0xf0), "what is reported busy is avoided");
+    let empty = UsageReport { worker: worker_id(0), busy: AcceleratorSet::EMPTY, age: secs(1) };
+    table.advance(secs(2));
+    table.tell(Event::Usage(vec![empty]));
+    table.submit(spec("a", "second", shape(1, 4, DOMAIN)), secs(60));
+    let set = table.placement("second").unwrap()[0].set;
+    assert_eq!(set, AcceleratorSet(0x0f), "what is held stays held");
+}
+
+#[test]
+fn a_late_report_of_work_that_has_ended_is_explained() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    table.submit(spec("a", "first", shape(1, 8, DOMAIN)), secs(10));
+    table.advance(secs(20));
+    let busy = AcceleratorSet::run(0, 8);
+    let late = UsageReport { worker: worker_id(0), busy, age: secs(15) };
+    table.tell(Event::Usage(vec![late]));
+    table.submit(spec("a", "second", shape(1, 8, DOMAIN)), secs(10));
+    assert!(table.placement("second").is_some());
+}
+
+#[test]
+fn a_tight_deadline_goes_first_and_a_missed_one_still_runs() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let all = shape(1, 8, DOMAIN);
+    table.submit(spec("a", "runs", all), secs(60));
+    table.submit(spec("a", "plain", all), secs(60));
+    let mut tight = spec("a", "tight", all);
+    tight.deadline = Some(secs(200));
+    table.submit(tight, secs(60));
+    let mut missed = spec("a", "missed", all);
+    missed.deadline = Some(secs(10));
+    table.submit(missed, secs(60));
+    table.advance(secs(400));
+    let start = |table: &mut Table, name: &str| table.named(name).started.expect("starts");
+    assert!(start(&mut table, "tight") < start(&mut table, "plain"));
+    assert!(matches!(table.named("missed").ended, Some(Ending::Completed { .. })));
+}
--- a/crates/core/tests/promises.rs
+++ b/crates/core/tests/promises.rs
@@ -21,7 +21,7 @@
 type Other = (usize, u64, bool, bool, u64);
 
 fn others() -> impl Strategy<Value = Vec<Other>> {
-    let other = (0..6usize, 1..900u64, any::<bool>(), any::<bool>(), 0..4_000u64);
+    let other = (0..6usize, 1..900u64, any::<bool>(), any::<bool>(), 0..16_000u64);
     proptest::collection::vec(other, 1..120)
 }
 
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -83,6 +83,7 @@
         2 => (0..200usize).prop_map(Op::Cancel),
         1 => (0..200usize).prop_map(Op::Repeat),
         10 => (1..30_000u64).prop_map(Op::Pass),
+        1 => (1..600_000u64).prop_map(Op::Pass),
         1 => (0..WORKERS).prop_map(Op::Lose),
         2 => (0..WORKERS).prop_map(Op::Join),
         1 => (0..WORKERS).prop_map(Op::Leave),
