Let urgent work oust batch work, and place work that can't move apart

It now avoids only those workers without which its shape still fits. - An urgent job whose workspace's guarantee is used up here, though not elsewhere, waited up to 176 s. Tried and dropped: drains ready within 180 s, drains after 60 s, closing for longer while only batch waits, ordering batch by size alone.

--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -78,12 +78,18 @@
     });
     let load = &view.load;
     let order = match room(spec, load) {
-        Some(room) if spec.urgency != Urgency::Urgent => u64::from(room) / ROOM_STEP,
+        Some(room) if can_borrow(spec) => u64::from(room) / ROOM_STEP,
         _ => pressure(load),
     };
     (!guaranteed, room(spec, load).is_none(), order, spread(spec, view))
 }
 
+/// Tells whether the job may start on any free accelerators. Urgent ones shouldn't have to wait for
+/// a guarantee to be reclaimed, and what can't be stopped gets none that a guarantee holds back.
+fn can_borrow(spec: &JobSpec) -> bool {
+    spec.urgency != Urgency::Urgent && (spec.idempotent || spec.checkpoint)
+}
+
 /// Returns the free accelerators of which the job would take some, if it could start now as far
 /// as the load tells.
 fn room(spec: &JobSpec, load: &Load) -> Option<u32> {
--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -2,6 +2,7 @@
 
 use crate::sched::Scheduler;
 use crate::sched::event::Action;
+use crate::sched::fit;
 use crate::sched::fit::{Place, pick};
 use crate::sched::fleet::WorkerIx;
 use crate::sched::health::{SCORE_MAX, Strike, Weight};
@@ -51,6 +52,13 @@
         if !job.failed_on.contains(&worker) {
             job.failed_on.push(worker);
         }
+        let mut avoid = job.failed_on.clone();
+        let shape = job.spec.shape;
+        while !avoid.is_empty() && !fit::ever_fits(&self.fleet, shape, &avoid) {
+            avoid.remove(0);
+        }
+        let job = self.jobs.get_mut(ix);
+        job.avoid = avoid;
         let (space, kind) = (job.space, job.spec.kind.clone());
         let failing = &mut self.kinds.entry(space, &kind).failing;
         if !failing.contains(&worker) {
--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -18,7 +18,7 @@
 /// Parts of larger guarantees that are weighed for one job.
 const CHOICES_MAX: usize = 16;
 /// Run time that a stop with a checkpoint loses, saving and resuming included.
-const CHECKPOINT_COST: Span = Span::from_secs(10);
+const CHECKPOINT_COST: Span = Span::from_secs(20);
 
 /// Cells of a guarantee that a job is about to use.
 struct Choice {
@@ -90,8 +90,8 @@
         let shape = self.guarantees.get(guarantee).shape;
         let old = self.guarantees.places(guarantee);
         self.guarantees.unbind(guarantee, &mut self.fleet);
-        let avoid = &self.jobs.get(ix).failed_on;
-        let found = fit::find(&self.fleet, View::Hard, shape, avoid);
+        let avoid = &self.jobs.get(ix).avoid;
+        let found = fit::find_apart(&self.fleet, View::Hard, shape, avoid, false);
         let moved = found.is_some();
         self.guarantees.bind(guarantee, &found.unwrap_or(old), &mut self.fleet);
         moved
@@ -102,7 +102,7 @@
     fn cheapest(&mut self, ix: JobIx, own: InstanceIx) -> InstanceIx {
         let job = self.jobs.get(ix);
         let (space, shape) = (job.space, job.spec.shape);
-        let avoid = &job.failed_on;
+        let avoid = &job.avoid;
         let alike = self.guarantees.groups.iter().filter(|g| g.shape == shape);
         let members = alike.flat_map(|g| g.members.iter().copied());
         let open = members.filter(|ix| {
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -6,8 +6,9 @@
 //! waits, so few blocks drain at the same time.
 
 use serde::Serialize;
+use std::cmp::Reverse;
 
-use crate::job::{Adjacency, Shape};
+use crate::job::{Adjacency, Shape, Urgency};
 use crate::sched::Scheduler;
 use crate::sched::event::StopReason;
 use crate::sched::fit::{self, Place, pick};
@@ -29,9 +30,11 @@
 /// Time between two searches for a block.
 const PLAN_INTERVAL: Span = Span::from_secs(3);
 /// Run time that moving a job may lose.
-const MOVE_LOSS_MAX: Span = Span::from_secs(60);
+const MOVE_LOSS_MAX: Span = Span::from_secs(20);
 /// The most times that one job is moved.
-const MOVES_MAX: u8 = 1;
+const MOVES_MAX: u8 = 2;
+/// Run time that a job with checkpoints gets before it is moved.
+const QUANTUM: Span = Span::from_secs(120);
 /// Time that moving a job takes.
 const MOVE_TIME: Span = Span::from_secs(8);
 
@@ -106,8 +109,7 @@
     fn tend_drain(&mut self, ix: JobIx) {
         let job = self.jobs.get(ix);
         let shape = job.spec.shape;
-        if let Some(places) =
-            fit::find(&self.fleet, job.view().max(View::Soft), shape, &job.failed_on)
+        if let Some(places) = fit::find(&self.fleet, job.view().max(View::Soft), shape, &job.avoid)
         {
             return self.begin(ix, places, Reason::Unheld);
         }
@@ -131,33 +133,56 @@
             let job = self.jobs.get(*ix);
             job.age(self.now) >= self.drain_after(job) && job.spec.shape.total() > 1
         });
-        let mut heads: Vec<_> = heads.map(|ix| (self.jobs.get(ix).submitted(), ix)).collect();
+        let mut heads: Vec<_> = heads
+            .map(|ix| {
+                let job = self.jobs.get(ix);
+                ((Reverse(job.spec.shape.total()), job.submitted()), ix)
+            })
+            .collect();
         heads.sort_unstable();
         for (_, ix) in heads.into_iter().take(OWNERS_MAX) {
             if self.try_part(ix) {
                 continue;
             }
             let Some((ready, places)) = self.plan(ix) else { continue };
-            let firm = !self.jobs.get(ix).preemptible();
-            let held = firm && places.iter().any(|place| !self.held_back(place).is_empty());
-            if held && !self.repack_around(&places) {
-                continue;
-            }
-            self.unlist(ix);
-            self.count_waiting(ix, true);
-            for place in &places {
-                self.fleet.close(place, ix, true);
+            if self.drain(ix, ready, places) {
+                return;
             }
-            let now = self.now;
-            let job = self.jobs.get_mut(ix);
-            job.places = places;
-            job.enter(Phase::Claiming, Reason::Draining, now);
-            self.drains.push(Drain { owner: ix, ready });
-            self.clear_block(ix);
-            return;
         }
     }
 
+    /// Makes batch work leave for an urgent job that finds no room and whose workspace has used up
+    /// its guarantee here; the router sends it here when the guarantee has room elsewhere too.
+    pub(super) fn try_oust(&mut self, ix: JobIx) -> bool {
+        if !self.jobs.get(ix).is_urgent() {
+            return false;
+        }
+        let Some((ready, places)) = self.plan(ix) else { return false };
+        ready.since(self.now) <= MOVE_TIME && self.drain(ix, ready, places)
+    }
+
+    /// Keeps `places` free for a waiting job; tells whether that keeps all guarantees.
+    fn drain(&mut self, ix: JobIx, ready: Moment, places: Vec<Place>) -> bool {
+        let firm = !self.jobs.get(ix).preemptible();
+        let held = firm && places.iter().any(|place| !self.held_back(place).is_empty());
+        if held && !self.repack_around(&places) {
+            return false;
+        }
+        let lent = !self.jobs.get(ix).is_urgent();
+        self.unlist(ix);
+        self.count_waiting(ix, true);
+        for place in &places {
+            self.fleet.close(place, ix, lent);
+        }
+        let now = self.now;
+        let job = self.jobs.get_mut(ix);
+        job.places = places;
+        job.enter(Phase::Claiming, Reason::Draining, now);
+        self.drains.push(Drain { owner: ix, ready });
+        self.clear_block(ix);
+        true
+    }
+
     /// Returns the wait after which a block is kept free for a job.
     fn drain_after(&self, job: &Job) -> Span {
         let expected = self.kinds.expect(job.space, &job.spec.kind, job.spec.declared);
@@ -209,7 +234,7 @@
             false => (accelerators, 1),
         };
         let worker = self.fleet.worker(at);
-        if !worker.is_usable() || size > worker.info.accelerators || job.failed_on.contains(&at) {
+        if !worker.is_usable() || size > worker.info.accelerators || job.avoid.contains(&at) {
             return Vec::new();
         }
         let mut open = worker.total().without(worker.closed).without(worker.foreign);
@@ -219,8 +244,11 @@
         let starts = (0..=worker.info.accelerators - size).step_by(size as usize);
         let sets = starts.map(|first| AcceleratorSet::run(first, size));
         let sets = sets.filter(|set| open.contains(*set));
-        sets.map(|set| Window { wait: self.wait(at, set), place: Place { worker: at, set, tasks } })
-            .collect()
+        sets.map(|set| Window {
+            wait: self.wait(ix, at, set),
+            place: Place { worker: at, set, tasks },
+        })
+        .collect()
     }
 
     /// Returns the accelerators of a worker that jobs use within guarantees.
@@ -231,9 +259,9 @@
     }
 
     /// Returns the time until `set` is free.
-    fn wait(&self, at: WorkerIx, set: AcceleratorSet) -> Span {
+    fn wait(&self, owner: JobIx, at: WorkerIx, set: AcceleratorSet) -> Span {
         let seats = self.fleet.worker(at).seats.iter().filter(|s| s.set.overlaps(set));
-        let waits = seats.map(|seat| match self.is_movable(seat.job) {
+        let waits = seats.map(|seat| match self.is_movable(owner, seat.job) {
             true => MOVE_TIME.min(self.remaining(seat.job)),
             false => self.remaining(seat.job),
         });
@@ -251,11 +279,23 @@
         }
     }
 
-    fn is_movable(&self, ix: JobIx) -> bool {
+    /// Tells whether a live job may be stopped for `owner` and started again elsewhere.
+    fn is_movable(&self, owner: JobIx, ix: JobIx) -> bool {
         let job = self.jobs.get(ix);
-        let cheap = job.spec.checkpoint || job.unsaved(self.now) <= MOVE_LOSS_MAX;
+        let owner = self.jobs.get(owner);
         let runs = matches!(job.phase, Phase::Starting | Phase::Running);
-        runs && !job.firm && job.preemptible() && job.moves < MOVES_MAX && cheap
+        if !runs || job.firm || !job.preemptible() {
+            return false;
+        }
+        if owner.is_urgent() {
+            return job.spec.urgency == Urgency::Batch;
+        }
+        let smaller = job.spec.shape.total() < owner.spec.shape.total();
+        let cheap = match job.spec.checkpoint {
+            true => job.unsaved(self.now) >= QUANTUM,
+            false => job.unsaved(self.now) <= MOVE_LOSS_MAX,
+        };
+        smaller && cheap && job.moves < MOVES_MAX
     }
 
     /// Stops the work in a draining block once all of it can be moved cheaply; until then it runs
@@ -264,7 +304,7 @@
         let places = self.jobs.get(owner).places.clone();
         let victims = self.victims(&places);
         let leaving = |ix: &JobIx| matches!(self.jobs.get(*ix).phase, Phase::Stopping(..));
-        if !victims.iter().all(|ix| leaving(ix) || self.is_movable(*ix)) {
+        if !victims.iter().all(|ix| leaving(ix) || self.is_movable(owner, *ix)) {
             return;
         }
         for place in &places {
@@ -302,7 +342,7 @@
             let free = place.set.without(worker.busy).without(closed);
             let set = pick(free, shape.accelerators)?;
             let place = Place { worker: place.worker, set, tasks: 1 };
-            let avoided = job.failed_on.contains(&place.worker) || !worker.is_usable();
+            let avoided = job.avoid.contains(&place.worker) || !worker.is_usable();
             let slots = 1 + worker.closed_to(owner).1;
             let ready = self.is_ready(&place) && worker.is_free(set, slots);
             (!avoided && ready).then_some(place)
--- a/crates/core/src/sched/fit.rs
+++ b/crates/core/src/sched/fit.rs
@@ -4,7 +4,7 @@
 //! leave the least room in, so that whole workers and whole racks stay for large shapes. The cost
 //! is that small jobs share racks, and a rack that fails takes more of them.
 
-use crate::job::{Adjacency, Shape};
+use crate::job::{Adjacency, Shape, TASK_MAX_ACCELERATORS};
 use crate::sched::fleet::{Fleet, Rack, View, WorkerIx};
 use crate::units::AcceleratorSet;
 
@@ -48,6 +48,63 @@
     }
 }
 
+/// Finds room for `shape` like [`find`], with work that can't be moved in the first racks and work
+/// that can in the last ones, so that a rack can be cleared for a large gang.
+pub(super) fn find_apart(
+    fleet: &Fleet,
+    view: View,
+    shape: Shape,
+    avoid: &[WorkerIx],
+    movable: bool,
+) -> Option<Vec<Place>> {
+    let size = shape.accelerators;
+    if fleet.fit(view, size) < u32::from(shape.tasks) {
+        return None;
+    }
+    let block = shape.tasks == 1 || shape.adjacency == Adjacency::Worker;
+    let count = fleet.racks.len();
+    let want = u32::from(shape.tasks);
+    for i in 0..count {
+        let rack = &fleet.racks[if movable { count - 1 - i } else { i }];
+        if block {
+            if let Some(place) = find_in_rack(fleet, rack, view, shape, avoid) {
+                return Some(vec![place]);
+            }
+        } else if rack_room(fleet, rack, view, size, avoid) >= want {
+            let mut places = Vec::with_capacity(shape.tasks as usize);
+            fill_rack(fleet, rack, view, size, shape.tasks, avoid, &mut places);
+            return Some(places);
+        }
+    }
+    find(fleet, view, shape, avoid)
+}
+
+fn find_in_rack(
+    fleet: &Fleet,
+    rack: &Rack,
+    view: View,
+    shape: Shape,
+    avoid: &[WorkerIx],
+) -> Option<Place> {
+    let size = shape.total().min(64) as u8;
+    let open = rack.workers.iter().filter(|ix| !avoid.contains(ix));
+    let fits = open.filter_map(|ix| {
+        let worker = fleet.worker(*ix);
+        let fit = if size as usize <= TASK_MAX_ACCELERATORS as usize {
+            worker.fit(view, size)
+        } else {
+            1
+        };
+        if fit == 0 || worker.slots(view) < shape.tasks {
+            return None;
+        }
+        let mask = worker.mask(view);
+        Some((mask.len(), *ix, pick(mask, size)?))
+    });
+    let best = fits.min_by_key(|(left, ix, _)| (*left, *ix))?;
+    Some(Place { worker: best.1, set: best.2, tasks: shape.tasks })
+}
+
 /// Tells whether [`find`] may find room when no worker is avoided.
 pub(super) fn may_fit(fleet: &Fleet, view: View, shape: Shape) -> bool {
     let want = u32::from(shape.tasks);
@@ -165,23 +222,24 @@
     Some(AcceleratorSet::run(best, size))
 }
 
-/// Tells whether the hardware could hold `shape` if nothing else ran, now or when workers that
+/// Tells whether the workers that aren't in `avoid` could hold `shape` if nothing else ran, now or when workers that
 /// are away for a moment return.
-pub(super) fn ever_fits(fleet: &Fleet, shape: Shape) -> bool {
+pub(super) fn ever_fits(fleet: &Fleet, shape: Shape, avoid: &[WorkerIx]) -> bool {
     let size = shape.accelerators;
     if shape.tasks == 1 || shape.adjacency == Adjacency::Worker {
         let holds = |ix| {
             let info = &fleet.worker(ix).info;
             u32::from(info.accelerators) >= shape.total() && info.slots >= shape.tasks
         };
-        return fleet.present().any(holds);
+        return fleet.present().filter(|ix| !avoid.contains(ix)).any(holds);
     }
     let most = |ix: &WorkerIx| {
         let info = &fleet.worker(*ix).info;
         let by_size = info.accelerators.checked_div(size).map_or(info.slots, u16::from);
         u32::from(by_size.min(info.slots))
     };
-    let sum = |rack: &Rack| rack.workers.iter().map(most).sum::<u32>();
+    let sum =
+        |rack: &Rack| rack.workers.iter().filter(|ix| !avoid.contains(ix)).map(most).sum::<u32>();
     let want = u32::from(shape.tasks);
     match shape.adjacency {
         Adjacency::Domain => fleet.racks.iter().map(sum).sum::<u32>() >= want,
--- a/crates/core/src/sched/guarantee.rs
+++ b/crates/core/src/sched/guarantee.rs
@@ -237,7 +237,7 @@
             let shape = instance.shape;
             let old = self.places(ix);
             self.unbind(ix, fleet);
-            if let Some(places) = fit::find(fleet, View::Bind, shape, &[]) {
+            if let Some(places) = fit::find_apart(fleet, View::Bind, shape, &[], false) {
                 self.bind(ix, &places, fleet);
                 return true;
             }
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -16,7 +16,7 @@
 /// Expected run time beyond which a longer one doesn't set a job back further.
 const RUN_WEIGHED_MAX: Span = Span::from_secs(30 * 60);
 /// Time by which batch work is set back.
-const BATCH_SETBACK: Span = Span::from_secs(60);
+const BATCH_SETBACK: Span = Span::from_secs(20 * 60);
 /// Factor on the median run time that the latest start allows for at most.
 const SLACK_FACTOR: u64 = 3;
 
@@ -62,6 +62,7 @@
             misstarts: 0,
             moves: 0,
             failed_on: Vec::new(),
+            avoid: Vec::new(),
             places: Vec::new(),
             unseated: Vec::new(),
             firm: false,
@@ -104,7 +105,7 @@
         match self.feasible.binary_search_by_key(&shape, |entry| entry.0) {
             Ok(i) => self.feasible[i].1,
             Err(i) => {
-                let fits = fit::ever_fits(&self.fleet, shape);
+                let fits = fit::ever_fits(&self.fleet, shape, &[]);
                 self.feasible.insert(i, (shape, fits));
                 fits
             }
@@ -135,7 +136,7 @@
             shape: spec.shape,
             view: job.view(),
             batch,
-            avoiding: (!job.failed_on.is_empty()).then_some(ix),
+            avoiding: (!job.avoid.is_empty()).then_some(ix),
         };
         if job.is_urgent() {
             lane.class = Class::Urgent;
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -126,8 +126,10 @@
     pub(super) misstarts: u8,
     /// Times it was stopped for somebody else's sake.
     pub(super) moves: u8,
-    /// Workers that it failed on; it isn't started there again.
+    /// Workers that it failed on.
     pub(super) failed_on: Vec<WorkerIx>,
+    /// Those of them that the next attempt avoids; the others suffice for its shape.
+    pub(super) avoid: Vec<WorkerIx>,
     /// The block that it holds or has claimed; empty while it has none.
     pub(super) places: Vec<Place>,
     /// Tasks adopted on workers that aren't known yet.
--- a/crates/core/src/sched/pass.rs
+++ b/crates/core/src/sched/pass.rs
@@ -20,12 +20,14 @@
 /// Stops for others' sake after which a job isn't stopped again where it holds nobody's guarantee.
 const STOPS_MAX: u8 = 3;
 /// Slack below which a deadline goes before the fair order.
-const TIGHT_SLACK: Span = Span::from_secs(300);
+const TIGHT_SLACK: Span = Span::from_secs(900);
 /// Time by which a workspace that borrows all accelerators is set back.
 const FAIR_SETBACK: Span = Span::from_secs(15 * 60);
 
 /// Kinds of adjacency.
 const ADJACENCIES: usize = 3;
+/// Time by which a job is put forward for each accelerator that it asks for.
+const SIZE_BONUS: Span = Span::from_secs(20);
 
 /// Order of the lanes' heads; the smallest is next.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -204,7 +206,10 @@
                 let submitted = self.jobs.get(entry.job).submitted();
                 Rank { group: 2, key: submitted + self.fair_setback(lane), entry }
             }
-            Class::Plain => Rank { group: 2, key: entry.rank + self.fair_setback(lane), entry },
+            Class::Plain => {
+                let bonus = i64::from(lane.shape.total()) * SIZE_BONUS.0 as i64;
+                Rank { group: 2, key: entry.rank + self.fair_setback(lane) - bonus, entry }
+            }
         }
     }
 
@@ -245,7 +250,8 @@
             return true;
         }
         outlook.backfills += 1;
-        outlook.backfills <= BACKFILLS_MAX && self.try_backfill(ix)
+        let filled = outlook.backfills <= BACKFILLS_MAX && self.try_backfill(ix);
+        filled || self.try_oust(ix)
     }
 
     /// Finds room for a job, unless none was found for its shape in this pass.
@@ -255,8 +261,8 @@
         if outlook.room.get(view, shape) == Some(false) {
             return None;
         }
-        let found = fit::find(&self.fleet, view, shape, &job.failed_on);
-        if found.is_none() && job.failed_on.is_empty() {
+        let found = fit::find_apart(&self.fleet, view, shape, &job.avoid, job.spec.checkpoint);
+        if found.is_none() && job.avoid.is_empty() {
             *outlook.room.entry(view, shape) = Some(false);
         }
         found
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -356,7 +356,9 @@
     });
     for ix in broken {
         if guarantees.get(ix).is_unused() {
-            if let Some(places) = fit::find(fleet, View::Bind, guarantees.get(ix).shape, &[]) {
+            if let Some(places) =
+                fit::find_apart(fleet, View::Bind, guarantees.get(ix).shape, &[], false)
+            {
                 guarantees.unbind(ix, fleet);
                 guarantees.bind(ix, &places, fleet);
             }
