--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -26,8 +26,8 @@
 pub struct DomainView {
     /// The domain.
     pub id: DomainId,
-    /// Load that its placer announced last. A daemon that has sent jobs there since takes their
-    /// accelerators off `free` and `block`, and adds them to `queued`.
+    /// Load that its placer announced last, with the jobs that this daemon has sent there since,
+    /// see [`Load::add`].
     pub load: Load,
     /// Whether its placer can be reached.
     pub reachable: bool,
@@ -64,24 +64,50 @@
     })
 }
 
-/// Orders domains: first those where the workspace holds a matching guarantee, then those that
-/// have room now, the tightest first, then by what is busy or waits there for each healthy
-/// accelerator.
+/// Order of the domains for one job; the smallest is chosen.
+#[derive(PartialEq, Eq, PartialOrd, Ord)]
+struct Rank {
+    /// Whether the workspace holds no guarantee of the job's shape there.
+    unguaranteed: bool,
+    /// For an urgent job the share of these guarantees that is in use, per thousand.
+    used: u64,
+    /// Whether the job has to wait.
+    full: bool,
+    /// The room that is left, or the load.
+    order: u64,
+    /// Tells equals apart by the job's key, so that a burst that many daemons route on the same
+    /// news spreads over the domains instead of meeting in the first one by name.
+    spread: u64,
+}
+
+/// Orders domains: first those where the workspace holds a matching guarantee, for urgent jobs the
+/// least used one, then those that have room now, the tightest first, then by what is busy or
+/// waits there for each healthy accelerator.
 ///
-/// A job goes where it leaves the least room, so that whole racks stay free in some domain. Equals
-/// are told apart by the job's key, so that a burst that many daemons route on the same news
-/// spreads over the domains instead of meeting in the first one by name.
-fn rank(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> (bool, bool, u64, u64) {
-    let guaranteed = state.share(&view.id).is_some_and(|share| {
-        let own = share.workspaces.iter().find(|w| w.id == spec.key.workspace);
-        own.is_some_and(|w| w.guarantees.iter().any(|(shape, _)| *shape == spec.shape))
-    });
+/// A job goes where it leaves the least room, so that whole racks stay free in some domain.
+fn rank(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> Rank {
     let load = &view.load;
-    let order = match room(spec, load) {
+    let count = guaranteed(spec, state, view);
+    let urgent = u64::from(load.urgent[Load::bucket(spec)]);
+    let used = match spec.urgency {
+        Urgency::Urgent if count > 0 => urgent * 1000 / u64::from(count),
+        _ => 0,
+    };
+    let room = room(spec, load);
+    let order = match room {
         Some(room) if can_borrow(spec) => u64::from(room) / ROOM_STEP,
         _ => pressure(load),
     };
-    (!guaranteed, room(spec, load).is_none(), order, spread(spec, view))
+    let spread = spread(spec, view);
+    Rank { unguaranteed: count == 0, used, full: room.is_none(), order, spread }
+}
+
+/// Number of guarantees of the job's shape that its workspace holds in the domain.
+fn guaranteed(spec: &JobSpec, state: &DesiredState, view: &DomainView) -> u16 {
+    let Some(share) = state.share(&view.id) else { return 0 };
+    let own = share.workspaces.iter().filter(|w| w.id == spec.key.workspace);
+    let alike = own.flat_map(|w| &w.guarantees).filter(|(shape, _)| *shape == spec.shape);
+    alike.map(|(_, count)| *count).sum()
 }
 
 /// Tells whether the job may start on any free accelerators. Urgent ones shouldn't have to wait for
--- a/crates/core/src/route/tests.rs
+++ b/crates/core/src/route/tests.rs
@@ -42,7 +42,7 @@
 fn views(loads: [(u32, u32, u32); 3]) -> Vec<DomainView> {
     let view = |(id, (free, block, queued)): (&str, (u32, u32, u32))| DomainView {
         id: id.parse().unwrap(),
-        load: Load { total: 128, free, queued, waiting: queued / 8, block },
+        load: Load { total: 128, free, queued, waiting: queued / 8, block, ..Load::default() },
         reachable: true,
     };
     ["a", "b", "c"].into_iter().zip(loads).map(view).collect()
@@ -91,6 +91,17 @@
     assert_eq!(chosen(&job(1, GANG), &state(&[], Some((GANG, "b"))), &views), "b");
 }
 
+#[test]
+fn an_urgent_job_goes_where_its_guarantee_is_used_least() {
+    let mut views = views([(128, 64, 0), (128, 64, 0), (0, 0, 500)]);
+    let urgent = JobSpec { urgency: Urgency::Urgent, ..job(1, GANG) };
+    let mut state = state(&[], None);
+    state.workspaces[0].guarantees = vec![Guarantee { shape: GANG, count: 3, domain: None }];
+    views[0].load.add(&urgent);
+    views[1].load.add(&urgent);
+    assert_eq!(chosen(&urgent, &state, &views), "c");
+}
+
 #[test]
 fn a_burst_on_the_same_news_spreads_over_equal_domains() {
     let views = views([(128, 64, 0); 3]);
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -24,7 +24,9 @@
 mod share;
 mod spaces;
 
-pub use event::{Action, Event, Load, StartFault, StopReason, UsageReport, Why, WorkerInfo};
+pub use event::{
+    Action, Event, Load, StartFault, StopReason, URGENT_BUCKETS, UsageReport, Why, WorkerInfo,
+};
 pub use report::{JobState, KindState, Shortfall, State, WorkerState, WorkspaceState};
 
 use crate::ids::JobKey;
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -2,12 +2,17 @@
 
 use derive_more::Display;
 use serde::{Deserialize, Serialize};
+use siphasher::sip::SipHasher13;
+use std::hash::{Hash, Hasher};
 
 use crate::ids::{Attempt, DomainId, JobKey, RackId, WorkerId};
-use crate::job::{Ending, JobSpec, Placement};
+use crate::job::{Ending, JobSpec, Placement, Urgency};
 use crate::note::DomainShare;
 use crate::units::{AcceleratorSet, Moment, Span};
 
+/// Buckets of urgent jobs in a load.
+pub const URGENT_BUCKETS: usize = 8;
+
 /// A worker as the platform describes it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WorkerInfo {
@@ -222,6 +227,38 @@
     pub waiting: u32,
     /// The largest number of free accelerators within one rack.
     pub block: u32,
+    /// Urgent jobs that run or wait, in buckets by workspace and shape, see [`Self::bucket`].
+    #[serde(default)]
+    pub urgent: [u16; URGENT_BUCKETS],
+}
+
+impl Load {
+    /// Returns the bucket that counts the urgent jobs of a workspace that have one shape. Few
+    /// buckets keep the load small wherever it is sent; two pairs that share a bucket only make
+    /// the router more careful with both.
+    pub fn bucket(spec: &JobSpec) -> usize {
+        let mut hasher = SipHasher13::new();
+        (&spec.key.workspace, spec.shape).hash(&mut hasher);
+        hasher.finish() as usize % URGENT_BUCKETS
+    }
+
+    /// Counts a job that was sent to the domain after the load was announced.
+    pub fn add(&mut self, spec: &JobSpec) {
+        let total = spec.shape.total();
+        self.queued += total;
+        self.waiting += 1;
+        self.free = self.free.saturating_sub(total);
+        self.block = self.block.saturating_sub(total);
+        self.count_urgent(spec);
+    }
+
+    /// Counts the job in its bucket if it is urgent.
+    pub(crate) fn count_urgent(&mut self, spec: &JobSpec) {
+        if spec.urgency == Urgency::Urgent {
+            let count = &mut self.urgent[Self::bucket(spec)];
+            *count = count.saturating_add(1);
+        }
+    }
 }
 
 /// Why a job is where it is.
--- a/crates/core/src/sched/report.rs
+++ b/crates/core/src/sched/report.rs
@@ -132,13 +132,16 @@
     pub fn load(&self) -> Load {
         let (total, free) = self.fleet.healthy();
         let racks = self.fleet.racks.iter().map(|rack| rack.healthy().1);
-        Load {
+        let mut load = Load {
             total,
             free,
             queued: self.queued,
             waiting: self.waiting,
             block: racks.max().unwrap_or_default(),
-        }
+            ..Load::default()
+        };
+        self.jobs.iter().for_each(|(_, job)| load.count_urgent(&job.spec));
+        load
     }
 
     /// Returns the whole state, for people who look for what went wrong.
--- a/examples/policy/baseline.rs
+++ b/examples/policy/baseline.rs
@@ -322,6 +322,7 @@
             queued: waiting().map(|job| job.spec.shape.total()).sum(),
             waiting: waiting().count() as u32,
             block: self.bench.block(),
+            ..Load::default()
         }
     }
 
--- a/examples/policy/run.rs
+++ b/examples/policy/run.rs
@@ -117,10 +117,8 @@
     /// Since when a job has had no accelerators.
     idle: Vec<Option<Moment>>,
     outcomes: Vec<Outcome>,
-    announced: Vec<Load>,
-    /// Accelerators of the jobs that each entry host has routed since the last announcement, by
-    /// host and domain.
-    routed: Vec<Vec<u32>>,
+    /// Loads as each entry host knows them, by host and domain.
+    heard: Vec<Vec<Load>>,
     samples: Vec<Sample>,
     left: usize,
     stops: Stops,
@@ -152,8 +150,7 @@
         last: vec![Attempt(0); count],
         idle: vec![None; count],
         outcomes: vec![Outcome::default(); count],
-        announced: vec![Load::default(); domains],
-        routed: vec![vec![0; domains]; ENTRY_HOSTS],
+        heard: vec![vec![Load::default(); domains]; ENTRY_HOSTS],
         samples: Vec::new(),
         left: count,
         stops: Stops::default(),
@@ -280,20 +277,20 @@
             return;
         }
         let truth = &self.workload.jobs[job];
-        let routed = &mut self.routed[truth.entry];
+        let heard = &mut self.heard[truth.entry];
         let view = |i: usize| DomainView {
             id: self.workload.domains[i].clone(),
-            load: corrected(self.announced[i], routed[i]),
+            load: heard[i],
             reachable: true,
         };
-        let views: Vec<_> = (0..routed.len()).map(view).collect();
+        let views: Vec<_> = (0..heard.len()).map(view).collect();
         let Some(chosen) = self.contender.route(&truth.spec, &self.state, &views) else {
             self.agenda.add(now + ROUTE_RETRY, Happening::Route(job));
             return;
         };
         let domain = self.workload.domains.iter().position(|id| *id == chosen);
         let domain = domain.expect("the router chooses among the domains");
-        routed[domain] += truth.spec.shape.total();
+        heard[domain].add(&truth.spec);
         self.jobs[job] = State::Inside(domain);
         let (spec, attempt) = (truth.spec.clone(), self.last[job]);
         let event = Event::Submit { spec, attempt, age: now.since(truth.arrives) };
@@ -350,10 +347,8 @@
     }
 
     fn announce(&mut self, now: Moment) {
-        self.announced = self.policies.iter().map(|policy| policy.load()).collect();
-        for routed in &mut self.routed {
-            routed.fill(0);
-        }
+        let loads: Vec<_> = self.policies.iter().map(|policy| policy.load()).collect();
+        self.heard = vec![loads; ENTRY_HOSTS];
         self.agenda.add(now + ANNOUNCE_EVERY, Happening::Announce);
     }
 
@@ -386,13 +381,3 @@
 fn index(key: &JobKey) -> usize {
     key.request.as_str()[1..].parse().expect("requests are numbered")
 }
-
-/// Returns an announced load, corrected by what was routed there since.
-fn corrected(announced: Load, routed: u32) -> Load {
-    Load {
-        queued: announced.queued + routed,
-        free: announced.free.saturating_sub(routed),
-        block: announced.block.saturating_sub(routed),
-        ..announced
-    }
-}
--- a/examples/policy/tests.rs
+++ b/examples/policy/tests.rs
@@ -16,6 +16,11 @@
     }
 }
 
+#[test]
+fn the_core_keeps_the_rules() {
+    check(Contender::Core);
+}
+
 #[test]
 fn first_fit_keeps_the_rules() {
     check(Contender::FirstFit);
