--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -45,6 +45,6 @@
 pub use route::{DomainView, route};
 pub use sched::{
     Action, Event, JobState, KindState, Load, Scheduler, Shortfall, StartFault, State, StopReason,
-    UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
+    URGENT_BUCKETS, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
 };
 pub use units::{AcceleratorSet, Moment, Span};
