--- a/crates/api/src/http.rs
+++ b/crates/api/src/http.rs
@@ -11,6 +11,11 @@
 /// Time to make a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
 
+/// Connections kept open between calls.
+const IDLE_CONNECTIONS_MAX: usize = 256;
+/// Connections kept open to one address.
+const IDLE_PER_HOST_MAX: usize = 16;
+
 /// Makes a connection to one of our own HTTP listeners and closes it at once.
 ///
 /// `tiny_http` gives each connection a thread, and counts a thread as idle until it has woken up.
@@ -58,6 +63,8 @@
             .timeout_connect(Some(Duration::from_millis(CONNECT_TIMEOUT_MS)))
             .timeout_global(Some(Duration::from_millis(timeout.millis())))
             .http_status_as_error(false)
+            .max_idle_connections(IDLE_CONNECTIONS_MAX)
+            .max_idle_connections_per_host(IDLE_PER_HOST_MAX)
             .build();
         Self { agent: config.new_agent(), token }
     }
