Take idempotent jobs over without a write, and all takeovers after new jobs

A new placer with 4000 open jobs needed 8000 store calls, 100 s at its rate, during which it refused new ones; now at most three calls for two jobs, behind everything else.

--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -53,6 +53,19 @@
     Brief(Span),
     /// Until this moment.
     Until(Moment),
+    /// Until it is settled, but after all others.
+    Idle,
+}
+
+impl Patience {
+    /// Returns the place in the order of calls that wait for the rate.
+    const fn rank(self) -> u8 {
+        match self {
+            Self::Endless | Self::Until(_) => 0,
+            Self::Brief(_) => 1,
+            Self::Idle => 2,
+        }
+    }
 }
 
 #[derive(Debug)]
@@ -111,7 +124,8 @@
 
     /// Tells whether a new call would wait too long for its turn.
     pub(crate) fn is_crowded(&self, cx: &Context<'_>) -> bool {
-        let waiting = self.ops.iter().filter(|op| op.call.is_none()).count() as u64;
+        let ahead = |op: &&Op<T>| op.call.is_none() && !matches!(op.patience, Patience::Idle);
+        let waiting = self.ops.iter().filter(ahead).count() as u64;
         let rate = u64::from(cx.settings.limits.store_rate) * self.percent / 100;
         // Each create is followed by one more call at least.
         waiting * 2 * 1_000 >= rate * QUEUE_BOUND.0
@@ -221,14 +235,14 @@
     fn send_due(&mut self, cx: &mut Context<'_>) {
         self.refill(cx);
         let mut flying = self.ops.iter().filter(|op| op.call.is_some()).count();
-        let (last, first): (Vec<_>, Vec<_>) =
-            self.ops.iter_mut().partition(|op| matches!(op.patience, Patience::Brief(_)));
-        for op in first.into_iter().chain(last) {
+        let mut waiting: Vec<_> = self.ops.iter_mut().filter(|op| op.call.is_none()).collect();
+        waiting.sort_by_key(|op| op.patience.rank());
+        for op in waiting {
             let free = flying < cx.settings.limits.store_calls && self.credit >= CALL_COST;
             if !free {
                 return;
             }
-            if op.call.is_some() || op.due > cx.now {
+            if op.due > cx.now {
                 continue;
             }
             if let Patience::Brief(span) = op.patience {
@@ -253,7 +267,7 @@
 
     fn is_over(&self, now: Moment) -> bool {
         let until = match self.patience {
-            Patience::Endless => return false,
+            Patience::Endless | Patience::Idle => return false,
             Patience::Until(until) => until,
             Patience::Brief(_) => self.due + QUEUE_BOUND,
         };
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -27,7 +27,7 @@
         job.place = Place::Out;
         job.cancel = None;
         let refused = matches!(&ending, Ending::Refused(refusal) if is_passing(refusal.code));
-        if refused && (job.claim == Claim::Owned || job.wanted.epoch > 1) {
+        if refused && (job.claim == Claim::Owned || job.taken) {
             // What was accepted isn't given up for want of room.
             job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
             return;
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -125,6 +125,8 @@
     /// The record that is being written.
     #[serde(skip)]
     pub(super) writing: Option<JobRecord>,
+    /// Whether another owner had it before, in this process or another.
+    pub(super) taken: bool,
     /// Moment at which the store was asked whether the record is still this owner's.
     pub(super) verifying: Option<Moment>,
     /// Moment of the last such question whose answer was yes.
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -102,6 +102,10 @@
     pub(super) fn put(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.seq += 1;
         let job = &mut self.jobs[i];
+        if job.wanted.owner != self.own {
+            job.wanted.owner = self.own.clone();
+            job.wanted.epoch += 1;
+        }
         job.wanted.seq = self.seq;
         job.writing = Some(job.wanted.clone());
         let expect = job.kept.as_ref().map_or(Expect::Absent, |kept| Expect::At(kept.at));
@@ -130,8 +134,9 @@
         let job = &mut self.jobs[i];
         job.kept = Some(kept);
         if matches!(job.claim, Claim::Creating | Claim::Taking) {
+            let taken = job.claim == Claim::Taking;
             job.claim = Claim::Checking;
-            self.check(i, cx);
+            self.check(i, if taken { Patience::Idle } else { Patience::Endless }, cx);
             return;
         }
         self.sync(i, cx);
@@ -156,11 +161,11 @@
         let job = &mut self.jobs[i];
         let asked = job.verifying.take();
         let Outcome::Found(found) = outcome else { return };
-        let read = found.as_ref().and_then(|record| JobRecord::read(&record.value));
+        let kept = job.kept.as_ref().map(|kept| kept.at);
         if job.writing.is_some() || job.end.is_some() || job.claim != Claim::Owned {
             return;
         }
-        if read.is_some_and(|record| record.owner == self.own) {
+        if found.as_ref().map(|record| record.at) == kept {
             job.verified = asked;
         } else {
             self.on_conflict(i, found, cx);
@@ -168,10 +173,10 @@
     }
 
     /// Reads whether the job has ended before; it must not start until that is known.
-    fn check(&mut self, i: usize, cx: &mut Context<'_>) {
+    fn check(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         let key = self.jobs[i].key().clone();
         let request = StoreRequest::Get { key: DoneRecord::path(&key) };
-        self.journal.call(Tag::Check(key), request, Patience::Endless, cx);
+        self.journal.call(Tag::Check(key), request, patience, cx);
     }
 
     fn on_check(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -215,7 +220,7 @@
         else {
             self.jobs[i].kept = None;
             self.jobs[i].claim = Claim::Checking;
-            return self.check(i, cx);
+            return self.check(i, Patience::Endless, cx);
         };
         let job = &self.jobs[i];
         if record.spec != job.spec {
@@ -231,7 +236,8 @@
     }
 
     /// Takes over the record of an earlier owner: from then on its writes fail, and so it can't
-    /// settle the intent to start.
+    /// settle the intent to start. That matters only for jobs that aren't idempotent; the record
+    /// of another one is taken with its next change.
     pub(super) fn take(&mut self, i: usize, at: Revision, record: JobRecord, cx: &mut Context<'_>) {
         if record.intent.is_some() {
             self.withdraw(i, cx);
@@ -240,19 +246,18 @@
         let cancelled = job.wanted.cancelled || record.cancelled;
         job.attempt = job.attempt.max(record.attempt);
         job.committed |= record.intent.is_some();
-        job.wanted = JobRecord {
-            owner: self.own.clone(),
-            epoch: record.epoch + 1,
-            attempt: job.attempt,
-            cancelled,
-            ..record.clone()
-        };
+        job.taken = true;
+        job.wanted = JobRecord { cancelled, ..record.clone() };
         if cancelled && job.cancel.is_none() {
             job.cancel = Some(cx.now);
         }
         job.kept = Some(Kept { at, record });
+        if job.spec.idempotent {
+            job.claim = Claim::Checking;
+            return self.check(i, Patience::Idle, cx);
+        }
         job.claim = Claim::Taking;
-        self.put(i, Patience::Endless, cx);
+        self.put(i, Patience::Idle, cx);
     }
 
     /// Gives a job up to another owner. What runs of it goes on for that one to find.
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -256,8 +256,7 @@
         let job = &mut self.jobs[i];
         let seen = found.iter().map(|(_, report)| report.id.attempt).max().unwrap_or_default();
         // A job that others had before may have run there, whatever the record says.
-        let taken = job.spec.idempotent && job.wanted.epoch > 1;
-        let least = Attempt(u32::from(taken));
+        let least = Attempt(u32::from(job.taken));
         job.attempt = match job.spec.idempotent {
             true => job.attempt.max(seen).max(least),
             // Without an intent in the store nothing of it was ever started.
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -179,6 +179,7 @@
             kept: None,
             wanted,
             writing: None,
+            taken: false,
             verifying: None,
             verified: None,
             place: Place::Out,
