--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -42,7 +42,8 @@
         }
     }
 
-    /// Notes that a job failed on a worker; one that fails on several is to blame itself. Returns whether it was a probe.
+    /// Notes that a job failed on a worker; one that fails on several is to blame itself. Returns
+    /// whether it was a probe.
     pub(super) fn note_failure(&mut self, ix: JobIx, worker: Option<WorkerIx>) -> bool {
         let Some(worker) = worker else { return false };
         let job = self.jobs.get_mut(ix);
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -3,8 +3,8 @@
 mod table;
 
 use bulrushlink_core::{
-    AcceleratorSet, Action, Adjacency, Attempt, Code, Ending, Event, Service, Span, StopReason,
-    Urgency, UsageReport,
+    AcceleratorSet, Action, Adjacency, Attempt, Code, Ending, Event, Moment, Service, Span,
+    StopReason, Urgency, UsageReport,
 };
 use table::{Table, shape, spec, worker_id, workspace};
 
@@ -263,3 +263,46 @@
     assert!(start(&mut table, "tight") < start(&mut table, "plain"));
     assert!(matches!(table.named("missed").ended, Some(Ending::Completed { .. })));
 }
+
+#[test]
+fn a_draining_block_does_not_take_what_a_guarantee_has_claimed() {
+    let whole = shape(1, 8, DOMAIN);
+    let gang = shape(2, 8, Adjacency::Rack);
+    let spaces = vec![workspace("a", &[(gang, 1)]), workspace("b", &[])];
+    let mut table = Table::open(1, 2, 2, spaces);
+    let mut saves = spec("b", "saves", whole);
+    saves.checkpoint = true;
+    table.submit(saves, secs(5000));
+    table.submit(spec("b", "long", whole), secs(5000));
+    let waits = spec("b", "waits", whole);
+    table.submit(waits.clone(), secs(5000));
+    let drains = |table: &Table| table.sched.why(&waits.key).unwrap().text.contains("drains");
+    while !drains(&table) {
+        table.advance(secs(1));
+        assert!(table.now < Moment(1_000_000 + 900_000), "a block drains in the end");
+    }
+    table.advance(Span(4_500));
+    table.submit(spec("a", "gang", gang), secs(10));
+    table.advance(START_MAX);
+    assert!(table.named("gang").started.is_some(), "{:?}", table.live);
+}
+
+#[test]
+fn work_that_was_stopped_often_is_left_alone_where_it_holds_no_guarantee() {
+    let whole = shape(1, 8, DOMAIN);
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[(whole, 1)]), workspace("b", &[])]);
+    table.submit(spec("b", "long", whole), secs(500));
+    for i in 0..3 {
+        table.advance(secs(20));
+        table.submit(spec("a", &format!("g{i}"), whole), secs(20));
+        table.advance(secs(40));
+    }
+    table.share.workspaces = vec![workspace("a", &[]), workspace("b", &[])];
+    table.service(Service::In);
+    let key = table.named("long").spec.key.clone();
+    table.tell(Event::WorkerLost(worker_id(0)));
+    table.live.clear();
+    table.join(0);
+    let why = table.sched.why(&key).unwrap();
+    assert!(why.text.contains("isn't stopped again"), "{why}");
+}
