Wait for lost hardware before a shape counts as never fitting

A gang submitted while a worker of its rack restarts was refused for good. Shapes are refused only 10 minutes after the last loss; what was let in meanwhile and can never fit is refused then.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -44,7 +44,7 @@
 };
 pub use route::{DomainView, route};
 pub use sched::{
-    Action, Event, JobState, KindState, Load, Scheduler, Shortfall, StartFault, State, StopReason,
-    UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
+    Action, Event, JobState, KindState, Load, Scheduler, SchedulerState, Shortfall, StartFault,
+    StopReason, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
 };
 pub use units::{AcceleratorSet, Moment, Span};
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -25,7 +25,7 @@
 mod spaces;
 
 pub use event::{Action, Event, Load, StartFault, StopReason, UsageReport, Why, WorkerInfo};
-pub use report::{JobState, KindState, Shortfall, State, WorkerState, WorkspaceState};
+pub use report::{JobState, KindState, SchedulerState, Shortfall, WorkerState, WorkspaceState};
 
 use crate::ids::JobKey;
 use crate::job::{Ending, Shape};
@@ -70,6 +70,8 @@
     waiting: u32,
     /// Shapes that were asked for and whether the hardware could ever hold them; sorted.
     feasible: Vec<(Shape, bool)>,
+    /// Moment at which a worker was lost last.
+    lost: Option<Moment>,
     /// Whether room may have grown since the last pass.
     freed: bool,
     /// The job that came last; only its lane is new to the next pass.
@@ -98,6 +100,7 @@
     /// Panics when the decision would break an invariant.
     pub fn decide(&mut self, event: Event, now: Moment) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.freed |= self.fleet.expire(self.now);
         self.dispatch(event);
         self.settle();
         self.check_touched();
@@ -143,11 +146,11 @@
 
     fn on_tick(&mut self) {
         self.ticked = self.now;
-        self.freed |= self.fleet.expire(self.now);
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
         self.stop_again();
         self.demote_late();
+        self.refuse_unfit();
         self.tend_drains();
         self.freed |= self.waiting > 0;
     }
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -13,6 +13,8 @@
 
 /// The most jobs that wait in one failure domain.
 const WAITING_MAX: u32 = 20_000;
+/// Time for which lost workers are expected back before a shape counts as never fitting.
+const HARDWARE_AWAITED: Span = Span::from_secs(600);
 /// Expected run time beyond which a longer one doesn't set a job back further.
 const RUN_WEIGHED_MAX: Span = Span::from_secs(30 * 60);
 /// Time by which batch work is set back.
@@ -98,7 +100,8 @@
     }
 
     fn is_feasible(&mut self, shape: Shape) -> bool {
-        if self.fleet.count() == 0 {
+        let lost = self.lost.is_some_and(|at| self.now.since(at) < HARDWARE_AWAITED);
+        if self.fleet.count() == 0 || lost {
             return true;
         }
         match self.feasible.binary_search_by_key(&shape, |entry| entry.0) {
@@ -111,6 +114,26 @@
         }
     }
 
+    /// Refuses jobs that were let in while hardware was missing and that no hardware can hold.
+    pub(super) fn refuse_unfit(&mut self) {
+        let lanes = self.queue.lanes().iter();
+        let old = |ix: &JobIx| self.jobs.get(*ix).age(self.now) >= HARDWARE_AWAITED;
+        let heads: Vec<_> = lanes.map(|lane| lane.entries[0].job).filter(old).collect();
+        for ix in heads {
+            let job = self.jobs.get(ix);
+            let (shape, ran) = (job.spec.shape, job.ran > Attempt(0));
+            if self.is_feasible(shape) {
+                continue;
+            }
+            let text = format!("no part of the hardware can hold {shape}");
+            let ending = match ran {
+                true => Ending::Failed { reason: text },
+                false => Ending::Refused(refusal(Code::NeverFits, text, None)),
+            };
+            self.finish(ix, ending);
+        }
+    }
+
     /// Puts a job that is on no list into its lane.
     pub(super) fn enqueue(&mut self, ix: JobIx, reason: Reason) {
         let now = self.now;
--- a/crates/core/src/sched/report.rs
+++ b/crates/core/src/sched/report.rs
@@ -14,7 +14,7 @@
 
 /// The whole state of a scheduler.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct State {
+pub struct SchedulerState {
     /// Load that other daemons route by.
     pub load: Load,
     /// Sorted by worker.
@@ -142,8 +142,8 @@
     }
 
     /// Returns the whole state, for people who look for what went wrong.
-    pub fn dump(&self) -> State {
-        State {
+    pub fn dump(&self) -> SchedulerState {
+        SchedulerState {
             load: self.load(),
             workers: self.workers(),
             jobs: self.jobs.iter().map(|(_, job)| self.job_state(job)).collect(),
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -177,6 +177,7 @@
         self.guarantees.leave_worker(ix, &mut self.fleet);
         self.fleet.remove(ix);
         self.feasible.clear();
+        self.lost = Some(self.now);
         self.freed = true;
     }
 
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -63,6 +63,20 @@
     assert_eq!((refusal.code, refusal.retry), (Code::NeverFits, None));
 }
 
+#[test]
+fn a_shape_waits_for_hardware_that_was_just_lost() {
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[])]);
+    table.lose(0);
+    table.submit(spec("a", "back", shape(2, 8, Adjacency::Rack)), secs(1));
+    table.submit(spec("a", "never", shape(3, 8, Adjacency::Rack)), secs(1));
+    table.advance(secs(60));
+    table.join(0);
+    table.advance(secs(700));
+    assert!(matches!(table.named("back").ended, Some(Ending::Completed { .. })));
+    let Some(Ending::Refused(refusal)) = table.named("never").ended.clone() else { panic!() };
+    assert_eq!(refusal.code, Code::NeverFits);
+}
+
 #[test]
 fn a_full_queue_refuses_with_a_time_to_come_back() {
     let mut own = workspace("a", &[]);
