--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -39,12 +39,12 @@
     TASK_MAX_ACCELERATORS, TaskPlace, Urgency,
 };
 pub use note::{
-    Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, ReleaseNote, Removals,
-    Service, WorkspaceShare, WorkspaceSpec,
+    Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, RackStock, ReleaseNote,
+    Removals, Service, WorkspaceShare, WorkspaceSpec,
 };
 pub use route::{DomainView, route};
 pub use sched::{
-    Action, Event, JobState, KindState, Load, Scheduler, SchedulerState, Shortfall, StartFault,
-    StopReason, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
+    Action, Event, JobState, KindState, Load, Scheduler, Shortfall, StartFault, State, StopReason,
+    URGENT_BUCKETS, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
 };
 pub use units::{AcceleratorSet, Moment, Span};
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -18,7 +18,7 @@
 /// Expected run time beyond which a longer one doesn't set a job back further.
 const RUN_WEIGHED_MAX: Span = Span::from_secs(30 * 60);
 /// Time by which batch work is set back.
-const BATCH_SETBACK: Span = Span::from_secs(60);
+const BATCH_SETBACK: Span = Span::from_secs(20 * 60);
 /// Factor on the median run time that the latest start allows for at most.
 const SLACK_FACTOR: u64 = 3;
 
@@ -64,6 +64,7 @@
             misstarts: 0,
             moves: 0,
             failed_on: Vec::new(),
+            avoid: Vec::new(),
             places: Vec::new(),
             unseated: Vec::new(),
             firm: false,
@@ -107,7 +108,7 @@
         match self.feasible.binary_search_by_key(&shape, |entry| entry.0) {
             Ok(i) => self.feasible[i].1,
             Err(i) => {
-                let fits = fit::ever_fits(&self.fleet, shape);
+                let fits = fit::ever_fits(&self.fleet, shape, &[]);
                 self.feasible.insert(i, (shape, fits));
                 fits
             }
@@ -158,7 +159,7 @@
             shape: spec.shape,
             view: job.view(),
             batch,
-            avoiding: (!job.failed_on.is_empty()).then_some(ix),
+            avoiding: (!job.avoid.is_empty()).then_some(ix),
         };
         if job.is_urgent() {
             lane.class = Class::Urgent;
--- a/crates/core/src/sched/report.rs
+++ b/crates/core/src/sched/report.rs
@@ -14,7 +14,7 @@
 
 /// The whole state of a scheduler.
 #[derive(Clone, Debug, PartialEq, Serialize)]
-pub struct SchedulerState {
+pub struct State {
     /// Load that other daemons route by.
     pub load: Load,
     /// Sorted by worker.
@@ -132,18 +132,21 @@
     pub fn load(&self) -> Load {
         let (total, free) = self.fleet.healthy();
         let racks = self.fleet.racks.iter().map(|rack| rack.healthy().1);
-        Load {
+        let mut load = Load {
             total,
             free,
             queued: self.queued,
             waiting: self.waiting,
             block: racks.max().unwrap_or_default(),
-        }
+            ..Load::default()
+        };
+        self.jobs.iter().for_each(|(_, job)| load.count_urgent(&job.spec));
+        load
     }
 
     /// Returns the whole state, for people who look for what went wrong.
-    pub fn dump(&self) -> SchedulerState {
-        SchedulerState {
+    pub fn dump(&self) -> State {
+        State {
             load: self.load(),
             workers: self.workers(),
             jobs: self.jobs.iter().map(|(_, job)| self.job_state(job)).collect(),
