Reclaim a guarantee where that costs the least

A guarantee is bound long before it is wanted, and its block was reclaimed whoever ran there: a gang of 32 stopped for a job of one accelerator, jobs without checkpoints for a batch render.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -19,6 +19,7 @@
 mod outcome;
 mod pass;
 mod queue;
+mod rebind;
 mod repack;
 mod report;
 mod share;
--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -6,7 +6,7 @@
 use crate::sched::fit::{self, Place, pick};
 use crate::sched::fleet::{View, WorkerIx};
 use crate::sched::guarantee::{InstanceIx, holds, is_block};
-use crate::sched::jobs::{JobIx, Phase, Reason};
+use crate::sched::jobs::{Job, JobIx, Phase, Reason};
 use crate::units::{AcceleratorSet, Moment, Span};
 
 /// Time that a job gets for its checkpoint when it is stopped for a guarantee.
@@ -55,8 +55,14 @@
             let instance = self.guarantees.get(**ix);
             instance.is_unused() && instance.is_bound()
         };
-        let best = group.members.iter().filter(open).min_by_key(|ix| !self.is_free(**ix));
-        best.copied()
+        let rank = |ix: &&InstanceIx| (self.is_avoided(job, **ix), !self.is_free(**ix));
+        group.members.iter().filter(open).min_by_key(rank).copied()
+    }
+
+    /// Tells whether a guarantee's block is on a worker that a job failed on.
+    fn is_avoided(&self, job: &Job, ix: InstanceIx) -> bool {
+        let places = self.guarantees.places(ix);
+        places.iter().any(|place| job.avoid.contains(&place.worker))
     }
 
     /// Tells whether the job's workspace holds an unused guarantee of exactly its shape.
@@ -76,8 +82,11 @@
 
     fn use_whole(&mut self, ix: JobIx, guarantee: InstanceIx) -> bool {
         let mut guarantee = guarantee;
-        if !self.is_free(guarantee) && !self.move_to_free(ix, guarantee) {
+        let avoided = self.is_avoided(self.jobs.get(ix), guarantee);
+        let good = !avoided && self.is_free(guarantee);
+        if !good && !self.move_to_free(ix, guarantee) {
             guarantee = self.cheapest(ix, guarantee);
+            self.move_to_cheaper(ix, guarantee);
         }
         let places = self.guarantees.places(guarantee);
         let cells = (0..places.len()).collect();
