--- a/crates/lab/src/callers.rs
+++ b/crates/lab/src/callers.rs
@@ -5,7 +5,7 @@
 use bulrushlink_daemon::{CallerCall, CallerReply, Token};
 use fastrand::Rng;
 
-use crate::layout::WORKSPACES;
+use crate::layout::{WORKSPACES, guaranteed_shape};
 
 /// Time on top of its wait after which a caller gives a connection up.
 pub(crate) const ANSWER_TIMEOUT: Span = Span::from_secs(15);
@@ -28,6 +28,42 @@
 }
 
 impl JobPlan {
+    /// Returns a job of the shape that a workspace, by its index, has a guarantee for.
+    pub fn guaranteed(index: usize, workspace: usize, urgency: Urgency, run: Span) -> Self {
+        let body = SubmitBody {
+            workspace: WORKSPACES[workspace].parse().expect("valid name"),
+            request: format!("job-{index}").parse().expect("valid name"),
+            kind: "guaranteed".parse().expect("valid name"),
+            shape: guaranteed_shape(WORKSPACES[workspace]),
+            urgency,
+            declared: run,
+            deadline: None,
+            idempotent: index.is_multiple_of(2),
+            checkpoint: false,
+            domain: None,
+            input: format!("sleep {} job {index}", run.millis()),
+            wait: index.is_multiple_of(3).then_some(Span::from_secs(20)),
+        };
+        Self { body, cancel: None, insists: true }
+    }
+
+    /// Draws a job that fails, or that no worker can ever run.
+    pub(crate) fn draw_bad(index: usize, rng: &mut Rng) -> Self {
+        let mut plan = Self::draw(index, rng);
+        if rng.bool() {
+            plan.body.input = format!("sleep {} fail job {index}", rng.u64(50..500));
+        } else {
+            plan.body.shape.tasks = 40;
+            plan.body.shape.accelerators = 8;
+        }
+        plan
+    }
+
+    /// Tells whether this is of the shape that its workspace has a guarantee for.
+    pub(crate) fn is_guaranteed(&self) -> bool {
+        self.body.shape == guaranteed_shape(self.body.workspace.as_str())
+    }
+
     /// Draws a job.
     pub(crate) fn draw(index: usize, rng: &mut Rng) -> Self {
         let sizes = [1, 1, 2, 2, 4, 4, 8];
@@ -172,4 +208,5 @@
     pub(crate) caller: usize,
     pub(crate) turn: Turn,
     pub(crate) daemon: usize,
+    pub(crate) since: Moment,
 }
--- a/crates/lab/src/checks.rs
+++ b/crates/lab/src/checks.rs
@@ -33,6 +33,16 @@
     pub refused: usize,
     /// Idempotent jobs that were started more than once.
     pub restarted: usize,
+    /// Guaranteed jobs whose start was due within the bound, with no fault active.
+    pub prompt_starts: usize,
+    /// Release notes that were due in force within the bound, with no fault active.
+    pub prompt_notes: usize,
+    /// Submissions that were due an answer within the bound, whatever the store did.
+    pub prompt_answers: usize,
+    /// Races of two operators in which both were told the outcome.
+    pub races: usize,
+    /// Calls of the store that were counted.
+    pub store_calls: u64,
     /// Longest time for which a gang ran partially.
     pub partial: Span,
     /// Broken promises.
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -29,7 +29,7 @@
 
 pub use callers::JobPlan;
 pub use checks::{Report, Violation};
-pub use faults::{Fault, FaultPlan};
+pub use faults::{Fault, FaultPlan, StartPoint};
 pub use layout::Layout;
 pub use links::{Noise, Party};
 pub use platform::StoreMode;
--- a/crates/lab/src/links.rs
+++ b/crates/lab/src/links.rs
@@ -43,13 +43,16 @@
     pub(crate) noise: Noise,
     /// Sorted, without repeats.
     cuts: Vec<Cut>,
+    /// Calls from the first party to the second one have their effect and lose their answer.
+    /// Sorted, without repeats.
+    mutes: Vec<Cut>,
     /// One-way latency between two parties of the platform.
     base: Span,
 }
 
 impl Links {
     pub(crate) fn open(base: Span) -> Self {
-        Self { noise: Noise::default(), cuts: Vec::new(), base }
+        Self { noise: Noise::default(), cuts: Vec::new(), mutes: Vec::new(), base }
     }
 
     /// Cuts one direction.
@@ -60,9 +63,29 @@
         }
     }
 
+    /// Lets the answers to calls from `from` to `to` get lost.
+    pub(crate) fn mute(&mut self, from: &Party, to: &Party) {
+        let mute = Cut { from: from.clone(), to: to.clone() };
+        if let Err(i) = self.mutes.binary_search(&mute) {
+            self.mutes.insert(i, mute);
+        }
+    }
+
+    /// Tells whether answers to calls from `from` to `to` get lost.
+    pub(crate) fn is_mute(&self, from: &Party, to: &Party) -> bool {
+        let mute = Cut { from: from.clone(), to: to.clone() };
+        self.mutes.binary_search(&mute).is_ok()
+    }
+
+    /// Tells whether every message arrives, once and soon.
+    pub(crate) fn is_clean(&self) -> bool {
+        self.cuts.is_empty() && self.mutes.is_empty() && self.noise == Noise::default()
+    }
+
     /// Mends all cuts.
     pub(crate) fn mend(&mut self) {
         self.cuts.clear();
+        self.mutes.clear();
     }
 
     /// Tells whether a direction is cut.
--- a/crates/lab/src/platform.rs
+++ b/crates/lab/src/platform.rs
@@ -1,6 +1,6 @@
 //! The platform's services as the lab runs them: the store with its outages, and watches.
 
-use bulrushlink_api::{Revision, StoreReply, StoreRequest};
+use bulrushlink_api::{Record, Revision, StoreReply, StoreRequest};
 use bulrushlink_core::Moment;
 use bulrushlink_daemon::CallId;
 use bulrushlink_standin::Store;
@@ -19,6 +19,8 @@
     LosesReplies,
     /// Answers after several seconds.
     Slow,
+    /// Answers watches with what was there when this began.
+    StaleWatches,
 }
 
 /// A watch that waits.
@@ -38,11 +40,26 @@
     pub(crate) store: Store,
     pub(crate) mode: StoreMode,
     watches: Vec<Watch>,
+    /// What stale watches show; in the order of the keys.
+    stale: Vec<Record>,
 }
 
 impl StoreHost {
     pub(crate) fn open() -> Self {
-        Self { store: Store::open(), mode: StoreMode::Up, watches: Vec::new() }
+        Self { store: Store::open(), mode: StoreMode::Up, watches: Vec::new(), stale: Vec::new() }
+    }
+
+    /// Lets the store behave otherwise from now on.
+    pub(crate) fn set_mode(&mut self, mode: StoreMode) {
+        if mode == StoreMode::StaleWatches {
+            self.stale = self.store.records().cloned().collect();
+        }
+        self.mode = mode;
+    }
+
+    /// Returns the number of calls that were counted.
+    pub(crate) fn calls(&self) -> u64 {
+        self.store.counts().reads() + self.store.counts().writes()
     }
 
     /// Carries a request out. A watch with nothing to hear yet is kept, and has no answer.
@@ -67,12 +84,20 @@
     pub(crate) fn due(&mut self, now: Moment) -> Vec<(Watch, StoreReply)> {
         let store = &mut self.store;
         let is_due = |w: &Watch| w.until <= now || store.changed(&w.key, w.after);
-        let (due, kept) = std::mem::take(&mut self.watches).into_iter().partition(is_due);
+        let (due, kept): (Vec<Watch>, Vec<Watch>) =
+            std::mem::take(&mut self.watches).into_iter().partition(is_due);
         self.watches = kept;
+        if due.is_empty() {
+            return Vec::new();
+        }
+        let shown = match self.mode {
+            StoreMode::StaleWatches => self.stale.clone(),
+            _ => store.records().cloned().collect(),
+        };
         let answer = |w: Watch| {
-            let record = store.records().find(|record| record.key == w.key).cloned();
+            let record = shown.iter().find(|record| record.key == w.key).cloned();
             (w, StoreReply::Found { record })
         };
-        Vec::into_iter(due).map(answer).collect()
+        due.into_iter().map(answer).collect()
     }
 }
--- a/crates/standin/src/record.rs
+++ b/crates/standin/src/record.rs
@@ -127,6 +127,11 @@
         self.lock().runs.clone()
     }
 
+    /// Returns the runs from the one of that index on, in the order in which the starts were told.
+    pub fn runs_from(&self, first: usize) -> Vec<Run> {
+        self.lock().runs.get(first..).unwrap_or_default().to_vec()
+    }
+
     /// Returns all runs of a job, by attempt and task.
     pub fn runs_of(&self, key: &JobKey) -> Vec<Run> {
         let inner = self.lock();
