Measure what a daemon uses for each worker, task, daemon and note

The example slopes runs its own executable as the platform, the workers and each daemon, and lays lines of least squares through processor time, memory, bytes and calls at several sizes. The edges count their bytes for it, on /metrics too.

--- a/crates/api/src/http.rs
+++ b/crates/api/src/http.rs
@@ -10,6 +10,8 @@
 const ANSWER_MAX_BYTES: u64 = 8 * 1024 * 1024;
 /// Time to make a connection, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// Media type of a body.
+const JSON_MEDIA: &str = "application/json";
 
 /// Makes a connection to one of our own HTTP listeners and closes it at once.
 ///
@@ -44,6 +46,26 @@
     }
 }
 
+/// A JSON body, serialised before its call so that its size can be counted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct JsonBody(Vec<u8>);
+
+impl JsonBody {
+    /// Serialises `value`.
+    ///
+    /// # Panics
+    ///
+    /// When `value` has no JSON form, which no message of this crate is.
+    pub fn of<T: Serialize>(value: &T) -> Self {
+        Self(serde_json::to_vec(value).expect("a message has a JSON form"))
+    }
+
+    /// Returns the size in bytes.
+    pub fn size(&self) -> usize {
+        self.0.len()
+    }
+}
+
 /// A client that keeps connections open between calls.
 #[derive(Clone, Debug)]
 pub struct Client {
@@ -89,8 +111,17 @@
     ///
     /// As [`Self::get`].
     pub fn post<T: Serialize>(&self, url: &str, body: &T) -> Result<HttpReply, Error> {
+        self.post_body(url, &JsonBody::of(body))
+    }
+
+    /// Sends a POST with a body that is serialised already.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::get`].
+    pub fn post_body(&self, url: &str, body: &JsonBody) -> Result<HttpReply, Error> {
         let request = self.authorise(self.agent.post(url));
-        Self::read(request.send_json(body))
+        Self::read(request.content_type(JSON_MEDIA).send(&body.0))
     }
 
     /// Sends a POST with a JSON body that has to be on its way within `within`.
@@ -101,16 +132,16 @@
     /// # Errors
     ///
     /// As [`Self::get`].
-    pub fn post_within<T: Serialize>(
+    pub fn post_within(
         &self,
         url: &str,
-        body: &T,
+        body: &JsonBody,
         within: Span,
     ) -> Result<HttpReply, Error> {
         let connect = within.millis().min(CONNECT_TIMEOUT_MS);
         let request = self.agent.post(url).config();
         let request = request.timeout_connect(Some(Duration::from_millis(connect))).build();
-        Self::read(self.authorise(request).send_json(body))
+        Self::read(self.authorise(request).content_type(JSON_MEDIA).send(&body.0))
     }
 
     fn authorise<B>(&self, request: ureq::RequestBuilder<B>) -> ureq::RequestBuilder<B> {
--- a/crates/api/src/lib.rs
+++ b/crates/api/src/lib.rs
@@ -12,7 +12,7 @@
 mod worker;
 
 pub use caller::{JobAnswer, JobList, JobState, ListQuery, StatusQuery, SubmitBody};
-pub use http::{Client, HttpReply, poke};
+pub use http::{Client, HttpReply, JsonBody, poke};
 pub use json::from_json;
 pub use operator::{
     ApplyAnswer, CheckAnswer, DomainRow, DomainsAnswer, Dump, DumpSection, InForce, OperatorAnswer,
--- a/crates/daemon/src/calls.rs
+++ b/crates/daemon/src/calls.rs
@@ -38,12 +38,16 @@
         self.daemon.to_string()
     }
 
-    /// Counts a call that leaves the process.
-    pub(crate) fn count(&self, edge: &'static str) {
+    /// Counts a call that leaves the process, with a body of `bytes`.
+    pub(crate) fn count(&self, edge: &'static str, bytes: usize) {
         metrics::counter!(
             "bulrushlink_edge_calls_total", "daemon" => self.daemon(), "edge" => edge
         )
         .increment(1);
+        metrics::counter!(
+            "bulrushlink_edge_sent_bytes_total", "daemon" => self.daemon(), "edge" => edge
+        )
+        .increment(bytes as u64);
     }
 
     pub(crate) fn is_closed(&self) -> bool {
@@ -62,6 +66,11 @@
         result: Result<HttpReply, Error>,
     ) -> Result<T, EdgeFault> {
         let checked = result.and_then(|reply| {
+            metrics::counter!(
+                "bulrushlink_edge_received_bytes_total",
+                "daemon" => self.daemon(), "edge" => edge
+            )
+            .increment(reply.body.len() as u64);
             if reply.status == STATUS_OK {
                 return reply.json();
             }
--- a/crates/daemon/src/hosts_edge.rs
+++ b/crates/daemon/src/hosts_edge.rs
@@ -23,7 +23,7 @@
         let reader = results.clone();
         let run = move |call: CallId| {
             if !reader.is_closed() {
-                reader.count("hosts");
+                reader.count("hosts", 0);
                 let list = reader.read("hosts", client.get(&url));
                 reader.send(Input::Hosts(call, list));
             }
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -80,20 +80,35 @@
     meters: Meters,
 }
 
-/// Bytes of frames, without the headers of the protocols below.
+/// Frames and their bytes, without the headers of the protocols below.
 struct Meters {
     sent: Counter,
+    sent_bytes: Counter,
     received: Counter,
+    received_bytes: Counter,
 }
 
 impl Meters {
     fn open(own: &DaemonId) -> Self {
         let own = own.to_string();
+        let counter = |name| metrics::counter!(name, "daemon" => own.clone());
         Self {
-            sent: metrics::counter!("bulrushlink_peer_sent_bytes_total", "daemon" => own.clone()),
-            received: metrics::counter!("bulrushlink_peer_received_bytes_total", "daemon" => own),
+            sent: counter("bulrushlink_peer_sent_total"),
+            sent_bytes: counter("bulrushlink_peer_sent_bytes_total"),
+            received: counter("bulrushlink_peer_received_total"),
+            received_bytes: counter("bulrushlink_peer_received_bytes_total"),
         }
     }
+
+    fn sent(&self, bytes: usize) {
+        self.sent.increment(1);
+        self.sent_bytes.increment(bytes as u64);
+    }
+
+    fn received(&self, bytes: usize) {
+        self.received.increment(1);
+        self.received_bytes.increment(bytes as u64);
+    }
 }
 
 impl PeerLink {
@@ -141,7 +156,7 @@
         };
         if frame.len() <= DATAGRAM_MAX_BYTES {
             match self.udp.send_to(&frame, self.outbound[i].addr) {
-                Ok(len) => self.meters.sent.increment(len as u64),
+                Ok(len) => self.meters.sent(len),
                 Err(_) => self.drop_one("datagram"),
             }
             return;
@@ -154,7 +169,7 @@
         let connected = self.connect(cx, i);
         let target = &mut self.outbound[i];
         if connected.is_ok() && target.push(&frame, cx.now()) {
-            self.meters.sent.increment(frame.len() as u64);
+            self.meters.sent(frame.len());
         } else {
             self.drop_one("stream");
         }
@@ -268,7 +283,7 @@
     fn take(&mut self, frame: &[u8], way: Way, from: SocketAddr) -> bool {
         match self.frames.unseal(frame, way) {
             Ok((from, message)) => {
-                self.meters.received.increment(frame.len() as u64);
+                self.meters.received(frame.len());
                 self.heard.fwd(Heard { from, message });
                 true
             }
--- a/crates/daemon/src/store_edge.rs
+++ b/crates/daemon/src/store_edge.rs
@@ -1,6 +1,6 @@
 //! Calls to the platform's store from a bounded set of threads; watches have a thread of their own.
 
-use bulrushlink_api::{Client, EdgeFault, StoreReply, StoreRequest};
+use bulrushlink_api::{Client, EdgeFault, JsonBody, StoreReply, StoreRequest};
 use bulrushlink_core::Span;
 use std::time::{Duration, Instant};
 
@@ -78,8 +78,9 @@
         if results.is_closed() {
             return;
         }
-        results.count("store");
-        let reply = results.read("store", client.post(url, &call.request));
+        let body = JsonBody::of(&call.request);
+        results.count("store", body.size());
+        let reply = results.read("store", client.post_body(url, &body));
         results.send(Input::Store(call.call, reply));
     }
 }
--- a/crates/daemon/src/worker_edge.rs
+++ b/crates/daemon/src/worker_edge.rs
@@ -4,7 +4,7 @@
 //! ended that way are called from a few threads of their own, so that a dead rack never delays the
 //! renewals of live ones.
 
-use bulrushlink_api::{Client, EdgeFault, WorkerBatch};
+use bulrushlink_api::{Client, EdgeFault, JsonBody, WorkerBatch};
 use bulrushlink_core::{Code, Span, WorkerId};
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -77,14 +77,15 @@
             return;
         }
         let url = format!("http://{}/workers/{}/batch", call.addr, call.worker);
+        let body = JsonBody::of(&call.batch);
         // Checked last, after the call has waited for its thread.
         let left = call.deadline.saturating_duration_since(Instant::now());
         if left.is_zero() {
             results.send(Input::Worker(call.call, Err(EdgeFault::Unreachable)));
             return;
         }
-        results.count("worker");
-        let reply = client.post_within(&url, &call.batch, Span(left.as_millis() as u64));
+        results.count("worker", body.size());
+        let reply = client.post_within(&url, &body, Span(left.as_millis() as u64));
         let answered = !reply
             .as_ref()
             .is_err_and(|error| matches!(error.code(), Code::TimedOut | Code::Unreachable));
--- /dev/null
+++ b/examples/slopes/cases.rs
@@ -0,0 +1,181 @@
+//! The measurements: deployments that differ in one size alone.
+
+use bulrushlink_api::{ApplyAnswer, SubmitBody};
+use bulrushlink_core::{Code, DomainId, Error, Shape, Span, Urgency};
+use serde::Serialize;
+use std::thread::sleep;
+use std::time::{Duration, Instant};
+
+use crate::fleet::{Fleet, Plan, poll};
+use crate::notes::{first_note, next_note, workspace_id};
+use crate::sample::Rates;
+
+mod notes;
+mod tasks;
+
+pub(crate) use notes::{HeadSize, notes};
+pub(crate) use tasks::tasks;
+
+/// Time for a deployment to come to rest, in seconds.
+const REST_S: u64 = 4;
+/// Workspaces of a deployment whose notes don't matter.
+const FEW_WORKSPACES: usize = 4;
+
+/// What a daemon does in the measured deployment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Role {
+    /// Places in a domain with workers, and keeps its share of them.
+    Placer,
+    /// Keeps its share of the workers.
+    Keeper,
+    /// Is in a domain without workers.
+    Member,
+}
+
+/// Sizes of a measurement, and what one daemon used.
+#[derive(Clone, Debug, Serialize)]
+pub(crate) struct Row {
+    /// What the daemon does.
+    pub(crate) role: Role,
+    /// Workers in the host list.
+    pub(crate) listed: f64,
+    /// Workers that it keeps.
+    pub(crate) kept: f64,
+    /// Running tasks of its domain.
+    pub(crate) tasks: f64,
+    /// Other daemons of its domain.
+    pub(crate) mates: f64,
+    /// Daemons of other domains.
+    pub(crate) others: f64,
+    /// Release notes a minute.
+    pub(crate) notes: f64,
+    /// What it used over one window.
+    pub(crate) rates: Rates,
+}
+
+/// How large and long a run is.
+#[derive(Clone, Debug)]
+pub(crate) struct Scale {
+    /// Workers of each deployment.
+    pub(crate) workers: Vec<u16>,
+    /// Running tasks, growing.
+    pub(crate) tasks: Vec<usize>,
+    /// Workers that run them.
+    pub(crate) hosts: u16,
+    /// Daemons of each deployment, with the number of failure domains.
+    pub(crate) daemons: Vec<(usize, usize)>,
+    /// Release notes a minute.
+    pub(crate) notes: Vec<u32>,
+    /// Windows of each measurement.
+    pub(crate) windows: usize,
+    /// Length of a window, in seconds.
+    pub(crate) window_s: u64,
+}
+
+impl Scale {
+    /// Returns the whole measurement.
+    pub(crate) fn whole() -> Self {
+        Self {
+            workers: vec![50, 100, 200, 400, 800],
+            tasks: vec![500, 1_000, 2_000, 4_000, 8_000],
+            hosts: 400,
+            daemons: vec![(3, 3), (6, 3), (12, 3), (24, 3), (48, 6)],
+            notes: vec![0, 6, 30, 60],
+            windows: 3,
+            window_s: 5,
+        }
+    }
+
+    /// Returns a measurement that takes a minute and a half at most.
+    pub(crate) fn quick() -> Self {
+        Self {
+            workers: vec![50, 200],
+            tasks: vec![500, 1_500],
+            hosts: 100,
+            daemons: vec![(3, 3), (12, 3)],
+            notes: vec![0, 30],
+            windows: 2,
+            window_s: 4,
+        }
+    }
+
+    fn window(&self) -> Duration {
+        Duration::from_secs(self.window_s)
+    }
+}
+
+/// Two daemons in a domain with `workers`, and two in one without any.
+fn two_domains(workers: u16, slots: u16) -> Plan {
+    Plan { workers: vec![workers, 0], served: 2, daemons: 4, accelerators: 8, slots }
+}
+
+/// Measures deployments that differ in the number of workers.
+///
+/// # Errors
+///
+/// What ended a deployment.
+pub(crate) fn workers(scale: &Scale) -> Result<Vec<Row>, Error> {
+    let mut rows = Vec::new();
+    for count in &scale.workers {
+        let plan = two_domains(*count, 8);
+        let domains = plan.domains();
+        let fleet = Fleet::open(&plan, &first_note(&domains, &domains[..1], FEW_WORKSPACES))?;
+        sleep(Duration::from_secs(REST_S));
+        let rates = fleet.measure(scale.windows, scale.window())?;
+        rows.extend(label(&fleet, &plan, 0, rates)?);
+    }
+    Ok(rows)
+}
+
+/// Measures deployments that differ in the number of daemons and have no workers.
+///
+/// # Errors
+///
+/// As of [`workers`].
+pub(crate) fn daemons(scale: &Scale) -> Result<Vec<Row>, Error> {
+    let mut rows = Vec::new();
+    for (count, domains) in &scale.daemons {
+        let workers = vec![0; *domains];
+        let plan = Plan { workers, served: *domains, daemons: *count, accelerators: 8, slots: 8 };
+        let names = plan.domains();
+        let fleet = Fleet::open(&plan, &first_note(&names, &names, 0))?;
+        sleep(Duration::from_secs(REST_S));
+        let rates = fleet.measure(scale.windows, scale.window())?;
+        rows.extend(label(&fleet, &plan, 0, rates)?);
+    }
+    Ok(rows)
+}
+
+/// Makes a row of each window of each daemon.
+fn label(
+    fleet: &Fleet,
+    plan: &Plan,
+    tasks: usize,
+    rates: Vec<Vec<Rates>>,
+) -> Result<Vec<Row>, Error> {
+    let listed: usize = plan.workers.iter().map(|n| usize::from(*n)).sum();
+    let mut rows = Vec::new();
+    for (daemon, rates) in fleet.daemons.iter().zip(rates) {
+        let domain = &daemon.member.domain;
+        let kept = daemon.kept()?;
+        let role = match kept {
+            0 => Role::Member,
+            _ if fleet.placer(domain)? == daemon.member.id => Role::Placer,
+            _ => Role::Keeper,
+        };
+        let mates = fleet.daemons.iter().filter(|d| d.member.domain == *domain).count() - 1;
+        let row = |rates| Row {
+            role,
+            listed: listed as f64,
+            kept: kept as f64,
+            tasks: tasks as f64,
+            mates: mates as f64,
+            others: (fleet.daemons.len() - 1 - mates) as f64,
+            notes: 0.0,
+            rates,
+        };
+        rows.extend(rates.into_iter().map(row));
+    }
+    Ok(rows)
+}
--- /dev/null
+++ b/examples/slopes/sample.rs
@@ -0,0 +1,156 @@
+//! What a daemon's process has used so far, and the rates between two such samples.
+
+use bulrushlink_api::Client;
+use bulrushlink_core::{Code, Error};
+use serde::Serialize;
+use std::time::Instant;
+
+/// Clock ticks a second in `/proc/PID/stat`; the kernel's interface fixes it.
+const TICKS_PER_S: f64 = 100.0;
+/// Fields of `/proc/PID/stat` after the name and before the processor times.
+const FIELDS_BEFORE_TIMES: usize = 11;
+
+/// Use of one edge: totals in a sample, rates a second between two.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub(crate) struct EdgeUse {
+    /// Calls, or messages out.
+    pub(crate) calls: f64,
+    /// Bytes out.
+    pub(crate) sent: f64,
+    /// Bytes in.
+    pub(crate) received: f64,
+}
+
+/// Use of all edges.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize)]
+pub(crate) struct EdgeUses {
+    /// Other daemons: frames.
+    pub(crate) peer: EdgeUse,
+    /// Workers: bodies.
+    pub(crate) worker: EdgeUse,
+    /// The store: bodies.
+    pub(crate) store: EdgeUse,
+    /// The host list: bodies.
+    pub(crate) hosts: EdgeUse,
+}
+
+/// Totals of a process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Sample {
+    at: Instant,
+    /// User and system time, in ms.
+    cpu_ms: f64,
+    edges: EdgeUses,
+}
+
+/// Rates of a process over a window.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Rates {
+    /// Processor time, in percent of a core.
+    pub(crate) cpu: f64,
+    /// Resident memory at the end, in MB.
+    pub(crate) memory: f64,
+    /// Edges, each a second.
+    pub(crate) edges: EdgeUses,
+}
+
+impl EdgeUse {
+    fn rate(self, before: Self, seconds: f64) -> Self {
+        Self {
+            calls: (self.calls - before.calls) / seconds,
+            sent: (self.sent - before.sent) / seconds,
+            received: (self.received - before.received) / seconds,
+        }
+    }
+
+    /// Returns the bytes of both directions.
+    pub(crate) fn bytes(self) -> f64 {
+        self.sent + self.received
+    }
+}
+
+impl Sample {
+    /// Takes a sample of the process `pid`, whose metrics are at `url`.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::Unreachable`] when the process has gone.
+    pub(crate) fn take(pid: u32, client: &Client, url: &str) -> Result<Self, Error> {
+        let reply = client.get(url)?;
+        let edges = parse_page(&reply.body);
+        Ok(Self { at: Instant::now(), cpu_ms: cpu_ms(pid)?, edges })
+    }
+
+    /// Returns the rates since `before`.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::take`].
+    pub(crate) fn since(&self, before: &Self, pid: u32) -> Result<Rates, Error> {
+        let seconds = self.at.duration_since(before.at).as_secs_f64();
+        let (edges, old) = (self.edges, before.edges);
+        Ok(Rates {
+            cpu: (self.cpu_ms - before.cpu_ms) / seconds / 10.0,
+            memory: memory_mb(pid)?,
+            edges: EdgeUses {
+                peer: edges.peer.rate(old.peer, seconds),
+                worker: edges.worker.rate(old.worker, seconds),
+                store: edges.store.rate(old.store, seconds),
+                hosts: edges.hosts.rate(old.hosts, seconds),
+            },
+        })
+    }
+}
+
+/// Reads the counters of a page of metrics.
+pub(crate) fn parse_page(page: &str) -> EdgeUses {
+    let mut uses = EdgeUses::default();
+    for line in page.lines().filter(|line| !line.starts_with('#')) {
+        let Some((name, value)) = line.rsplit_once(' ') else { continue };
+        let Ok(value) = value.parse::<f64>() else { continue };
+        let (name, labels) = name.split_once('{').unwrap_or((name, ""));
+        let edge = labels.split_once("edge=\"").and_then(|(_, rest)| rest.split('"').next());
+        let target = match edge {
+            None => &mut uses.peer,
+            Some("worker") => &mut uses.worker,
+            Some("store") => &mut uses.store,
+            Some("hosts") => &mut uses.hosts,
+            Some(_) => continue,
+        };
+        match name {
+            "bulrushlink_edge_calls_total" | "bulrushlink_peer_sent_total" => target.calls += value,
+            "bulrushlink_edge_sent_bytes_total" | "bulrushlink_peer_sent_bytes_total" => {
+                target.sent += value;
+            }
+            "bulrushlink_edge_received_bytes_total" | "bulrushlink_peer_received_bytes_total" => {
+                target.received += value;
+            }
+            _ => {}
+        }
+    }
+    uses
+}
+
+fn cpu_ms(pid: u32) -> Result<f64, Error> {
+    let text = read(pid, "stat")?;
+    // The name in brackets may hold anything; the fields after it are plain.
+    let fields = text.rsplit_once(") ").map(|(_, rest)| rest).unwrap_or_default();
+    let mut fields = fields.split(' ').skip(FIELDS_BEFORE_TIMES);
+    let mut next = || fields.next().and_then(|f| f.parse::<f64>().ok());
+    let (Some(user), Some(system)) = (next(), next()) else {
+        return Err(Error::new(Code::BadAnswer, "no processor times"));
+    };
+    Ok((user + system) * 1_000.0 / TICKS_PER_S)
+}
+
+fn memory_mb(pid: u32) -> Result<f64, Error> {
+    let text = read(pid, "status")?;
+    let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kib = line.and_then(|l| l.trim().trim_end_matches("kB").trim().parse::<f64>().ok());
+    kib.map(|kib| kib / 1024.0).ok_or_else(|| Error::new(Code::BadAnswer, "no resident memory"))
+}
+
+fn read(pid: u32, file: &str) -> Result<String, Error> {
+    let path = format!("/proc/{pid}/{file}");
+    std::fs::read_to_string(path).map_err(|e| Error::new(Code::Unreachable, e.to_string()))
+}
