Read the changes of the host list, and renew within a control rate

The list is now asked for what changed after the last one; a platform that ignores the question answers with the whole list as before, and a wrong count or another base brings a whole one. The renewal period grows with the share so that all stay within limits.control_rate, with four renewals in a lease at least; lease and placer are untouched, so no one assumes another lease than the workers have. The default leaves shares up to 64 workers at a renewal a second. Conditional GET was ruled out: a list that changes every few seconds is whole each time. A lease that follows the number of workers was ruled out: the placer takes a task for lapsed by the lease in its own settings.

--- a/crates/api/src/platform.rs
+++ b/crates/api/src/platform.rs
@@ -1,7 +1,9 @@
 //! The platform's key-value service and its list of hosts.
 //!
 //! The store is reached by `POST /kv` with a [`StoreRequest`] and answers a [`StoreReply`]; the
-//! list by `GET /hosts`, which answers a [`HostList`].
+//! list by `GET /hosts`, which answers a [`HostList`], and by `GET /hosts?after=REVISION`, which
+//! may answer with just what has changed since. A list that doesn't know that question answers it
+//! as the first one.
 
 use bulrushlink_core::{DomainId, RackId, RegionId, Span, WorkerId};
 use derive_more::Display;
@@ -166,9 +168,29 @@
     pub leaving: bool,
 }
 
-/// All hosts that the platform knows of, some time ago, sorted by worker.
+/// All hosts that the platform knows of, some time ago, or what has changed among them.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostList {
-    /// The hosts.
+    /// All hosts; with `since`, those that came or changed after it. Sorted by worker.
     pub hosts: Vec<Host>,
+    /// Names this list for a later question; `None` from a platform that tells no changes. Never
+    /// used again for another list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub at: Option<Revision>,
+    /// The earlier list that the changes build on; `None` for a whole list.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub since: Option<Revision>,
+    /// Hosts of the earlier list that are gone; none in a whole list.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub gone: Vec<WorkerId>,
+    /// Number of hosts of the whole list, by which a reader of changes finds that it missed some.
+    #[serde(default)]
+    pub count: usize,
+}
+
+impl HostList {
+    /// Returns a whole list that can't be asked for changes.
+    pub fn whole(hosts: Vec<Host>) -> Self {
+        Self { count: hosts.len(), hosts, ..Self::default() }
+    }
 }
--- a/crates/daemon/src/edge.rs
+++ b/crates/daemon/src/edge.rs
@@ -4,8 +4,8 @@
 //! ones under virtual time are the same to the node.
 
 use bulrushlink_api::{
-    EdgeFault, HostList, JobAnswer, JobList, ListQuery, OperatorAnswer, OperatorCall, StatusQuery,
-    StoreReply, StoreRequest, SubmitBody, WorkerBatch, WorkerReply,
+    EdgeFault, HostList, JobAnswer, JobList, ListQuery, OperatorAnswer, OperatorCall, Revision,
+    StatusQuery, StoreReply, StoreRequest, SubmitBody, WorkerBatch, WorkerReply,
 };
 use bulrushlink_core::{DaemonId, JobKey, Moment, Span, WorkerId};
 use std::net::SocketAddr;
@@ -109,8 +109,8 @@
         /// Time after which the call must not leave the process.
         within: Span,
     },
-    /// Reads the host list.
-    Hosts(CallId),
+    /// Reads the host list, or what has changed after the given one.
+    Hosts(CallId, Option<Revision>),
     /// The graceful stop is complete.
     Exit,
 }
@@ -158,10 +158,10 @@
         call
     }
 
-    /// Reads the host list.
-    pub(crate) fn hosts(&mut self) -> CallId {
+    /// Reads the host list, or what has changed after `after`.
+    pub(crate) fn hosts(&mut self, after: Option<Revision>) -> CallId {
         let call = self.call(Duty::Hosts);
-        self.push(Output::Hosts(call));
+        self.push(Output::Hosts(call, after));
         call
     }
 
--- a/crates/daemon/src/edges.rs
+++ b/crates/daemon/src/edges.rs
@@ -134,7 +134,7 @@
                 let deadline = WorkerCall::deadline(cx.now(), within);
                 self.workers.call(WorkerCall { call, worker, addr, batch, deadline });
             }
-            Output::Hosts(call) => self.hosts.call(call),
+            Output::Hosts(call, after) => self.hosts.call(call, after),
             Output::Exit => self.exit(cx),
         }
     }
--- a/crates/daemon/src/harness.rs
+++ b/crates/daemon/src/harness.rs
@@ -408,9 +408,9 @@
                 let until = self.now + within;
                 self.push_trip(i, Span::ZERO, Errand::Worker { call, worker, batch, until });
             }
-            Output::Hosts(call) => {
+            Output::Hosts(call, _) => {
                 let hosts: Vec<Host> = self.workers.iter().map(|w| w.host().clone()).collect();
-                self.input(i, Input::Hosts(call, Ok(HostList { hosts })));
+                self.input(i, Input::Hosts(call, Ok(HostList::whole(hosts))));
             }
             Output::Caller(token, CallerReply::Job(answer)) => {
                 self.told.push(Told { at: self.now, token, answer });
--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -7,7 +7,7 @@
 #[cfg(test)]
 mod tests;
 
-use bulrushlink_api::{EdgeFault, Host, HostList, WorkerRow};
+use bulrushlink_api::{EdgeFault, Host, HostList, Revision, WorkerRow};
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId};
 
 use crate::edge::{CallId, Context};
@@ -46,6 +46,8 @@
     read: Repeat,
     /// All workers of the latest list, sorted by worker.
     all: Vec<Host>,
+    /// The latest list, if its changes can be asked for.
+    at: Option<Revision>,
     /// The workers of the own failure domain, sorted by worker; those too that are lost.
     entries: Vec<Entry>,
     /// What `entries` show to others; lost workers are not in it.
@@ -68,6 +70,7 @@
             lapse: settings.timing.lease + LOST_MARGIN,
             read: Repeat::open(now),
             all: Vec::new(),
+            at: None,
             entries: Vec::new(),
             own: Vec::new(),
             generation: 0,
@@ -82,7 +85,7 @@
     pub(crate) fn tick(&mut self, cx: &mut Context<'_>) {
         let timing = &cx.settings.timing;
         if self.read.is_due(cx.now, timing.store + timing.store) {
-            let call = cx.out.hosts();
+            let call = cx.out.hosts(self.at);
             self.read.sent(call, cx.now);
         }
         if cx.now >= self.sweep {
@@ -111,35 +114,75 @@
         }
     }
 
-    fn take(&mut self, list: HostList, now: Moment) {
-        self.all = list.hosts;
-        self.all.sort_by(|a, b| a.id.cmp(&b.id));
-        self.all.dedup_by(|a, b| a.id == b.id);
+    fn take(&mut self, mut list: HostList, now: Moment) {
+        list.hosts.sort_by(|a, b| a.id.cmp(&b.id));
+        list.hosts.dedup_by(|a, b| a.id == b.id);
+        if list.since.is_some() {
+            return self.take_changes(list, now);
+        }
+        self.at = list.at;
         for entry in &mut self.entries {
             entry.listed = false;
         }
-        for host in self.all.iter().filter(|host| host.domain == self.domain) {
-            match self.entries.binary_search_by(|entry| entry.host.id.cmp(&host.id)) {
-                Ok(i) => {
-                    self.entries[i].host = host.clone();
-                    self.entries[i].listed = true;
-                }
-                Err(i) => {
-                    let entry = Entry {
-                        host: host.clone(),
-                        listed: true,
-                        leaving: false,
-                        busy: None,
-                        seen: now,
-                    };
-                    self.entries.insert(i, entry);
-                    self.roster += 1;
-                }
-            }
+        for host in &list.hosts {
+            self.list(host, now);
         }
+        self.all = list.hosts;
         self.refresh(now);
     }
 
+    /// Takes what has changed since the latest list. Changes of another list, or a number of
+    /// workers that doesn't come out, make the next reading a whole one.
+    fn take_changes(&mut self, list: HostList, now: Moment) {
+        if list.since != self.at {
+            self.at = None;
+            return;
+        }
+        for host in &list.hosts {
+            match self.all.binary_search_by(|old| old.id.cmp(&host.id)) {
+                Ok(i) => self.all[i] = host.clone(),
+                Err(i) => self.all.insert(i, host.clone()),
+            }
+            self.unlist(&host.id);
+            self.list(host, now);
+        }
+        for worker in &list.gone {
+            if let Ok(i) = self.all.binary_search_by(|old| old.id.cmp(worker)) {
+                self.all.remove(i);
+            }
+            self.unlist(worker);
+        }
+        self.at = list.at.filter(|_| list.count == self.all.len());
+        if !list.hosts.is_empty() || !list.gone.is_empty() {
+            self.refresh(now);
+        }
+    }
+
+    /// Notes that the list shows a worker; one of another failure domain doesn't matter.
+    fn list(&mut self, host: &Host, now: Moment) {
+        if host.domain != self.domain {
+            return;
+        }
+        let host = host.clone();
+        match self.entries.binary_search_by(|entry| entry.host.id.cmp(&host.id)) {
+            Ok(i) => {
+                self.entries[i].host = host;
+                self.entries[i].listed = true;
+            }
+            Err(i) => {
+                let entry = Entry { host, listed: true, leaving: false, busy: None, seen: now };
+                self.entries.insert(i, entry);
+                self.roster += 1;
+            }
+        }
+    }
+
+    fn unlist(&mut self, worker: &WorkerId) {
+        if let Ok(i) = self.entries.binary_search_by(|entry| entry.host.id.cmp(worker)) {
+            self.entries[i].listed = false;
+        }
+    }
+
     /// Takes a worker's own word that it leaves or not; it goes before the list's, but for a
     /// list that says that it leaves: new work stays away from a worker of which either says so.
     pub(crate) fn on_leaving(&mut self, worker: &WorkerId, leaving: bool, now: Moment) {
--- a/crates/daemon/src/hosts/tests.rs
+++ b/crates/daemon/src/hosts/tests.rs
@@ -1,4 +1,4 @@
-use bulrushlink_api::{EdgeFault, Host, HostList};
+use bulrushlink_api::{EdgeFault, Host, HostList, Revision};
 use bulrushlink_core::{Moment, Span, WorkerId};
 
 use super::Hosts;
@@ -21,17 +21,25 @@
         Self { hosts, settings, now, out: Outbox::default() }
     }
 
+    /// Reads that list, and returns after which one changes were asked for.
+    fn read_list(&mut self, list: HostList) -> Option<Revision> {
+        self.read_result(Ok(list)).1
+    }
+
     /// Ticks until the list is read, answers the read, and returns the time that it took.
     fn read(&mut self, result: Result<Vec<Host>, EdgeFault>) -> Span {
+        self.read_result(result.map(HostList::whole)).0
+    }
+
+    fn read_result(&mut self, result: Result<HostList, EdgeFault>) -> (Span, Option<Revision>) {
         let from = self.now;
         loop {
             let (now, settings) = (self.now, &self.settings);
             let mut cx = Context { now, wall: 0, may_start: true, settings, out: &mut self.out };
             self.hosts.tick(&mut cx);
-            if let Some(Output::Hosts(call)) = cx.out.take().pop() {
-                let result = result.map(|hosts| HostList { hosts });
+            if let Some(Output::Hosts(call, after)) = cx.out.take().pop() {
                 self.hosts.on_hosts(call, result, &mut cx);
-                return self.now.since(from);
+                return (self.now.since(from), after);
             }
             self.now += Span(100);
         }
@@ -119,3 +127,50 @@
     fixture.hosts.on_alive(&id("b"), fixture.now);
     assert_eq!(fixture.own(), shown(&["a", "b"]));
 }
+
+#[test]
+fn changes_are_taken_on_top_of_the_list_that_they_are_about() {
+    let mut fixture = Fixture::open();
+    let whole = HostList { at: Some(Revision(7)), ..HostList::whole(hosts(&["a", "b"])) };
+    assert_eq!(fixture.read_list(whole), None);
+    let changes = HostList {
+        at: Some(Revision(9)),
+        since: Some(Revision(7)),
+        gone: vec![id("a")],
+        count: 2,
+        hosts: hosts(&["c"]),
+    };
+    assert_eq!(fixture.read_list(changes), Some(Revision(7)));
+    let all: Vec<_> = fixture.hosts.all().iter().map(|host| host.id.to_string()).collect();
+    assert_eq!(all, ["b", "c"]);
+    assert_eq!(fixture.own(), shown(&["a", "b", "c"]), "the lost one may still answer");
+    let none = HostList {
+        at: Some(Revision(9)),
+        since: Some(Revision(9)),
+        count: 2,
+        ..HostList::default()
+    };
+    assert_eq!(fixture.read_list(none.clone()), Some(Revision(9)));
+    assert_eq!(fixture.read_list(none), Some(Revision(9)));
+    fixture.now += Span::from_secs(46);
+    fixture.hosts.on_alive(&id("b"), fixture.now);
+    fixture.read(Ok(hosts(&["b", "c"])));
+    assert_eq!(fixture.own(), shown(&["b", "c"]));
+}
+
+#[test]
+fn changes_of_another_list_or_a_wrong_count_bring_a_whole_one() {
+    let mut fixture = Fixture::open();
+    let whole = HostList { at: Some(Revision(7)), ..HostList::whole(hosts(&["a", "b"])) };
+    let changes = |since, count| HostList {
+        at: Some(Revision(9)),
+        since: Some(Revision(since)),
+        count,
+        ..HostList::default()
+    };
+    fixture.read_list(whole.clone());
+    assert_eq!(fixture.read_list(changes(6, 2)), Some(Revision(7)));
+    assert_eq!(fixture.read_list(whole), None, "those were changes of another list");
+    assert_eq!(fixture.read_list(changes(7, 3)), Some(Revision(7)));
+    assert_eq!(fixture.read_list(changes(9, 2)), None, "a worker was missed");
+}
--- a/crates/daemon/src/keeper.rs
+++ b/crates/daemon/src/keeper.rs
@@ -15,15 +15,25 @@
 use crate::hash::rank;
 use crate::hosts::Hosts;
 use crate::peer::PeerMessage;
-use crate::settings::Settings;
+use crate::settings::{Settings, Timing};
 use crate::timer::{Repeat, jitter};
 use reports::Reports;
 
-/// Time between two full reports of a worker.
+/// Least time between two full reports of a worker.
 const FULL_PERIOD: Span = Span::from_secs(10);
+/// Full reports that come within a lease, where that takes longer than [`FULL_PERIOD`]. The placer
+/// asks a worker itself of which it heard nothing for half a lease.
+const FULLS_PER_LEASE: u64 = 4;
+/// Renewals that fit into a lease however many workers there are: three may be missed, and a
+/// period may be a quarter longer.
+const RENEWALS_PER_LEASE: u64 = 4;
+/// Bytes of a renewal and its answer, with the heads of both.
+const RENEWAL_BYTES: u64 = 512;
 
-/// The longest wait after a fault, in renewal periods: several tries have to fit into a lease.
+/// The longest wait after a fault, in shortest renewal periods.
 const FAULT_PERIODS_MAX: u64 = 4;
+/// Tries that fit into a lease after a fault, where that allows longer waits.
+const FAULTS_PER_LEASE: u64 = 8;
 
 /// A worker of this daemon's share.
 #[derive(Debug)]
@@ -107,13 +117,13 @@
     /// Takes up the workers that came into this daemon's share, and drops those that left it.
     fn share(&mut self, hosts: &Hosts, live: &[DaemonId], cx: &Context<'_>) {
         let mut old = std::mem::take(&mut self.assigned).into_iter().peekable();
-        for host in hosts.known() {
-            if !self.is_mine(&host.id, live) {
-                continue;
-            }
+        let mine: Vec<_> = hosts.known().filter(|host| self.is_mine(&host.id, live)).collect();
+        // What is taken up was renewed a period ago at the longest, and its lease has four.
+        let period = renewal_period(mine.len(), cx.settings);
+        for host in mine {
             while old.next_if(|assignment| assignment.worker < host.id).is_some() {}
             let kept = old.next_if(|assignment| assignment.worker == host.id);
-            let assignment = kept.unwrap_or_else(|| self.assignment(&host.id, cx));
+            let assignment = kept.unwrap_or_else(|| self.assignment(&host.id, period, cx));
             self.assigned.push(assignment);
         }
     }
@@ -123,8 +133,8 @@
         keeper.is_none_or(|id| *id == self.id)
     }
 
-    fn assignment(&mut self, worker: &WorkerId, cx: &Context<'_>) -> Assignment {
-        let offset = Span(self.rng.u64(0..=cx.settings.timing.renew.millis()));
+    fn assignment(&mut self, worker: &WorkerId, period: Span, cx: &Context<'_>) -> Assignment {
+        let offset = Span(self.rng.u64(0..=period.millis()));
         Assignment {
             worker: worker.clone(),
             renew: Repeat::open(cx.now + offset),
@@ -143,17 +153,19 @@
         hosts: &mut Hosts,
         cx: &mut Context<'_>,
     ) {
+        let period = renewal_period(self.assigned.len(), cx.settings);
         let found = self.assigned.iter_mut().find_map(|assignment| {
             assignment.renew.answered(call)?;
             Some(assignment)
         });
         let Some(assignment) = found else { return };
-        let period = cx.settings.timing.renew;
+        let timing = cx.settings.timing;
         let Ok(reply) = result else {
             // The worker may have taken its report for delivered.
             assignment.full = cx.now;
-            let most = Span(period.millis() * FAULT_PERIODS_MAX);
-            return assignment.renew.back_off((period, most), cx.now, &mut self.rng);
+            let most = Span(timing.renew.millis() * FAULT_PERIODS_MAX);
+            let most = most.max(Span(timing.lease.millis() / FAULTS_PER_LEASE));
+            return assignment.renew.back_off((timing.renew, most), cx.now, &mut self.rng);
         };
         assignment.renew.after(jitter(period, &mut self.rng), cx.now);
         assignment.heard = cx.now;
@@ -163,7 +175,8 @@
         let news = assignment.leaving != Some(reply.leaving) || reply.leaving || assignment.asked;
         assignment.leaving = Some(reply.leaving);
         if assignment.asked {
-            assignment.full = cx.now + jitter(FULL_PERIOD, &mut self.rng);
+            let full = FULL_PERIOD.max(Span(timing.lease.millis() / FULLS_PER_LEASE));
+            assignment.full = cx.now + jitter(full, &mut self.rng);
         }
         let Some(placer) = &self.placer else {
             assignment.full = cx.now;
@@ -213,6 +226,15 @@
     }
 }
 
+/// Returns the time between two renewals of a worker by a daemon that keeps `workers`: all of them
+/// together stay within the daemon's control rate, as far as the lease allows.
+fn renewal_period(workers: usize, settings: &Settings) -> Span {
+    let Timing { renew, lease, .. } = settings.timing;
+    let bytes = workers as u64 * RENEWAL_BYTES;
+    let within = Span(bytes * 1_000 / u64::from(settings.limits.control_rate));
+    within.min(Span(lease.millis() / RENEWALS_PER_LEASE)).max(renew)
+}
+
 impl Assignment {
     /// Renews the leases of the worker if that is due.
     fn renew(&mut self, hosts: &Hosts, from: &DaemonId, cx: &mut Context<'_>) {
--- a/crates/daemon/src/settings.rs
+++ b/crates/daemon/src/settings.rs
@@ -37,6 +37,9 @@
     pub worker_calls: usize,
     /// Store calls a second that the daemon allows itself.
     pub store_rate: u32,
+    /// Bytes a second for the renewals of leases; with more workers each is renewed less often,
+    /// as far as its lease allows.
+    pub control_rate: u32,
 }
 
 impl Default for Limits {
@@ -48,6 +51,7 @@
             store_calls: 8,
             worker_calls: 16,
             store_rate: 100,
+            control_rate: 32 * 1024,
         }
     }
 }
--- a/crates/daemon/src/settings/check.rs
+++ b/crates/daemon/src/settings/check.rs
@@ -138,6 +138,9 @@
         if self.store_rate == 0 {
             return refuse("/store_rate", "must be at least 1");
         }
+        if self.control_rate == 0 {
+            return refuse("/control_rate", "must be at least 1");
+        }
         Ok(())
     }
 }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,6 +1,6 @@
 //! The run itself: it moves virtual time on and hands each event to the party it is for.
 
-use bulrushlink_api::{StoreRequest, WorkerBatch};
+use bulrushlink_api::{Revision, StoreRequest, WorkerBatch};
 use bulrushlink_core::{DaemonId, DomainId, Moment, Service, Span, WorkerId};
 use bulrushlink_daemon::{CallId, Input, Output, Token};
 use bulrushlink_standin::{Checkpoints, HostTable, Record, WorkerMode, WorkerSim};
@@ -49,7 +49,7 @@
     /// A call reaches a worker.
     Worker { daemon: usize, incarnation: u64, call: CallId, worker: usize, batch: WorkerBatch },
     /// A call reaches the host list.
-    Hosts { daemon: usize, incarnation: u64, call: CallId },
+    Hosts { daemon: usize, incarnation: u64, call: CallId, after: Option<Revision> },
     /// A caller's turn.
     Caller { caller: usize, turn: Turn },
     /// The operator's turn.
@@ -292,7 +292,9 @@
             Step::Worker { daemon, incarnation, call, worker, batch } => {
                 self.at_worker(daemon, incarnation, call, worker, &batch);
             }
-            Step::Hosts { daemon, incarnation, call } => self.at_hosts(daemon, incarnation, call),
+            Step::Hosts { daemon, incarnation, call, after } => {
+                self.at_hosts(daemon, incarnation, call, after);
+            }
             Step::Caller { caller, turn } => self.caller_turn(caller, turn),
             Step::Operator => self.operator_turn(),
             Step::OperatorGivesUp(token) => self.operator_gives_up(token),
--- a/crates/lab/src/world/edges.rs
+++ b/crates/lab/src/world/edges.rs
@@ -1,6 +1,6 @@
 //! What daemons ask for, carried to where it belongs, and the results back.
 
-use bulrushlink_api::{EdgeFault, StoreRequest, WorkerBatch};
+use bulrushlink_api::{EdgeFault, Revision, StoreRequest, WorkerBatch};
 use bulrushlink_core::{Moment, Span};
 use bulrushlink_daemon::{CallId, Input, Output};
 use bulrushlink_standin::WorkerMode;
@@ -55,7 +55,7 @@
                 let worker = self.worker(&worker).expect("daemons call listed workers");
                 self.call_worker(daemon, call, worker, batch);
             }
-            Output::Hosts(call) => self.call_hosts(daemon, call),
+            Output::Hosts(call, after) => self.call_hosts(daemon, call, after),
             Output::Caller(token, reply) => self.answer_caller(token, reply),
             Output::Operator(token, answer) => self.answer_operator(token, &answer),
             Output::Exit => {
@@ -116,11 +116,11 @@
         self.timeline.after(delay, Step::Worker { daemon, incarnation, call, worker, batch });
     }
 
-    fn call_hosts(&mut self, daemon: usize, call: CallId) {
+    fn call_hosts(&mut self, daemon: usize, call: CallId, after: Option<Revision>) {
         let timeout = self.layout.timing.store;
         let Some(delay) = self.reach(daemon, &Party::Hosts, false, call, timeout) else { return };
         let incarnation = self.daemons[daemon].incarnation;
-        self.timeline.after(delay, Step::Hosts { daemon, incarnation, call });
+        self.timeline.after(delay, Step::Hosts { daemon, incarnation, call, after });
     }
 
     /// Draws the way of a call to `party`. A connection that can't be made ends the call as
@@ -240,15 +240,23 @@
         }
     }
 
-    pub(super) fn at_hosts(&mut self, daemon: usize, incarnation: u64, call: CallId) {
-        let list = self.hosts.handle(self.timeline.now());
+    pub(super) fn at_hosts(
+        &mut self,
+        daemon: usize,
+        incarnation: u64,
+        call: CallId,
+        after: Option<Revision>,
+    ) {
+        let list = self.hosts.handle_after(after, self.timeline.now());
         self.reply_after(daemon, incarnation, Span::ZERO, Input::Hosts(call, Ok(list)));
     }
 }
 
 fn call_of(output: &Output) -> Option<CallId> {
     match output {
-        Output::Store(call, _) | Output::Hosts(call) | Output::Worker { call, .. } => Some(*call),
+        Output::Store(call, _) | Output::Hosts(call, _) | Output::Worker { call, .. } => {
+            Some(*call)
+        }
         _ => None,
     }
 }
--- a/crates/standin/src/hosts.rs
+++ b/crates/standin/src/hosts.rs
@@ -1,12 +1,15 @@
 //! The platform's list of hosts, which tells of every change with a lag.
 
-use bulrushlink_api::{Host, HostList};
+use bulrushlink_api::{Host, HostList, Revision};
 use bulrushlink_core::{Moment, Span, WorkerId};
 use std::collections::VecDeque;
 
 #[cfg(test)]
 mod tests;
 
+/// Changes that the list remembers.
+const MEMORY_CHANGES: usize = 4_096;
+
 #[derive(Debug)]
 enum Change {
     Add(Host),
@@ -28,12 +31,22 @@
     hosts: Vec<Host>,
     /// In the order in which they become visible.
     pending: VecDeque<Pending>,
+    /// Grows with every visible change.
+    at: Revision,
+    /// The latest visible changes, in the order of their revisions.
+    changed: VecDeque<(Revision, WorkerId)>,
 }
 
 impl HostTable {
     /// Opens a list without hosts.
     pub fn open(lag: Span) -> Self {
-        Self { lag, hosts: Vec::new(), pending: VecDeque::new() }
+        Self::open_at(lag, Revision::default())
+    }
+
+    /// Opens a list without hosts that counts its changes from `at`: a list that takes the place
+    /// of another one must not use its revisions again.
+    pub fn open_at(lag: Span, at: Revision) -> Self {
+        Self { lag, hosts: Vec::new(), pending: VecDeque::new(), at, changed: VecDeque::new() }
     }
 
     /// Answers what the list shows at `now`.
@@ -42,7 +55,24 @@
             let pending = self.pending.pop_front().expect("a front was seen");
             self.apply(pending.change);
         }
-        HostList { hosts: self.hosts.clone() }
+        HostList { at: Some(self.at), ..HostList::whole(self.hosts.clone()) }
+    }
+
+    /// Answers what has changed after the list `after`, or the whole list when that isn't known.
+    pub fn handle_after(&mut self, after: Option<Revision>, now: Moment) -> HostList {
+        let whole = self.handle(now);
+        let oldest = self.changed.front().map_or(self.at, |(at, _)| Revision(at.0 - 1));
+        let Some(after) = after.filter(|after| (oldest..=self.at).contains(after)) else {
+            return whole;
+        };
+        let changed = self.changed.iter().filter(|(at, _)| *at > after);
+        let mut names: Vec<_> = changed.map(|(_, id)| id.clone()).collect();
+        names.sort();
+        names.dedup();
+        let find = |id: &WorkerId| whole.hosts.binary_search_by(|h| h.id.cmp(id)).ok();
+        let hosts = names.iter().filter_map(find).map(|i| whole.hosts[i].clone()).collect();
+        let gone = names.into_iter().filter(|id| find(id).is_none()).collect();
+        HostList { hosts, at: whole.at, since: Some(after), gone, count: whole.count }
     }
 
     /// Adds a host, or replaces the one of that name.
@@ -65,6 +95,15 @@
     }
 
     fn apply(&mut self, change: Change) {
+        self.at.0 += 1;
+        let name = match &change {
+            Change::Add(host) => &host.id,
+            Change::Leave(id) | Change::Remove(id) => id,
+        };
+        self.changed.push_back((self.at, name.clone()));
+        if self.changed.len() > MEMORY_CHANGES {
+            self.changed.pop_front();
+        }
         let find = |hosts: &[Host], id: &WorkerId| hosts.binary_search_by(|h| h.id.cmp(id));
         match change {
             Change::Add(host) => match find(&self.hosts, &host.id) {
--- a/crates/standin/src/hosts/tests.rs
+++ b/crates/standin/src/hosts/tests.rs
@@ -28,3 +28,23 @@
     assert_eq!(names(table.handle(Moment(999))), before);
     assert_eq!(names(table.handle(Moment(1_100))), [("a".to_string(), true)]);
 }
+
+#[test]
+fn changes_after_a_list_make_the_next_one() {
+    let mut table = HostTable::open_at(Span(0), Revision(100));
+    table.add(host("a"), Moment(0));
+    table.add(host("b"), Moment(0));
+    let first = table.handle_after(None, Moment(0));
+    assert_eq!((first.since, first.at, first.count), (None, Some(Revision(102)), 2));
+    table.leave(&"a".parse().unwrap(), Moment(1));
+    table.remove(&"b".parse().unwrap(), Moment(1));
+    let changes = table.handle_after(first.at, Moment(1));
+    assert_eq!((changes.since, changes.at, changes.count), (first.at, Some(Revision(104)), 1));
+    assert!(changes.hosts.len() == 1 && changes.hosts[0].leaving);
+    assert_eq!(changes.gone, ["b".parse().unwrap()]);
+    let none = table.handle_after(changes.at, Moment(1));
+    assert!(none.since == changes.at && none.hosts.is_empty() && none.gone.is_empty());
+    for unknown in [Revision(99), Revision(105)] {
+        assert_eq!(table.handle_after(Some(unknown), Moment(1)).since, None);
+    }
+}
--- a/examples/slopes/cases/notes.rs
+++ b/examples/slopes/cases/notes.rs
@@ -33,7 +33,14 @@
 /// As of [`super::workers`].
 pub(crate) fn notes(scale: &Scale) -> Result<(Vec<Row>, HeadSize), Error> {
     let workers = vec![WORKERS; DOMAINS];
-    let plan = Plan { workers, served: SERVED, daemons: 4, accelerators: 8, slots: 8 };
+    let plan = Plan {
+        workers,
+        served: SERVED,
+        daemons: 4,
+        accelerators: 8,
+        slots: 8,
+        target: scale.target,
+    };
     let domains = plan.domains();
     let fleet = Fleet::open(&plan, &first_note(&domains, &domains, WORKSPACES))?;
     let mut version = 1;
--- a/examples/slopes/fleet.rs
+++ b/examples/slopes/fleet.rs
@@ -3,7 +3,7 @@
 use bulrushlink::{LOCAL_TOKEN, LocalSettings};
 use bulrushlink_api::{ApplyAnswer, Client, DomainsAnswer, Dump};
 use bulrushlink_core::{Code, DaemonId, DomainId, Error, ReleaseNote, Span};
-use bulrushlink_daemon::{Member, Timing};
+use bulrushlink_daemon::Member;
 use bulrushlink_standin::{DeployedDomain, Deployment};
 use serde::Serialize;
 use std::io::{BufRead, BufReader, Write};
@@ -21,6 +21,10 @@
 const SETTLE_S: u64 = 60;
 /// Pause between two questions, in milliseconds.
 const PAUSE_MS: u64 = 200;
+/// Bytes a second for renewals in the settings of the target.
+const TARGET_CONTROL_RATE: u32 = 2_048;
+/// Lease in the settings of the target.
+const TARGET_LEASE: Span = Span::from_secs(280);
 /// Workers of a rack.
 const RACK_WORKERS: u16 = 16;
 
@@ -37,6 +41,8 @@
     pub(crate) accelerators: u8,
     /// Slots of a worker.
     pub(crate) slots: u16,
+    /// Whether the daemons have the settings of the target.
+    pub(crate) target: bool,
 }
 
 /// One process; it ends with this value.
@@ -150,7 +156,10 @@
         let workers = Process::start("workers", &setup)?;
         let served = &plan.domains()[..plan.served];
         let mut local = LocalSettings::choose(url, served, plan.daemons);
-        local.timing = Timing::default();
+        if plan.target {
+            local.limits.control_rate = TARGET_CONTROL_RATE;
+            local.timing.lease = TARGET_LEASE;
+        }
         let token = Some(LOCAL_TOKEN.to_string());
         let mut daemons = Vec::new();
         for member in &local.members {
--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -1,8 +1,9 @@
 //! Measures what a daemon uses for each worker, task, daemon and release note: processor time,
 //! memory, bytes and calls of real processes at several sizes, and the slopes between them.
 //!
-//! `cargo run --release --example slopes [-- [--quick] [--json] [--only CASE]]`, where `CASE` is
-//! `workers`, `tasks`, `daemons` or `notes`; the head is measured with the notes.
+//! `cargo run --release --example slopes [-- [--quick] [--target] [--json] [--only CASE]]`, where
+//! `CASE` is `workers`, `tasks`, `daemons` or `notes`; the head is measured with the notes. With
+//! `--target` the daemons have the settings of the target instead of the defaults.
 
 use bulrushlink_core::{Code, Error};
 use std::process::ExitCode;
@@ -14,6 +15,7 @@
 mod report;
 mod roles;
 mod sample;
+mod target;
 #[cfg(test)]
 mod tests;
 
@@ -24,6 +26,7 @@
 #[derive(Clone, Debug, Default)]
 struct Ask {
     quick: bool,
+    target: bool,
     json: bool,
     only: Option<String>,
     role: Option<String>,
@@ -50,6 +53,7 @@
     while let Some(word) = words.next() {
         match word.as_str() {
             "--quick" => ask.quick = true,
+            "--target" => ask.target = true,
             "--json" => ask.json = true,
             "--only" => ask.only = Some(words.next().ok_or_else(|| usage("no case".into()))?),
             "--role" => ask.role = Some(words.next().ok_or_else(|| usage("no role".into()))?),
@@ -61,6 +65,7 @@
 
 fn measure(ask: &Ask) -> Result<(), Error> {
     let scale = if ask.quick { Scale::quick() } else { Scale::whole() };
+    let scale = Scale { target: ask.target, ..scale };
     let wants = |case: &str| ask.only.as_ref().is_none_or(|only| only == case);
     let mut measured = Measured::default();
     let mut head = None;
--- a/examples/slopes/report.rs
+++ b/examples/slopes/report.rs
@@ -4,6 +4,7 @@
 
 use crate::cases::{HeadSize, Role, Row};
 use crate::line::{Line, Point};
+use crate::target::{Figure, at_target};
 
 /// What one kind of daemon uses for each unit of a size.
 #[derive(Clone, Debug, Serialize)]
@@ -25,6 +26,8 @@
 pub(crate) struct Report {
     /// The lines.
     pub(crate) slopes: Vec<Slope>,
+    /// What the lines give at the target; empty unless every size was measured.
+    pub(crate) figures: Vec<Figure>,
     /// Size of the head, if it was measured.
     pub(crate) head: Option<HeadSize>,
     /// Every window.
@@ -76,8 +79,15 @@
             slopes.extend(slope(name, notes.iter().map(|r| Point { x: r.notes, y: read(r) })));
         }
         slopes.sort_by(|a, b| (&a.per, &a.role).cmp(&(&b.per, &b.role)));
+        let roles = [Role::Member, Role::Keeper, Role::Placer];
+        let quantities =
+            PROCESS.into_iter().chain(BYTES).chain(CALLS).map(|(quantity, _)| quantity);
+        let figures = quantities
+            .flat_map(|quantity| roles.map(|role| at_target(role, quantity, &slopes)))
+            .flatten()
+            .collect();
         let rows = [workers, tasks, daemons, notes].concat();
-        Self { slopes, head, rows }
+        Self { slopes, figures, head, rows }
     }
 
     pub(crate) fn print(&self) {
@@ -91,6 +101,26 @@
                 s.role, s.per, s.quantity, s.line.slope, s.line.error, s.line.base, s.windows
             );
         }
+        if !self.figures.is_empty() {
+            println!(
+                "\nat the target:\n{:<8} {:<22} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10} {:>10}",
+                "daemon",
+                "quantity",
+                "sum",
+                "base",
+                "list",
+                "daemons",
+                "notes",
+                "kept",
+                "tasks",
+                "placing"
+            );
+        }
+        for f in &self.figures {
+            let parts = [f.sum(), f.base, f.list, f.daemons, f.notes, f.kept, f.tasks, f.placing];
+            let parts: Vec<_> = parts.iter().map(|part| format!("{part:>10.2}")).collect();
+            println!("{:<8} {:<22} {}", f.role.to_string(), f.quantity, parts.join(" "));
+        }
         let Some(HeadSize { workspaces, domains, bytes }) = self.head else { return };
         println!("head with {workspaces} workspaces and {domains} domains: {bytes} bytes");
     }
