--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,6 +1,6 @@
 //! The run itself: it moves virtual time on and hands each event to the party it is for.
 
-use bulrushlink_api::{JobState, StoreRequest, WorkerBatch};
+use bulrushlink_api::{JobState, Revision, StoreRequest, WorkerBatch};
 use bulrushlink_core::{DaemonId, DomainId, Moment, Span, Urgency, WorkerId};
 use bulrushlink_daemon::{CallId, Input, Output, Token};
 use bulrushlink_standin::{CallCounts, Checkpoints, HostTable, Record, WorkerMode, WorkerSim};
@@ -55,7 +55,7 @@
     /// A call reaches a worker.
     Worker { daemon: usize, incarnation: u64, call: CallId, worker: usize, batch: WorkerBatch },
     /// A call reaches the host list.
-    Hosts { daemon: usize, incarnation: u64, call: CallId },
+    Hosts { daemon: usize, incarnation: u64, call: CallId, after: Option<Revision> },
     /// A caller's turn.
     Caller { caller: usize, turn: Turn },
     /// An operator's turn.
@@ -352,7 +352,9 @@
             Step::Worker { daemon, incarnation, call, worker, batch } => {
                 self.at_worker(daemon, incarnation, call, worker, &batch);
             }
-            Step::Hosts { daemon, incarnation, call } => self.at_hosts(daemon, incarnation, call),
+            Step::Hosts { daemon, incarnation, call, after } => {
+                self.at_hosts(daemon, incarnation, call, after);
+            }
             Step::Caller { caller, turn } => self.caller_turn(caller, turn),
             Step::Operator(i) => self.operator_turn(i),
             Step::OperatorGivesUp(i, token) => self.operator_gives_up(i, token),
