--- a/examples/slopes/tests.rs
+++ b/examples/slopes/tests.rs
@@ -3,7 +3,7 @@
 
 #[test]
 fn a_line_gives_back_what_made_its_points() {
-    let points: Vec<_> = (0..5).map(|i| Point { x: f64::from(i), y: 3.0 + 2.0 * f64::from(i) });
+    let points = (0..5).map(|i| Point { x: f64::from(i), y: 3.0 + 2.0 * f64::from(i) });
     let points: Vec<_> = points.collect();
     let line = Line::fit(&points).unwrap();
     assert!((line.slope - 2.0).abs() < 1e-9 && (line.base - 3.0).abs() < 1e-9);
