--- a/crates/cli/src/notes.rs
+++ b/crates/cli/src/notes.rs
@@ -17,6 +17,7 @@
 pub(crate) fn check(parsed: &Parsed, streams: &mut Streams<'_>) -> Result<Status, Error> {
     let reply = Operators::open(parsed)?.post("/v1/note/check", &read(parsed)?)?;
     let answer: CheckAnswer = expect(&reply)?;
+    warn(answer.warning.as_deref(), streams);
     if parsed.json() {
         streams.line(&reply.body);
     } else {
@@ -60,6 +61,9 @@
     loop {
         let reply = operators.post("/v1/note", &note)?;
         let answer: ApplyAnswer = expect(&reply)?;
+        if shown.is_empty() {
+            warn(answer.warning.as_deref(), streams);
+        }
         let line = table::pending(&answer);
         let stop = parsed.flag("no-wait") || Instant::now() >= end;
         if answer.code != Code::NotePending || stop {
@@ -74,6 +78,12 @@
     }
 }
 
+fn warn(warning: Option<&str>, streams: &mut Streams<'_>) {
+    if let Some(text) = warning {
+        streams.progress(&format!("warning: {text}"));
+    }
+}
+
 fn read(parsed: &Parsed) -> Result<ReleaseNote, Error> {
     let path = parsed.operand("NOTE.json")?;
     read_json(path, &read_file(path)?)
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -92,13 +92,17 @@
         let local = LocalSettings::choose(platform_url.clone(), &domains, count);
         let daemons =
             local.members.iter().map(|m| DaemonProcess::choose(&local, m, &folder)).collect();
-        Self {
+        let processes = Self {
             daemons,
             platform: platform_url,
             workers: format!("http://{workers_addr}"),
             folder,
             _standins: vec![platform, workers],
+        };
+        for daemon in &processes.daemons {
+            daemon.wait_alive();
         }
+        processes
     }
 
     /// Runs the command line against these daemons and returns what it prints and its status.
@@ -176,6 +180,15 @@
     pub(crate) fn restart(&mut self) {
         self.process.kill();
         self.process = Self::run(&self.settings);
+        self.wait_alive();
+    }
+
+    /// Waits until both listeners answer.
+    fn wait_alive(&self) {
+        let client = Client::open(Span::from_secs(5), Some(LOCAL_TOKEN.to_string()));
+        for listener in [&self.callers, &self.operators] {
+            eventually("the daemon listens", || client.get(&format!("{listener}/alive")).ok());
+        }
     }
 
     fn run(settings: &Path) -> Process {
