Keep starts of programs and choices of ports apart in the tests

Cause: a test program that forks while another test holds the ports it chooses hands them on until the new program starts; the daemon then finds its address in use (seen in 4 of 13 runs of the system tests, as 'a daemon never listens'). Ruled out: the same port chosen twice; holding all ports until the last one is chosen didn't mend it alone.

--- a/src/local.rs
+++ b/src/local.rs
@@ -4,17 +4,19 @@
 use bulrushlink_core::{DaemonId, DomainId, Error};
 use bulrushlink_daemon::{Daemon, Limits, Member, Settings, Timing};
 use bulrushlink_standin::{Deployment, Platform, Workers};
-use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket};
 use std::sync::atomic::{AtomicU8, Ordering};
 
 /// Token of the operators of a local deployment.
 pub const LOCAL_TOKEN: &str = "local-operator-token";
 /// Secret of the daemons of a local deployment.
 const LOCAL_PEER_KEY: &str = "local-peer-secret";
+/// Ports that are tried before loopback is taken for full.
+const PORT_TRIES: u32 = 100;
 /// Address with a port that the operating system chooses.
 const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
 
-/// Settings for the daemons of a local deployment, with peer addresses that are free now.
+/// Settings for the daemons of a local deployment, with addresses that are free now.
 #[derive(Clone, Debug)]
 pub struct LocalSettings {
     /// URL of the store and the host list.
@@ -25,6 +27,8 @@
     pub limits: Limits,
     /// Periods and time-outs of each daemon.
     pub timing: Timing,
+    /// Addresses of the listeners for callers and operators, two for each of `members`.
+    listeners: Vec<SocketAddr>,
 }
 
 impl LocalSettings {
@@ -35,26 +39,36 @@
     /// When loopback has no free port.
     pub fn choose(platform: String, domains: &[DomainId], count: usize) -> Self {
         let ip = own_loopback();
-        let mut held = Vec::new();
-        let mut members = Vec::new();
-        for i in 0..count {
-            let socket = UdpSocket::bind((ip, 0)).expect("loopback has a free port");
+        // All ports are held until the last one is chosen, so that none is chosen twice.
+        let held: Vec<_> = (0..3 * count).map(|_| hold_port(ip)).collect();
+        let addr = |i: usize| held[i].0.local_addr().expect("a bound socket has an address");
+        let member = |i: usize| {
             let domain = domains[i % domains.len()].clone();
             let id = format!("{domain}-{}", i / domains.len());
-            let addr = socket.local_addr().expect("a bound socket has an address");
-            members.push(Member { id: id.parse().expect("valid name"), domain, addr });
-            held.push(socket);
-        }
+            Member { id: id.parse().expect("valid name"), domain, addr: addr(i) }
+        };
+        let mut members: Vec<_> = (0..count).map(member).collect();
         members.sort_by(|a, b| a.id.cmp(&b.id));
-        Self { platform, members, limits: Limits::default(), timing: Timing::default() }
+        Self {
+            platform,
+            members,
+            limits: Limits::default(),
+            timing: Timing::default(),
+            listeners: (count..3 * count).map(addr).collect(),
+        }
     }
 
     /// Returns the settings of one daemon.
+    ///
+    /// # Panics
+    ///
+    /// When there is no such daemon.
     pub fn of(&self, daemon: &DaemonId) -> Settings {
+        let place = self.members.binary_search_by(|m| m.id.cmp(daemon)).expect("a known daemon");
         Settings {
             daemon: daemon.clone(),
-            callers: ANY,
-            operators: ANY,
+            callers: self.listeners[2 * place],
+            operators: self.listeners[2 * place + 1],
             store: self.platform.clone(),
             hosts: self.platform.clone(),
             operator_token: LOCAL_TOKEN.to_string(),
@@ -67,6 +81,16 @@
     }
 }
 
+/// Holds a port that is free for TCP and UDP alike.
+fn hold_port(ip: Ipv4Addr) -> (TcpListener, UdpSocket) {
+    let find = || {
+        let tcp = TcpListener::bind((ip, 0)).expect("loopback has a free port");
+        let port = tcp.local_addr().expect("a bound socket has an address").port();
+        UdpSocket::bind((ip, port)).ok().map(|udp| (tcp, udp))
+    };
+    (0..PORT_TRIES).find_map(|_| find()).expect("loopback has a port that is free for both")
+}
+
 /// Returns a loopback address that nobody else chooses ports on: peers' addresses have to be known
 /// before their daemons bind them, so a port is chosen first and bound later.
 fn own_loopback() -> Ipv4Addr {
--- a/tests/system/support.rs
+++ b/tests/system/support.rs
@@ -5,9 +5,10 @@
 use bulrushlink_core::{DomainId, Span};
 use serde::Deserialize;
 use std::io::{BufRead, BufReader};
-use std::net::{IpAddr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
 /// Longest time that a step of a test may take; only a fault of the product reaches it.
@@ -22,14 +23,14 @@
 
 impl Process {
     fn spawn(command: &mut Command) -> Self {
-        Self { child: command.spawn().expect("the program starts") }
+        Self { child: start(command) }
     }
 
     /// Sends a signal by its name.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
-        let status = Command::new("kill").args([format!("-{name}"), pid]).status();
-        assert!(status.expect("kill runs").success());
+        let mut kill = start(Command::new("kill").args([format!("-{name}"), pid]));
+        assert!(kill.wait().expect("a child can be waited for").success());
     }
 
     /// Waits for the end and returns the exit status.
@@ -89,7 +90,10 @@
             standin(&[&args[..], &["--platform", &platform_url]].concat());
         let domains = ["cuenca", "quito-norte", "quito-sur"];
         let domains: Vec<DomainId> = domains.iter().map(|d| d.parse().expect("valid")).collect();
-        let local = LocalSettings::choose(platform_url.clone(), &domains, count);
+        let local = {
+            let _alone = alone();
+            LocalSettings::choose(platform_url.clone(), &domains, count)
+        };
         let daemons =
             local.members.iter().map(|m| DaemonProcess::choose(&local, m, &folder)).collect();
         let processes = Self {
@@ -108,14 +112,16 @@
     /// Runs the command line against these daemons and returns what it prints and its status.
     pub(crate) fn cli(&self, args: &[&str]) -> Session {
         let servers: Vec<_> = self.daemons.iter().map(|d| d.callers.clone()).collect();
-        let output = Command::new(env!("CARGO_BIN_EXE_bulrushlink"))
+        let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushlink"));
+        command
             .args(args)
             .env("BULRUSHLINK_SERVER", servers.join(","))
             .env("BULRUSHLINK_OPERATOR", &self.daemons[0].operators)
             .env("BULRUSHLINK_TOKEN", LOCAL_TOKEN)
             .current_dir(env!("CARGO_MANIFEST_DIR"))
-            .output()
-            .expect("the command line runs");
+            .stdout(Stdio::piped())
+            .stderr(Stdio::piped());
+        let output = start(&mut command).wait_with_output().expect("the command line ends");
         Session {
             out: String::from_utf8(output.stdout).expect("text"),
             err: String::from_utf8(output.stderr).expect("text"),
@@ -154,15 +160,15 @@
 
 impl Drop for Processes {
     fn drop(&mut self) {
-        let _ = std::fs::remove_dir_all(&self.folder);
+        if !std::thread::panicking() {
+            let _ = std::fs::remove_dir_all(&self.folder);
+        }
     }
 }
 
 impl DaemonProcess {
     fn choose(local: &LocalSettings, member: &bulrushlink_daemon::Member, folder: &Path) -> Self {
-        let mut settings = local.of(&member.id);
-        settings.callers = free(member.addr.ip());
-        settings.operators = free(member.addr.ip());
+        let settings = local.of(&member.id);
         let path = folder.join(format!("{}.json", member.id));
         let text = serde_json::to_string_pretty(&settings).expect("settings serialise");
         std::fs::write(&path, text).expect("the folder is writable");
@@ -187,13 +193,15 @@
     fn wait_alive(&self) {
         let client = Client::open(Span::from_secs(5), Some(LOCAL_TOKEN.to_string()));
         for listener in [&self.callers, &self.operators] {
-            eventually("the daemon listens", || client.get(&format!("{listener}/alive")).ok());
+            let what = format!("{} listens on {listener}", self.name);
+            eventually(&what, || client.get(&format!("{listener}/alive")).ok());
         }
     }
 
     fn run(settings: &Path) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"));
-        Process::spawn(command.arg("--settings").arg(settings).stderr(Stdio::null()))
+        let log = std::fs::File::create(settings.with_extension("log")).expect("writable");
+        Process::spawn(command.arg("--settings").arg(settings).stderr(log))
     }
 }
 
@@ -205,6 +213,19 @@
     pub(crate) status: Option<i32>,
 }
 
+/// Keeps starts of programs and choices of ports apart. A program inherits the open sockets of the
+/// tests for the moment between its fork and its start, and with them a port that was just chosen,
+/// so that the daemon it was chosen for can't bind it.
+fn alone() -> MutexGuard<'static, ()> {
+    static ALONE: Mutex<()> = Mutex::new(());
+    ALONE.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+fn start(command: &mut Command) -> Child {
+    let _alone = alone();
+    command.spawn().expect("the program starts")
+}
+
 /// Looks again and again until there is something.
 pub(crate) fn eventually<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
     let end = Instant::now() + Duration::from_secs(STEP_LIMIT_S);
@@ -226,8 +247,3 @@
     let listening: Listening = serde_json::from_str(&line).expect("one line of JSON");
     (process, listening.addr)
 }
-
-fn free(ip: IpAddr) -> SocketAddr {
-    let listener = TcpListener::bind((ip, 0)).expect("loopback has a free port");
-    listener.local_addr().expect("a bound listener has an address")
-}
