--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -70,7 +70,8 @@
     queued: u32,
     /// Jobs without a block.
     waiting: u32,
-    /// Shapes that were asked for and whether the hardware could ever hold them; sorted.
+    /// Shapes that were asked for and whether the hardware could ever hold them; sorted. What was
+    /// held once is expected to be held again, so only refusals are looked at anew.
     feasible: Vec<(Shape, bool)>,
     /// Moment at which a worker was lost last.
     lost: Option<Moment>,
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -139,7 +139,7 @@
         if leaving {
             self.give_up(ix);
         }
-        self.feasible.clear();
+        self.feasible.retain(|(_, fits)| *fits);
         self.freed = true;
         if known.is_none() {
             for job in std::mem::take(&mut self.adrift) {
@@ -176,7 +176,7 @@
         }
         self.guarantees.leave_worker(ix, &mut self.fleet);
         self.fleet.remove(ix);
-        self.feasible.clear();
+        self.feasible.retain(|(_, fits)| *fits);
         self.lost = Some(self.now);
         self.freed = true;
     }
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -77,6 +77,21 @@
     assert_eq!(refusal.code, Code::NeverFits);
 }
 
+#[test]
+fn a_shape_that_once_fitted_is_not_refused() {
+    let mut table = Table::open(1, 2, 2, vec![workspace("a", &[])]);
+    table.submit(spec("a", "first", shape(2, 8, Adjacency::Rack)), secs(1));
+    table.advance(secs(10));
+    table.lose(0);
+    table.advance(secs(1200));
+    table.submit(spec("a", "second", shape(2, 8, Adjacency::Rack)), secs(1));
+    table.advance(secs(1200));
+    assert!(table.named("second").ended.is_none());
+    table.join(0);
+    table.advance(secs(10));
+    assert!(matches!(table.named("second").ended, Some(Ending::Completed { .. })));
+}
+
 #[test]
 fn a_full_queue_refuses_with_a_time_to_come_back() {
     let mut own = workspace("a", &[]);
