Search for batch work to oust every 2 s at most

Cause: each urgent job without room searched all workers in every pass. An urgent job beyond its guarantee may wait 2 s longer for its turn.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -84,6 +84,8 @@
     ticked: Moment,
     /// Moment of the last search for a block to drain.
     planned: Moment,
+    /// Moment of the last search for batch work that leaves for an urgent job.
+    ousted: Moment,
     /// Moment of the last packing of all guarantees.
     repacked: Moment,
     rng: fastrand::Rng,
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -29,6 +29,8 @@
 const OWNERS_MAX: usize = 4;
 /// Time between two searches for a block.
 const PLAN_INTERVAL: Span = Span::from_secs(3);
+/// Time between two searches for batch work that leaves for an urgent job.
+const OUST_INTERVAL: Span = Span::from_secs(2);
 /// Run time that moving a job may lose.
 const MOVE_LOSS_MAX: Span = Span::from_secs(20);
 /// The most times that one job is moved.
@@ -154,9 +156,11 @@
     /// Makes batch work leave for an urgent job that finds no room and whose workspace has used up
     /// its guarantee here; the router sends it here when the guarantee has room elsewhere too.
     pub(super) fn try_oust(&mut self, ix: JobIx) -> bool {
-        if !self.jobs.get(ix).is_urgent() {
+        let due = self.now.since(self.ousted) >= OUST_INTERVAL;
+        if !self.jobs.get(ix).is_urgent() || !due {
             return false;
         }
+        self.ousted = self.now;
         let Some((ready, places)) = self.plan(ix) else { return false };
         ready.since(self.now) <= MOVE_TIME && self.drain(ix, ready, places)
     }
