--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -1,7 +1,7 @@
 //! The end of a job: durable first, then told, then forgotten by the workers.
 
 use bulrushlink_api::{Expect, Revision, StoreRequest, WorkerOp};
-use bulrushlink_core::{Attempt, Code, Ending, JobKey, Moment, Span};
+use bulrushlink_core::{Attempt, Code, Ending, JobKey, Moment, Refusal, Span};
 
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
@@ -11,6 +11,8 @@
 
 /// Most bytes of all outputs of a job; JSON may double them within a value of the store.
 const OUTPUT_MAX_BYTES: usize = 450_000;
+/// Age up to which a job that fits nowhere waits for workers to come back.
+const NEVER_FITS_BOUND: Span = Span::from_secs(60);
 /// Pause before room is looked for again for an accepted job that was refused.
 const REFUSED_PAUSE: Span = Span::from_secs(5);
 /// Time for which an ended job is remembered here.
@@ -27,13 +29,16 @@
         job.place = Place::Out;
         job.cancel = None;
         let refused = matches!(&ending, Ending::Refused(refusal) if is_passing(refusal.code));
-        if refused && (job.claim == Claim::Owned || job.taken) {
+        let never = matches!(&ending, Ending::Refused(refusal) if refusal.code == Code::NeverFits);
+        let patient = !never || job.age(cx.now) < NEVER_FITS_BOUND;
+        let accepted = job.claim == Claim::Owned || job.taken;
+        if refused && accepted && patient {
             // What was accepted isn't given up for want of room.
             job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
             return;
         }
-        let mut end = End::open(bounded(truthful(ending, job.attempt)), cx.now);
-        end.loose = refused;
+        let mut end = End::open(bounded(truthful(ending, job.attempt, job.ran)), cx.now);
+        end.loose = refused && !accepted;
         job.end = Some(end);
         self.drive_end(i, cx);
     }
@@ -197,8 +202,13 @@
 }
 
 /// Never says "not run" of a job of which an earlier attempt may have run.
-fn truthful(ending: Ending, attempt: Attempt) -> Ending {
+fn truthful(ending: Ending, attempt: Attempt, ran: bool) -> Ending {
     match ending {
+        // Nothing tells of a start; whoever had the job before may have started it.
+        Ending::Failed { reason } if !ran && attempt > Attempt(0) => Ending::Unknown { reason },
+        Ending::Failed { reason } if !ran => {
+            Ending::Refused(Refusal { code: Code::NeverFits, reason, retry: None })
+        }
         Ending::Cancelled { ran } => Ending::Cancelled { ran: ran || attempt > Attempt(0) },
         Ending::Refused(refusal) if attempt > Attempt(0) => {
             let reason = format!("an earlier start may have run; given up: {}", refusal.reason);
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -125,6 +125,8 @@
     /// The record that is being written.
     #[serde(skip)]
     pub(super) writing: Option<JobRecord>,
+    /// Whether it is certain that a task of it ran.
+    pub(super) ran: bool,
     /// Whether another owner had it before, in this process or another.
     pub(super) taken: bool,
     /// Moment at which the store was asked whether the record is still this owner's.
--- a/crates/daemon/src/placer/starts.rs
+++ b/crates/daemon/src/placer/starts.rs
@@ -290,6 +290,7 @@
             _ => Cause::Start(None, StartFault::Silent),
         };
         let verdict = gang.verdict(&cause, job.spec.idempotent);
+        job.ran |= gang.parts.iter().any(|part| part.ran);
         let key = job.key().clone();
         if gang.committed {
             job.old.extend(gang.ids(&key));
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -179,6 +179,7 @@
             kept: None,
             wanted,
             writing: None,
+            ran: false,
             taken: false,
             verifying: None,
             verified: None,
