--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -184,9 +184,14 @@
         }
     }
 
+    /// Tells whether the job is in the store to stay until its end.
+    fn is_kept(&self) -> bool {
+        self.claim == Claim::Owned && !self.end.as_ref().is_some_and(|end| end.loose)
+    }
+
     /// Returns in short what followers may hear.
     pub(super) fn said(&self, down: bool, now: Moment) -> Said {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         if self.end.as_ref().is_some_and(|end| self.may_tell(end, down, now)) {
             return Said::Ended;
         }
@@ -200,7 +205,7 @@
 
     /// Returns what followers may hear.
     pub(super) fn status(&self, down: bool, now: Moment) -> JobStatus {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         match (self.said(down, now), &self.end) {
             (Said::Ended, Some(end)) => match &end.ending {
                 Ending::Refused(refusal) if end.unsure => JobStatus::Unsure(refusal.clone()),
