--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -37,7 +37,10 @@
             job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
             return;
         }
-        let mut end = End::open(bounded(truthful(ending, job.attempt, job.ran)), cx.now);
+        // A job that others had before may have run there, whatever the record says.
+        let least = Attempt(u32::from(job.taken && job.spec.idempotent));
+        let started = job.attempt.max(least);
+        let mut end = End::open(bounded(truthful(ending, started, job.ran)), cx.now);
         end.loose = refused && !accepted;
         job.end = Some(end);
         self.drive_end(i, cx);
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -255,10 +255,8 @@
     fn submit(&mut self, i: usize, found: &[(WorkerId, TaskReport)], cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
         let seen = found.iter().map(|(_, report)| report.id.attempt).max().unwrap_or_default();
-        // A job that others had before may have run there, whatever the record says.
-        let least = Attempt(u32::from(job.taken));
         job.attempt = match job.spec.idempotent {
-            true => job.attempt.max(seen).max(least),
+            true => job.attempt.max(seen),
             // Without an intent in the store nothing of it was ever started.
             false => Attempt(0),
         };
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -138,8 +138,7 @@
             return self.answer(from, &key, status, Some(submit.seq), cx);
         }
         let mut job = self.new_job(submit.spec, submit.age, submit.held, cx);
-        job.attempt = submit.attempt;
-        job.wanted.attempt = submit.attempt;
+        job.taken = submit.attempt > Attempt(0);
         job.follow(from, Some(submit.seq), cx.now);
         let key = job.key().clone();
         self.jobs.insert(i, job);
