--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -60,9 +60,10 @@
             }
             Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
             Claim::Owned if job.writing.is_some() => {}
+            // Others may have seen the record, and told that the job is accepted.
             Claim::Owned if end.loose => {
-                end.step = EndStep::Removing;
-                self.remove(i, cx);
+                end.loose = false;
+                self.drive_end(i, cx);
             }
             // Another owner may see the job completed where this one doesn't.
             Claim::Owned if !end.claimed && !matches!(end.ending, Ending::Completed { .. }) => {
