--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -125,6 +125,8 @@
     /// The record that is being written.
     #[serde(skip)]
     pub(super) writing: Option<JobRecord>,
+    /// Whether it is certain that a task of it ran.
+    pub(super) ran: bool,
     /// Whether another owner had it before, in this process or another.
     pub(super) taken: bool,
     /// Moment at which the store was asked whether the record is still this owner's.
@@ -182,9 +184,14 @@
         }
     }
 
+    /// Tells whether the job is in the store to stay until its end.
+    fn is_kept(&self) -> bool {
+        self.claim == Claim::Owned && !self.end.as_ref().is_some_and(|end| end.loose)
+    }
+
     /// Returns in short what followers may hear.
     pub(super) fn said(&self, down: bool, now: Moment) -> Said {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         if self.end.as_ref().is_some_and(|end| self.may_tell(end, down, now)) {
             return Said::Ended;
         }
@@ -198,7 +205,7 @@
 
     /// Returns what followers may hear.
     pub(super) fn status(&self, down: bool, now: Moment) -> JobStatus {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         match (self.said(down, now), &self.end) {
             (Said::Ended, Some(end)) => match &end.ending {
                 Ending::Refused(refusal) if end.unsure => JobStatus::Unsure(refusal.clone()),
