--- a/crates/daemon/src/intake/answers.rs
+++ b/crates/daemon/src/intake/answers.rs
@@ -49,7 +49,8 @@
         format!("{}; {text}", refusal.reason)
     };
     let state = JobState::Refused;
-    JobAnswer { not_run: sure, reason, retry: refusal.retry, ..bare(key, refusal.code, state) }
+    let retry = if sure { refusal.retry } else { refusal.retry.or(Some(UNSETTLED_RETRY)) };
+    JobAnswer { not_run: sure, reason, retry, ..bare(key, refusal.code, state) }
 }
 
 /// Says how a job ended.
--- a/crates/daemon/src/intake/lookup.rs
+++ b/crates/daemon/src/intake/lookup.rs
@@ -97,7 +97,12 @@
             }
             (_, Some(done)) => ended_answer(&key, &done.ending),
             (Ask::Submit(submission), None) => match &submission.refusal {
-                Some(refusal) => refusal_answer(Some(key), refusal, true),
+                Some(refusal) => {
+                    // Out of reach, a placer may have run it for a caller who waits, without a
+                    // record.
+                    let hidden = submission.spec.idempotent && is_blind(refusal.code);
+                    refusal_answer(Some(key), refusal, !hidden)
+                }
                 None => return,
             },
             (_, None) if hold.status.is_some() => return,
@@ -156,3 +161,8 @@
         cx.out.push(Output::Caller(token, CallerReply::List(list)));
     }
 }
+
+/// Tells whether a refusal shows that placers are out of reach.
+const fn is_blind(code: Code) -> bool {
+    matches!(code, Code::NoDomain | Code::NoNote | Code::Stopping)
+}
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -234,6 +234,8 @@
         let gap = now.since(self.handled);
         self.handled = now;
         if gap > PAUSE_LIMIT {
+            // What arrived meanwhile has yet to be read, and the balancer's looks went unanswered.
+            self.draining = self.draining.map(|since| since + gap);
             self.members.on_pause(gap, now);
             self.notes.on_pause(now);
         }
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -1,7 +1,9 @@
 //! A job as its placer knows it: what the store holds of it, and where it is on the workers.
 
 use bulrushlink_api::TaskId;
-use bulrushlink_core::{Attempt, DaemonId, Ending, JobKey, JobSpec, Moment, Span, WorkerId};
+use bulrushlink_core::{
+    Attempt, DaemonId, DomainId, Ending, JobKey, JobSpec, Moment, Span, WorkerId,
+};
 use serde::Serialize;
 
 use crate::journal::{JobRecord, Kept, SpecDigest};
@@ -180,9 +182,14 @@
         }
     }
 
+    /// Tells whether the job outlives this daemon. The record of a refused one is about to go.
+    fn is_durable(&self) -> bool {
+        self.claim == Claim::Owned && self.end.as_ref().is_none_or(|end| !end.loose)
+    }
+
     /// Returns in short what followers may hear.
     pub(super) fn said(&self, down: bool, now: Moment) -> Said {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_durable();
         if self.end.as_ref().is_some_and(|end| self.may_tell(end, down, now)) {
             return Said::Ended;
         }
@@ -196,7 +203,7 @@
 
     /// Returns what followers may hear.
     pub(super) fn status(&self, down: bool, now: Moment) -> JobStatus {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_durable();
         match (self.said(down, now), &self.end) {
             (Said::Ended, Some(end)) => match &end.ending {
                 Ending::Refused(refusal) if end.unsure => JobStatus::Unsure(refusal.clone()),
@@ -208,6 +215,12 @@
         }
     }
 
+    /// Tells whether the caller wants it no more, and no other domain has it or may get it.
+    pub(super) fn is_cancelled_here(&self, domain: &DomainId) -> bool {
+        let moved = self.kept.as_ref().is_some_and(|kept| kept.record.domain != *domain);
+        self.wanted.cancelled && !moved && self.wanted.domain == *domain
+    }
+
     /// Tells whether its end was told to anybody.
     pub(super) fn is_told(&self) -> bool {
         self.said == Some(Said::Ended)
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_api::{Record, StoreRequest, TaskReport, TaskState};
 use bulrushlink_core::{
-    Attempt, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
+    Attempt, Ending, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
 };
 
 use super::gang::{Gang, Phase};
@@ -286,6 +286,11 @@
             return self.drive_end(i, cx);
         }
         match (&self.jobs[i].place, self.jobs[i].claim) {
+            // The scheduler doesn't have the job any more, and can't cancel it.
+            (Place::Leaving(_), _) if self.jobs[i].is_cancelled_here(&self.domain) => {
+                let key = self.jobs[i].key().clone();
+                self.finish(&key, Ending::Cancelled { ran: false }, cx);
+            }
             (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
             (Place::Leaving(_), _) => {}
             (Place::Out, _) => {
--- a/crates/lab/src/faults.rs
+++ b/crates/lab/src/faults.rs
@@ -68,6 +68,8 @@
     Race(DomainId),
     /// A worker is about to leave.
     LeaveWorker(WorkerId),
+    /// A worker that was about to leave stays.
+    KeepWorker(WorkerId),
     /// The operator takes a domain out of service.
     TakeOut(DomainId),
     /// The operator takes a domain back.
@@ -172,7 +174,7 @@
             12 => (Fault::CancelWave, None),
             13 => (Fault::StopEach, None),
             14 => (Fault::Race(domain.clone()), Some(Fault::TakeBack(domain))),
-            _ => (Fault::LeaveWorker(worker), None),
+            _ => (Fault::LeaveWorker(worker.clone()), Some(Fault::KeepWorker(worker))),
         }
     }
 }
--- a/crates/lab/src/layout.rs
+++ b/crates/lab/src/layout.rs
@@ -131,12 +131,11 @@
         }
     }
 
-    /// Returns the note that adds a workspace, with a guarantee of one accelerator.
+    /// Returns the note that adds a workspace without guarantees.
     pub(crate) fn workspace_note(&self, base: NoteVersion, id: String) -> ReleaseNote {
-        let shape = Shape { tasks: 1, accelerators: 1, adjacency: Default::default() };
         let spec = WorkspaceSpec {
             id: id.parse().expect("valid name"),
-            guarantees: vec![Guarantee { shape, count: 1, domain: None }],
+            guarantees: Vec::new(),
             queue: WorkspaceSpec::QUEUE,
         };
         let workspaces = vec![spec];
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -1,6 +1,6 @@
 //! The run itself: it moves virtual time on and hands each event to the party it is for.
 
-use bulrushlink_api::{JobState, StoreRequest, WorkerBatch};
+use bulrushlink_api::{JobState, OperatorCall, StoreRequest, WorkerBatch};
 use bulrushlink_core::{DaemonId, DomainId, Moment, Span, Urgency, WorkerId};
 use bulrushlink_daemon::{CallId, Input, Output, Token};
 use bulrushlink_standin::{CallCounts, Checkpoints, HostTable, Record, WorkerMode, WorkerSim};
@@ -246,7 +246,8 @@
         }
         for worker in 0..self.workers.len() {
             let id = self.workers[worker].id().clone();
-            self.strike(Fault::MendWorker(id));
+            self.strike(Fault::MendWorker(id.clone()));
+            self.strike(Fault::KeepWorker(id));
         }
         for domain in self.layout.domain_ids() {
             self.strike(Fault::TakeBack(domain));
@@ -307,6 +308,15 @@
         self.snapshot.iter().chain(latest).map(String::as_str)
     }
 
+    /// Lets every daemon that is up add its dump to the trace.
+    pub fn dump(&mut self) {
+        for daemon in 0..self.daemons.len() {
+            let token = self.token();
+            self.feed(daemon, Input::Operator(token, OperatorCall::Dump));
+        }
+        self.run(Span(10));
+    }
+
     /// Returns the record that the workers keep.
     pub fn record(&self) -> &Record {
         &self.record
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -123,6 +123,11 @@
         self.mode = mode;
     }
 
+    /// Takes back that the worker is about to leave.
+    pub fn stay(&mut self) {
+        self.host.leaving = false;
+    }
+
     /// Marks the worker as about to leave; it says so in every reply.
     pub fn leave(&mut self) {
         self.host.leaving = true;
--- a/examples/chaos.rs
+++ b/examples/chaos.rs
@@ -100,6 +100,7 @@
         report.store_calls,
     );
     if !report.violations.is_empty() {
+        lab.dump();
         for line in lab.trace() {
             eprintln!("{line}");
         }
