--- a/crates/daemon/src/intake/updates.rs
+++ b/crates/daemon/src/intake/updates.rs
@@ -44,7 +44,7 @@
             }
         }
         match &update.status {
-            JobStatus::Waiting { .. } | JobStatus::Running { .. } => {
+            JobStatus::Waiting { .. } | JobStatus::Running { .. } | JobStatus::Undecided => {
                 self.on_open_status(i, update, cx);
             }
             JobStatus::Ended(ending) => {
@@ -71,7 +71,11 @@
         hold.domain = Some(update.domain.clone());
         hold.why = update.why.clone().or(hold.why.take());
         let enough = match &hold.ask {
-            Ask::Submit(submission) => !submission.held && hold.is_durable(),
+            // What the store leaves open is told as such: the caller asks again for the state.
+            Ask::Submit(submission) => {
+                let undecided = update.status == JobStatus::Undecided;
+                !submission.held && (undecided || hold.is_durable())
+            }
             Ask::Status { waits, why } => !waits && (!why || hold.why.is_some()),
             Ask::Cancel => false,
         };
--- a/crates/daemon/src/journal/writer.rs
+++ b/crates/daemon/src/journal/writer.rs
@@ -132,6 +132,11 @@
         self.ops.iter().any(|op| wanted(&op.tag))
     }
 
+    /// Tells whether a write with such a tag may or may not have had its effect.
+    pub(crate) fn is_doubtful(&self, wanted: impl Fn(&T) -> bool) -> bool {
+        self.ops.iter().any(|op| op.unsure && wanted(&op.tag))
+    }
+
     /// Takes calls back that certainly have had no effect; tells whether none is left.
     pub(crate) fn take_back(&mut self, wanted: impl Fn(&T) -> bool) -> bool {
         self.ops.retain(|op| !wanted(&op.tag) || op.call.is_some() || op.unsure);
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -90,6 +90,8 @@
     /// This submission is refused and won't run, but the store couldn't be asked whether an
     /// earlier one with the same identifier was taken.
     Unsure(Refusal),
+    /// Waits; the store was asked to keep it and hasn't answered in time.
+    Undecided,
 }
 
 /// A message between daemons.
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -86,6 +86,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Said {
     Waiting(bool),
+    Undecided,
     Running(bool),
     Ended,
 }
@@ -135,6 +136,8 @@
     pub(super) place: Place,
     /// Whether a start of it was sent that no checkpoint has undone.
     pub(super) committed: bool,
+    /// Whether a write of its record was sent that may or may not have had its effect.
+    pub(super) doubtful: bool,
     /// Moment of a wish to cancel it that the scheduler hasn't heard of yet.
     pub(super) cancel: Option<Moment>,
     /// Its end, if it has ended.
@@ -197,6 +200,7 @@
             Place::Placed(gang) if gang.committed && !matches!(gang.phase, Phase::Committing) => {
                 Said::Running(durable)
             }
+            _ if self.doubtful && !durable => Said::Undecided,
             _ => Said::Waiting(durable),
         }
     }
@@ -211,6 +215,7 @@
                 ending => JobStatus::Ended(ending.clone()),
             },
             (Said::Running(_), _) => JobStatus::Running { durable },
+            (Said::Undecided, _) => JobStatus::Undecided,
             _ => JobStatus::Waiting { durable },
         }
     }
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -277,6 +277,8 @@
         if self.jobs[i].gone {
             return;
         }
+        let tag = Tag::Record(self.jobs[i].key().clone());
+        self.jobs[i].doubtful = self.journal.is_doubtful(|other| *other == tag);
         self.tick_gang(i, cx);
         self.press_cancel(i, cx);
         if !self.is_active() {
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -183,6 +183,7 @@
             verified: None,
             place: Place::Out,
             committed: false,
+            doubtful: false,
             cancel: None,
             end: None,
             gone: false,
