--- a/crates/core/src/sched/claim.rs
+++ b/crates/core/src/sched/claim.rs
@@ -6,7 +6,7 @@
 use crate::sched::fit::{self, Place, pick};
 use crate::sched::fleet::{View, WorkerIx};
 use crate::sched::guarantee::{InstanceIx, holds, is_block};
-use crate::sched::jobs::{JobIx, Phase, Reason};
+use crate::sched::jobs::{Job, JobIx, Phase, Reason};
 use crate::units::{AcceleratorSet, Moment, Span};
 
 /// Time that a job gets for its checkpoint when it is stopped for a guarantee.
@@ -18,7 +18,7 @@
 /// Parts of larger guarantees that are weighed for one job.
 const CHOICES_MAX: usize = 16;
 /// Run time that a stop with a checkpoint loses, saving and resuming included.
-const CHECKPOINT_COST: Span = Span::from_secs(10);
+const CHECKPOINT_COST: Span = Span::from_secs(20);
 
 /// Cells of a guarantee that a job is about to use.
 struct Choice {
@@ -55,8 +55,14 @@
             let instance = self.guarantees.get(**ix);
             instance.is_unused() && instance.is_bound()
         };
-        let best = group.members.iter().filter(open).min_by_key(|ix| !self.is_free(**ix));
-        best.copied()
+        let rank = |ix: &&InstanceIx| (self.is_avoided(job, **ix), !self.is_free(**ix));
+        group.members.iter().filter(open).min_by_key(rank).copied()
+    }
+
+    /// Tells whether a guarantee's block is on a worker that a job failed on.
+    fn is_avoided(&self, job: &Job, ix: InstanceIx) -> bool {
+        let places = self.guarantees.places(ix);
+        places.iter().any(|place| job.avoid.contains(&place.worker))
     }
 
     /// Tells whether the job's workspace holds an unused guarantee of exactly its shape.
@@ -76,8 +82,11 @@
 
     fn use_whole(&mut self, ix: JobIx, guarantee: InstanceIx) -> bool {
         let mut guarantee = guarantee;
-        if !self.is_free(guarantee) && !self.move_to_free(ix, guarantee) {
+        let avoided = self.is_avoided(self.jobs.get(ix), guarantee);
+        let good = !avoided && self.is_free(guarantee);
+        if !good && !self.move_to_free(ix, guarantee) {
             guarantee = self.cheapest(ix, guarantee);
+            self.move_to_cheaper(ix, guarantee);
         }
         let places = self.guarantees.places(guarantee);
         let cells = (0..places.len()).collect();
@@ -90,8 +99,8 @@
         let shape = self.guarantees.get(guarantee).shape;
         let old = self.guarantees.places(guarantee);
         self.guarantees.unbind(guarantee, &mut self.fleet);
-        let avoid = &self.jobs.get(ix).failed_on;
-        let found = fit::find(&self.fleet, View::Hard, shape, avoid);
+        let avoid = &self.jobs.get(ix).avoid;
+        let found = fit::find_apart(&self.fleet, View::Hard, shape, avoid, false);
         let moved = found.is_some();
         self.guarantees.bind(guarantee, &found.unwrap_or(old), &mut self.fleet);
         moved
@@ -102,7 +111,7 @@
     fn cheapest(&mut self, ix: JobIx, own: InstanceIx) -> InstanceIx {
         let job = self.jobs.get(ix);
         let (space, shape) = (job.space, job.spec.shape);
-        let avoid = &job.failed_on;
+        let avoid = &job.avoid;
         let alike = self.guarantees.groups.iter().filter(|g| g.shape == shape);
         let members = alike.flat_map(|g| g.members.iter().copied());
         let open = members.filter(|ix| {
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -177,6 +177,7 @@
         self.guarantees.leave_worker(ix, &mut self.fleet);
         self.fleet.remove(ix);
         self.feasible.clear();
+        self.lost = Some(self.now);
         self.freed = true;
     }
 
@@ -356,7 +357,9 @@
     });
     for ix in broken {
         if guarantees.get(ix).is_unused() {
-            if let Some(places) = fit::find(fleet, View::Bind, guarantees.get(ix).shape, &[]) {
+            if let Some(places) =
+                fit::find_apart(fleet, View::Bind, guarantees.get(ix).shape, &[], false)
+            {
                 guarantees.unbind(ix, fleet);
                 guarantees.bind(ix, &places, fleet);
             }
--- a/tests/support/mod.rs
+++ b/tests/system/support.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 use std::io::{BufRead, BufReader};
 use std::net::{IpAddr, SocketAddr, TcpListener};
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -92,13 +92,17 @@
         let local = LocalSettings::choose(platform_url.clone(), &domains, count);
         let daemons =
             local.members.iter().map(|m| DaemonProcess::choose(&local, m, &folder)).collect();
-        Self {
+        let processes = Self {
             daemons,
             platform: platform_url,
             workers: format!("http://{workers_addr}"),
             folder,
             _standins: vec![platform, workers],
+        };
+        for daemon in &processes.daemons {
+            daemon.wait_alive();
         }
+        processes
     }
 
     /// Runs the command line against these daemons and returns what it prints and its status.
@@ -155,11 +159,7 @@
 }
 
 impl DaemonProcess {
-    fn choose(
-        local: &LocalSettings,
-        member: &bulrushlink_daemon::Member,
-        folder: &PathBuf,
-    ) -> Self {
+    fn choose(local: &LocalSettings, member: &bulrushlink_daemon::Member, folder: &Path) -> Self {
         let mut settings = local.of(&member.id);
         settings.callers = free(member.addr.ip());
         settings.operators = free(member.addr.ip());
@@ -180,9 +180,18 @@
     pub(crate) fn restart(&mut self) {
         self.process.kill();
         self.process = Self::run(&self.settings);
+        self.wait_alive();
+    }
+
+    /// Waits until both listeners answer.
+    fn wait_alive(&self) {
+        let client = Client::open(Span::from_secs(5), Some(LOCAL_TOKEN.to_string()));
+        for listener in [&self.callers, &self.operators] {
+            eventually("the daemon listens", || client.get(&format!("{listener}/alive")).ok());
+        }
     }
 
-    fn run(settings: &PathBuf) -> Process {
+    fn run(settings: &Path) -> Process {
         let mut command = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"));
         Process::spawn(command.arg("--settings").arg(settings).stderr(Stdio::null()))
     }
