--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -2,8 +2,10 @@
 
 use bulrushlink_api::{JobState, OperatorCall, Revision, StoreRequest, WorkerBatch};
 use bulrushlink_core::{DaemonId, DomainId, Moment, Span, Urgency, WorkerId};
-use bulrushlink_daemon::{CallId, Input, Output, Token};
-use bulrushlink_standin::{CallCounts, Checkpoints, HostTable, Record, WorkerMode, WorkerSim};
+use bulrushlink_daemon::{CallId, Input, Output, Token, broken_gang_bound, partial_gang_bound};
+use bulrushlink_standin::{
+    CallCounts, Checkpoints, HostTable, PartialGang, Record, WorkerMode, WorkerSim,
+};
 use fastrand::Rng;
 use std::collections::VecDeque;
 use std::time::Instant;
@@ -36,10 +38,7 @@
 /// Latency between two hosts.
 const LATENCY: Span = Span(1);
 /// Events that a report of a violation shows.
-const TRACE_EVENTS: usize = 4000;
-/// Longest time for which a gang may run partially: the lease of a confirmed task, the time until
-/// its loss is seen, and a margin.
-const PARTIAL_MARGIN: Span = Span::from_secs(20);
+const TRACE_EVENTS: usize = 12_000;
 
 /// An event of the run.
 #[derive(Debug)]
@@ -276,8 +275,9 @@
         let partials = self.record.partials(at);
         let longest = partials.iter().max_by_key(|partial| partial.length());
         let partial = longest.map(|partial| partial.length()).unwrap_or_default();
-        if partial > self.layout.timing.lease + PARTIAL_MARGIN {
-            let text = format!("a gang ran partially for {partial}: {longest:?}");
+        for late in partials.iter().filter(|partial| partial.length() > self.partial_bound(partial))
+        {
+            let text = format!("a gang ran partially for {}: {late:?}", late.length());
             violations.push(Violation { at, text });
         }
         let ended = |code| {
@@ -342,6 +342,16 @@
         self.store.store.counts()
     }
 
+    /// Returns how long a gang may run partially: a gang that was never whole ends sooner.
+    fn partial_bound(&self, partial: &PartialGang) -> Span {
+        let runs = self.record.runs_of(&partial.key);
+        let own = runs.iter().filter(|run| run.task.attempt == partial.attempt);
+        match own.count() < usize::from(partial.gang) {
+            true => partial_gang_bound(&self.layout.timing),
+            false => broken_gang_bound(&self.layout.timing),
+        }
+    }
+
     fn restarted(&self) -> usize {
         let twice = |c: &&Caller| self.record.attempts(&c.key()).len() > 1;
         self.callers.iter().filter(twice).count()
--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -257,3 +257,43 @@
     println!("burst of 300 jobs: {reads} reads and {writes} writes in 10 s");
     assert!(writes <= 300 * 10 && burst.limited == 0, "{burst:?}");
 }
+
+#[test]
+fn nothing_runs_on_an_intent_that_the_store_never_heard_of() {
+    for seed in 1..4 {
+        let mut lab = calm(seed);
+        for i in 0..200 {
+            let mut queued = plan(&format!("queued-{i}"), 700, false, None);
+            queued.body.workspace = id(["crossing-risk", "municipal-transit"][i % 2]);
+            queued.body.shape.accelerators = 8;
+            queued.insists = true;
+            lab.submit_after(Span(5 * i as u64), queued);
+        }
+        lab.fault_after(Span(3_000), Fault::Store(StoreMode::Silent));
+        for domain in ["cuenca", "quito-norte", "quito-sur"] {
+            lab.fault_after(Span(4_600), Fault::KillDomain(id(domain)));
+            lab.fault_after(Span(6_000), Fault::StartDomain(id(domain)));
+        }
+        lab.fault_after(Span(6_500), Fault::Store(StoreMode::Up));
+        lab.run(Span::from_secs(300));
+        assert_kept(&lab);
+    }
+}
+
+#[test]
+fn a_domain_cut_off_from_all_starts_nothing_once_its_withdrawal_is_told() {
+    for seed in 1..3 {
+        let mut lab = calm(seed);
+        lab.fault_after(Span::ZERO, Fault::Isolate(id("cuenca")));
+        lab.fault_after(Span(1_000), Fault::TakeOut(id("cuenca")));
+        for i in 0..160 {
+            let wait = Some(Span::from_secs(5));
+            lab.submit_after(Span(500 * i), plan(&format!("cut-{i}"), 300, true, wait));
+        }
+        lab.run(Span::from_secs(85));
+        assert_eq!(lab.settled().len(), 2, "seed {seed}: the withdrawal was told");
+        lab.mend_all();
+        lab.run(Span::from_secs(120));
+        assert_kept(&lab);
+    }
+}
