--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -128,7 +128,10 @@
 #[test]
 fn workers_that_leave_get_nothing_new() {
     for seed in 1..3 {
-        let mut lab = calm(seed);
+        let layout = Layout { lag: Span::from_secs(20), ..Layout::small() };
+        let mut lab = Lab::open(layout, seed);
+        lab.apply_first_note();
+        lab.run(Span::from_secs(30));
         lab.submit_drawn(120, Span::from_secs(30));
         for (i, worker) in
             ["cuenca-r0-w0", "quito-norte-r1-w2", "quito-sur-r0-w1"].iter().enumerate()
