--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -1,7 +1,9 @@
 //! A job as its placer knows it: what the store holds of it, and where it is on the workers.
 
 use bulrushlink_api::TaskId;
-use bulrushlink_core::{Attempt, DaemonId, Ending, JobKey, JobSpec, Moment, Span, WorkerId};
+use bulrushlink_core::{
+    Attempt, DaemonId, DomainId, Ending, JobKey, JobSpec, Moment, Span, WorkerId,
+};
 use serde::Serialize;
 
 use crate::journal::{JobRecord, Kept, SpecDigest};
@@ -84,6 +86,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Said {
     Waiting(bool),
+    Undecided,
     Running(bool),
     Ended,
 }
@@ -137,6 +140,8 @@
     pub(super) place: Place,
     /// Whether a start of it was sent that no checkpoint has undone.
     pub(super) committed: bool,
+    /// Whether a write of its record was sent that may or may not have had its effect.
+    pub(super) doubtful: bool,
     /// Moment of a wish to cancel it that the scheduler hasn't heard of yet.
     pub(super) cancel: Option<Moment>,
     /// Its end, if it has ended.
@@ -199,6 +204,7 @@
             Place::Placed(gang) if gang.committed && !matches!(gang.phase, Phase::Committing) => {
                 Said::Running(durable)
             }
+            _ if self.doubtful && !durable => Said::Undecided,
             _ => Said::Waiting(durable),
         }
     }
@@ -213,10 +219,17 @@
                 ending => JobStatus::Ended(ending.clone()),
             },
             (Said::Running(_), _) => JobStatus::Running { durable },
+            (Said::Undecided, _) => JobStatus::Undecided,
             _ => JobStatus::Waiting { durable },
         }
     }
 
+    /// Tells whether the caller wants it no more, and no other domain has it or may get it.
+    pub(super) fn is_cancelled_here(&self, domain: &DomainId) -> bool {
+        let moved = self.kept.as_ref().is_some_and(|kept| kept.record.domain != *domain);
+        self.wanted.cancelled && !moved && self.wanted.domain == *domain
+    }
+
     /// Tells whether its end was told to anybody.
     pub(super) fn is_told(&self) -> bool {
         self.said == Some(Said::Ended)
