--- a/crates/lab/src/layout.rs
+++ b/crates/lab/src/layout.rs
@@ -33,6 +33,8 @@
     pub lag: Span,
     /// Periods and time-outs of the daemons.
     pub timing: Timing,
+    /// Bounds of the daemons.
+    pub limits: Limits,
 }
 
 impl Layout {
@@ -47,6 +49,7 @@
             grace: Span::from_secs(30),
             lag: Span::from_secs(3),
             timing: Timing::default(),
+            limits: Limits::default(),
         }
     }
 
@@ -80,7 +83,7 @@
             operator_token: "token".to_string(),
             peer_key: "key".to_string(),
             members: self.members(),
-            limits: Limits::default(),
+            limits: self.limits,
             timing: self.timing,
             log: "info".to_string(),
         }
--- a/crates/lab/tests/random.rs
+++ b/crates/lab/tests/random.rs
@@ -5,9 +5,20 @@
 
 #[test]
 fn promises_hold_under_drawn_faults() {
-    for seed in 1..5 {
+    run(&Layout::small(), 1..5);
+}
+
+#[test]
+fn promises_hold_when_leases_are_renewed_as_rarely_as_they_may() {
+    let mut layout = Layout::small();
+    layout.limits.control_rate = 256;
+    run(&layout, 11..15);
+}
+
+fn run(layout: &Layout, seeds: std::ops::Range<u64>) {
+    for seed in seeds {
         let length = Span::from_secs(150);
-        let mut lab = Lab::open(Layout::small(), seed);
+        let mut lab = Lab::open(layout.clone(), seed);
         lab.apply_first_note();
         lab.run(Span::from_secs(10));
         lab.set_noise(Noise { lost: 10, repeated: 10, late: 10 });
