--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -19,12 +19,15 @@
 mod outcome;
 mod pass;
 mod queue;
+mod rebind;
 mod repack;
 mod report;
 mod share;
 mod spaces;
 
-pub use event::{Action, Event, Load, StartFault, StopReason, UsageReport, Why, WorkerInfo};
+pub use event::{
+    Action, Event, Load, StartFault, StopReason, URGENT_BUCKETS, UsageReport, Why, WorkerInfo,
+};
 pub use report::{JobState, KindState, Shortfall, State, WorkerState, WorkspaceState};
 
 use crate::ids::JobKey;
@@ -70,6 +73,8 @@
     waiting: u32,
     /// Shapes that were asked for and whether the hardware could ever hold them; sorted.
     feasible: Vec<(Shape, bool)>,
+    /// Moment at which a worker was lost last.
+    lost: Option<Moment>,
     /// Whether room may have grown since the last pass.
     freed: bool,
     /// The job that came last; only its lane is new to the next pass.
@@ -98,6 +103,7 @@
     /// Panics when the decision would break an invariant.
     pub fn decide(&mut self, event: Event, now: Moment) -> Vec<Action> {
         self.now = self.now.max(now);
+        self.freed |= self.fleet.expire(self.now);
         self.dispatch(event);
         self.settle();
         self.check_touched();
@@ -143,11 +149,11 @@
 
     fn on_tick(&mut self) {
         self.ticked = self.now;
-        self.freed |= self.fleet.expire(self.now);
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
         self.stop_again();
         self.demote_late();
+        self.refuse_unfit();
         self.tend_drains();
         self.freed |= self.waiting > 0;
     }
@@ -223,6 +229,7 @@
     fn forget(&mut self, ix: JobIx) -> JobKey {
         self.unlist(ix);
         self.vacate(ix);
+        self.let_go(ix);
         self.adrift.retain(|other| *other != ix);
         if self.fresh == Some(ix) {
             self.fresh = None;
--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -2,6 +2,7 @@
 
 use crate::sched::Scheduler;
 use crate::sched::event::Action;
+use crate::sched::fit;
 use crate::sched::fit::{Place, pick};
 use crate::sched::fleet::WorkerIx;
 use crate::sched::health::{SCORE_MAX, Strike, Weight};
@@ -11,7 +12,7 @@
 /// One worker in this many may be quarantined at the same time.
 const QUARANTINE_PART: usize = 8;
 /// The largest job that probes a worker, in accelerators.
-const PROBE_ACCELERATORS_MAX: u32 = 2;
+pub(super) const PROBE_ACCELERATORS_MAX: u32 = 2;
 
 impl Scheduler {
     /// Notes that a job completed on its workers. Those that failed it before are to blame.
@@ -27,20 +28,23 @@
                 self.readmit(*worker);
             }
         }
-        let mut failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
-        failing.extend(&self.jobs.get(ix).failed_on);
-        failing.sort_unstable();
-        failing.dedup();
-        failing.retain(|worker| !workers.contains(worker));
-        for worker in failing {
+        let failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
+        for worker in failing.into_iter().filter(|worker| !workers.contains(worker)) {
+            self.fleet.health_mut(worker).confirm(space, &kind);
+            self.judge(worker);
+        }
+        let failed_on = self.jobs.get(ix).failed_on.clone();
+        for worker in failed_on.into_iter().filter(|worker| !workers.contains(worker)) {
+            let strike = Strike { job: None, space, kind: kind.clone(), weight: Weight::Job };
             let health = self.fleet.health_mut(worker);
-            health.confirm(space, &kind, ix);
-            health.release(ix, true);
+            health.release(ix, false);
+            health.strike(strike);
             self.judge(worker);
         }
     }
 
-    /// Notes that a job failed on a worker; returns whether it was a probe.
+    /// Notes that a job failed on a worker; one that fails on several is to blame itself. Returns
+    /// whether it was a probe.
     pub(super) fn note_failure(&mut self, ix: JobIx, worker: Option<WorkerIx>) -> bool {
         let Some(worker) = worker else { return false };
         let job = self.jobs.get_mut(ix);
@@ -51,24 +55,35 @@
         if !job.failed_on.contains(&worker) {
             job.failed_on.push(worker);
         }
+        let mut avoid = job.failed_on.clone();
+        let shape = job.spec.shape;
+        while !avoid.is_empty() && !fit::ever_fits(&self.fleet, shape, &avoid) {
+            avoid.remove(0);
+        }
+        let job = self.jobs.get_mut(ix);
+        job.avoid = avoid;
         let (space, kind) = (job.space, job.spec.kind.clone());
         let failing = &mut self.kinds.entry(space, &kind).failing;
         if !failing.contains(&worker) {
             failing.push(worker);
         }
+        let failed_on = self.jobs.get(ix).failed_on.clone();
+        if failed_on.len() > 1 {
+            for other in failed_on {
+                self.fleet.health_mut(other).release(ix, false);
+            }
+            return false;
+        }
         let strike = Strike { job: Some(ix), space, kind, weight: Weight::Alone };
         self.fleet.health_mut(worker).strike(strike);
         self.judge(worker);
         false
     }
 
-    /// Lets go of a job that ends without completing. One that failed on several workers is to
-    /// blame itself.
-    pub(super) fn acquit(&mut self, ix: JobIx) {
-        let failed_on = self.jobs.get(ix).failed_on.clone();
-        let blame = failed_on.len() < 2;
-        for worker in failed_on {
-            self.fleet.health_mut(worker).release(ix, blame);
+    /// Lets go of a job that ends; what it said about workers stays.
+    pub(super) fn let_go(&mut self, ix: JobIx) {
+        for worker in self.jobs.get(ix).failed_on.clone() {
+            self.fleet.health_mut(worker).release(ix, true);
         }
     }
 
@@ -99,6 +114,16 @@
         self.actions.push(Action::Readmit(id));
     }
 
+    /// Returns a quarantined worker that is due for a probe.
+    pub(super) fn probe_due(&self) -> Option<WorkerIx> {
+        self.fleet.quarantined().iter().copied().find(|worker| {
+            let state = self.fleet.worker(*worker);
+            let quarantine = state.health.quarantine();
+            let due = quarantine.is_some_and(|q| q.prober.is_none() && q.probe <= self.now);
+            due && !state.info.leaving && state.shunned == Moment(0)
+        })
+    }
+
     /// Starts a small idempotent job on a quarantined worker whose probe is due.
     pub(super) fn try_probe(&mut self, ix: JobIx) -> bool {
         if self.fleet.quarantined().is_empty() {
@@ -110,13 +135,7 @@
         if !small || !job.repeatable() || job.is_urgent() {
             return false;
         }
-        let due = self.fleet.quarantined().iter().copied().find(|worker| {
-            let state = self.fleet.worker(*worker);
-            let quarantine = state.health.quarantine();
-            let due = quarantine.is_some_and(|q| q.prober.is_none() && q.probe <= self.now);
-            due && !state.info.leaving && state.shunned == Moment(0)
-        });
-        let Some(worker) = due else { return false };
+        let Some(worker) = self.probe_due() else { return false };
         let state = self.fleet.worker(worker);
         let free = AcceleratorSet::run(0, state.info.accelerators).without(state.busy);
         let Some(set) = pick(free, shape.accelerators) else { return false };
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -7,7 +7,7 @@
 use crate::job::{JobSpec, Placement, Refusal, TaskPlace, Urgency};
 use crate::sched::event::{StartFault, StopReason};
 use crate::sched::fit::Place;
-use crate::sched::fleet::{Fleet, WorkerIx};
+use crate::sched::fleet::{Fleet, View, WorkerIx};
 use crate::sched::guarantee::InstanceIx;
 use crate::sched::queue::Ticket;
 use crate::sched::spaces::SpaceIx;
@@ -71,6 +71,8 @@
     Guaranteed,
     #[display("runs on accelerators that no guarantee holds")]
     Unheld,
+    #[display("was stopped often; isn't stopped again on accelerators that no guarantee holds")]
+    Protected,
     #[display("borrows accelerators of an unused guarantee and can be stopped for it")]
     Borrowing,
     #[display("is short enough to run in a block that drains for a larger gang")]
@@ -124,8 +126,10 @@
     pub(super) misstarts: u8,
     /// Times it was stopped for somebody else's sake.
     pub(super) moves: u8,
-    /// Workers that it failed on; it isn't started there again.
+    /// Workers that it failed on.
     pub(super) failed_on: Vec<WorkerIx>,
+    /// Those of them that the next attempt avoids; the others suffice for its shape.
+    pub(super) avoid: Vec<WorkerIx>,
     /// The block that it holds or has claimed; empty while it has none.
     pub(super) places: Vec<Place>,
     /// Tasks adopted on workers that aren't known yet.
@@ -147,6 +151,15 @@
         self.spec.idempotent || self.spec.checkpoint
     }
 
+    /// Returns the room that it may start in.
+    pub(super) const fn view(&self) -> View {
+        match (self.spec.checkpoint, self.spec.idempotent) {
+            (true, _) => View::Lent,
+            (false, true) => View::Soft,
+            (false, false) => View::Hard,
+        }
+    }
+
     /// Tells whether another start is allowed, after an attempt that may have run.
     pub(super) const fn repeatable(&self) -> bool {
         self.spec.idempotent
--- a/crates/core/src/sched/share.rs
+++ b/crates/core/src/sched/share.rs
@@ -30,7 +30,8 @@
             let space = self.spaces.get_mut(ix);
             space.known = true;
             space.queue = workspace.queue;
-            for (shape, count) in &workspace.guarantees {
+            let valid = workspace.guarantees.iter().filter(|(shape, _)| shape.check().is_ok());
+            for (shape, count) in valid {
                 match wanted.iter_mut().find(|w| (w.0, w.1) == (ix, *shape)) {
                     Some(w) => w.2 += count,
                     None => wanted.push((ix, *shape, *count)),
@@ -176,6 +177,7 @@
         self.guarantees.leave_worker(ix, &mut self.fleet);
         self.fleet.remove(ix);
         self.feasible.clear();
+        self.lost = Some(self.now);
         self.freed = true;
     }
 
@@ -306,6 +308,7 @@
         for workspace in &share.workspaces {
             let space = spaces.intern(&workspace.id);
             for (shape, count) in &workspace.guarantees {
+                shape.check()?;
                 for _ in 0..*count {
                     guarantees.add(space, *shape);
                 }
@@ -354,7 +357,9 @@
     });
     for ix in broken {
         if guarantees.get(ix).is_unused() {
-            if let Some(places) = fit::find(fleet, View::Bind, guarantees.get(ix).shape, &[]) {
+            if let Some(places) =
+                fit::find_apart(fleet, View::Bind, guarantees.get(ix).shape, &[], false)
+            {
                 guarantees.unbind(ix, fleet);
                 guarantees.bind(ix, &places, fleet);
             }
--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -6,9 +6,11 @@
 use super::Placer;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome};
+use crate::journal::{DONE_RETENTION, DoneRecord, JobRecord, Outcome, Patience};
 use crate::placer::records::Tag;
 
+/// Most bytes of all outputs of a job; JSON may double them within a value of the store.
+const OUTPUT_MAX_BYTES: usize = 450_000;
 /// Pause before room is looked for again for an accepted job that was refused.
 const REFUSED_PAUSE: Span = Span::from_secs(5);
 /// Time for which an ended job is remembered here.
@@ -25,12 +27,12 @@
         job.place = Place::Out;
         job.cancel = None;
         let refused = matches!(&ending, Ending::Refused(refusal) if is_passing(refusal.code));
-        if refused && (job.claim == Claim::Owned || job.wanted.epoch > 1) {
+        if refused && (job.claim == Claim::Owned || job.taken) {
             // What was accepted isn't given up for want of room.
             job.place = Place::Leaving(cx.now + REFUSED_PAUSE);
             return;
         }
-        let mut end = End::open(truthful(ending, job.attempt), cx.now);
+        let mut end = End::open(bounded(truthful(ending, job.attempt)), cx.now);
         end.loose = refused;
         job.end = Some(end);
         self.drive_end(i, cx);
@@ -54,6 +56,11 @@
                 end.step = EndStep::Removing;
                 self.remove(i, cx);
             }
+            // Another owner may see the job completed where this one doesn't.
+            Claim::Owned if !end.claimed && !matches!(end.ending, Ending::Completed { .. }) => {
+                end.claimed = true;
+                self.put(i, Patience::Endless, cx);
+            }
             Claim::Owned => self.write_done(i, cx),
             _ => {}
         }
@@ -93,7 +100,7 @@
             expect: Expect::Absent,
             lease: Some(DONE_RETENTION),
         };
-        self.journal.call(Tag::Done(key), request, None, cx);
+        self.journal.call(Tag::Done(key), request, Patience::Endless, cx);
     }
 
     pub(super) fn on_done(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -117,7 +124,7 @@
         let key = job.key().clone();
         let Some(kept) = &job.kept else { return self.on_removed(i, cx) };
         let request = StoreRequest::Delete { key: JobRecord::path(&key), at: kept.at };
-        self.journal.call(Tag::Remove(key), request, None, cx);
+        self.journal.call(Tag::Remove(key), request, Patience::Endless, cx);
     }
 
     /// Removes a record of a job whose end is durable, left by an owner that had it in between.
@@ -128,7 +135,7 @@
         if durable && settled {
             let key = job.key().clone();
             let request = StoreRequest::Delete { key: JobRecord::path(&key), at };
-            self.journal.call(Tag::Remove(key), request, None, cx);
+            self.journal.call(Tag::Remove(key), request, Patience::Endless, cx);
         }
     }
 
@@ -178,6 +185,17 @@
     matches!(ending, Ending::Refused(_) | Ending::Cancelled { ran: false })
 }
 
+/// Ends a job whose outputs can't be kept whole in a way that tells so to everybody alike.
+fn bounded(ending: Ending) -> Ending {
+    let Ending::Completed { output } = &ending else { return ending };
+    let size: usize = output.iter().map(String::len).sum();
+    if size <= OUTPUT_MAX_BYTES {
+        return ending;
+    }
+    let reason = format!("completed, but its outputs of {size} bytes are too large to be kept");
+    Ending::Failed { reason }
+}
+
 /// Never says "not run" of a job of which an earlier attempt may have run.
 fn truthful(ending: Ending, attempt: Attempt) -> Ending {
     match ending {
--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -1,13 +1,13 @@
 //! The placer's records in the store: who may start what, settled one write at a time.
 
 use bulrushlink_api::{Expect, Record, Revision, StoreRequest};
-use bulrushlink_core::{Ending, Event, JobKey, Moment, Span};
+use bulrushlink_core::{Ending, Event, JobKey, Span};
 
 use super::Placer;
 use super::gang::Verdict;
 use super::job::{Claim, End, EndStep, Place, Said};
 use crate::edge::Context;
-use crate::journal::{DoneRecord, JobRecord, Kept, OPEN_PREFIX, Outcome};
+use crate::journal::{DoneRecord, JobRecord, Kept, OPEN_PREFIX, Outcome, Patience};
 use crate::peer::JobStatus;
 
 /// Time that the store has to say whether a refused job is known to it.
@@ -30,6 +30,8 @@
     Done(JobKey),
     /// Removes the record of a job that has ended.
     Remove(JobKey),
+    /// Reads whether the job of tasks that nobody knows is open.
+    Orphan(JobKey),
     /// Lists open jobs.
     Sweep,
     /// Finds out whether the store answers again.
@@ -46,15 +48,17 @@
             | Self::ProbeDone(key)
             | Self::Done(key)
             | Self::Remove(key) => Some(key),
-            Self::Sweep | Self::Health => None,
+            Self::Orphan(_) | Self::Sweep | Self::Health => None,
         }
     }
 }
 
 impl Placer {
     pub(super) fn on_outcome(&mut self, tag: Tag, outcome: Outcome, cx: &mut Context<'_>) {
-        if tag == Tag::Sweep {
-            return self.on_page(outcome, cx);
+        match &tag {
+            Tag::Sweep => return self.on_page(outcome, cx),
+            Tag::Orphan(key) => return self.on_orphan(key, outcome, cx),
+            _ => {}
         }
         let Some(i) = tag.key().and_then(|key| self.find(key).ok()) else { return };
         if self.jobs[i].gone {
@@ -68,7 +72,7 @@
             Tag::ProbeDone(_) => self.on_probe_done(i, outcome, cx),
             Tag::Done(_) => self.on_done(i, outcome, cx),
             Tag::Remove(_) => self.on_removed(i, cx),
-            Tag::Sweep | Tag::Health => {}
+            Tag::Orphan(_) | Tag::Sweep | Tag::Health => {}
         }
     }
 
@@ -76,14 +80,14 @@
     pub(super) fn tick_store(&mut self, cx: &mut Context<'_>) {
         if self.journal.is_down() && self.journal.open_calls() == 0 {
             let request = StoreRequest::Get { key: OPEN_PREFIX.to_string() };
-            self.journal.call(Tag::Health, request, None, cx);
+            self.journal.call(Tag::Health, request, Patience::Endless, cx);
         }
     }
 
     /// Begins to make a job durable.
-    pub(super) fn create(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+    pub(super) fn create(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.jobs[i].claim = Claim::Creating;
-        self.put(i, until, cx);
+        self.put(i, patience, cx);
     }
 
     /// Writes the record if it isn't yet as wanted.
@@ -91,13 +95,17 @@
         let job = &self.jobs[i];
         let stale = job.kept.as_ref().is_some_and(|kept| kept.record != job.wanted);
         if job.writing.is_none() && job.claim == Claim::Owned && stale {
-            self.put(i, None, cx);
+            self.put(i, Patience::Endless, cx);
         }
     }
 
-    fn put(&mut self, i: usize, until: Option<Moment>, cx: &mut Context<'_>) {
+    pub(super) fn put(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         self.seq += 1;
         let job = &mut self.jobs[i];
+        if job.wanted.owner != self.own {
+            job.wanted.owner = self.own.clone();
+            job.wanted.epoch += 1;
+        }
         job.wanted.seq = self.seq;
         job.writing = Some(job.wanted.clone());
         let expect = job.kept.as_ref().map_or(Expect::Absent, |kept| Expect::At(kept.at));
@@ -108,7 +116,7 @@
             lease: None,
         };
         let tag = Tag::Record(job.key().clone());
-        self.journal.call(tag, request, until, cx);
+        self.journal.call(tag, request, patience, cx);
     }
 
     fn on_record(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -126,8 +134,9 @@
         let job = &mut self.jobs[i];
         job.kept = Some(kept);
         if matches!(job.claim, Claim::Creating | Claim::Taking) {
+            let taken = job.claim == Claim::Taking;
             job.claim = Claim::Checking;
-            self.check(i, cx);
+            self.check(i, if taken { Patience::Idle } else { Patience::Endless }, cx);
             return;
         }
         self.sync(i, cx);
@@ -145,18 +154,18 @@
         job.verifying = Some(cx.now);
         let key = job.key().clone();
         let request = StoreRequest::Get { key: JobRecord::path(&key) };
-        self.journal.call(Tag::Verify(key), request, None, cx);
+        self.journal.call(Tag::Verify(key), request, Patience::Endless, cx);
     }
 
     fn on_verified(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
         let asked = job.verifying.take();
         let Outcome::Found(found) = outcome else { return };
-        let read = found.as_ref().and_then(|record| JobRecord::read(&record.value));
+        let kept = job.kept.as_ref().map(|kept| kept.at);
         if job.writing.is_some() || job.end.is_some() || job.claim != Claim::Owned {
             return;
         }
-        if read.is_some_and(|record| record.owner == self.own) {
+        if found.as_ref().map(|record| record.at) == kept {
             job.verified = asked;
         } else {
             self.on_conflict(i, found, cx);
@@ -164,10 +173,10 @@
     }
 
     /// Reads whether the job has ended before; it must not start until that is known.
-    fn check(&mut self, i: usize, cx: &mut Context<'_>) {
+    fn check(&mut self, i: usize, patience: Patience, cx: &mut Context<'_>) {
         let key = self.jobs[i].key().clone();
         let request = StoreRequest::Get { key: DoneRecord::path(&key) };
-        self.journal.call(Tag::Check(key), request, None, cx);
+        self.journal.call(Tag::Check(key), request, patience, cx);
     }
 
     fn on_check(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -211,7 +220,7 @@
         else {
             self.jobs[i].kept = None;
             self.jobs[i].claim = Claim::Checking;
-            return self.check(i, cx);
+            return self.check(i, Patience::Endless, cx);
         };
         let job = &self.jobs[i];
         if record.spec != job.spec {
@@ -227,7 +236,8 @@
     }
 
     /// Takes over the record of an earlier owner: from then on its writes fail, and so it can't
-    /// settle the intent to start.
+    /// settle the intent to start. That matters only for jobs that aren't idempotent; the record
+    /// of another one is taken with its next change.
     pub(super) fn take(&mut self, i: usize, at: Revision, record: JobRecord, cx: &mut Context<'_>) {
         if record.intent.is_some() {
             self.withdraw(i, cx);
@@ -236,19 +246,18 @@
         let cancelled = job.wanted.cancelled || record.cancelled;
         job.attempt = job.attempt.max(record.attempt);
         job.committed |= record.intent.is_some();
-        job.wanted = JobRecord {
-            owner: self.own.clone(),
-            epoch: record.epoch + 1,
-            attempt: job.attempt,
-            cancelled,
-            ..record.clone()
-        };
+        job.taken = true;
+        job.wanted = JobRecord { cancelled, ..record.clone() };
         if cancelled && job.cancel.is_none() {
             job.cancel = Some(cx.now);
         }
         job.kept = Some(Kept { at, record });
+        if job.spec.idempotent {
+            job.claim = Claim::Checking;
+            return self.check(i, Patience::Idle, cx);
+        }
         job.claim = Claim::Taking;
-        self.put(i, None, cx);
+        self.put(i, Patience::Idle, cx);
     }
 
     /// Gives a job up to another owner. What runs of it goes on for that one to find.
@@ -288,7 +297,8 @@
         }
         self.jobs[i].claim = Claim::Probing;
         let request = StoreRequest::Get { key: JobRecord::path(&key) };
-        self.journal.call(Tag::ProbeOpen(key), request, Some(cx.now + PROBE_BOUND), cx);
+        let until = Patience::Until(cx.now + PROBE_BOUND);
+        self.journal.call(Tag::ProbeOpen(key), request, until, cx);
     }
 
     fn on_probe_open(&mut self, i: usize, outcome: Outcome, cx: &mut Context<'_>) {
@@ -301,7 +311,7 @@
             Outcome::Found(None) => {
                 let key = self.jobs[i].key().clone();
                 let request = StoreRequest::Get { key: DoneRecord::path(&key) };
-                let until = Some(cx.now + PROBE_BOUND);
+                let until = Patience::Until(cx.now + PROBE_BOUND);
                 self.journal.call(Tag::ProbeDone(key), request, until, cx);
             }
             _ => self.settle_refusal(i, true),
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -1,6 +1,6 @@
 //! Taking up and laying down: the store tells what is open, the workers tell what runs.
 
-use bulrushlink_api::{StoreRequest, TaskReport, TaskState};
+use bulrushlink_api::{Record, StoreRequest, TaskReport, TaskState};
 use bulrushlink_core::{
     Attempt, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
 };
@@ -11,13 +11,18 @@
 use super::{Placer, Standing, worker_info};
 use crate::edge::Context;
 use crate::intake::World;
-use crate::journal::{JobRecord, OPEN_PREFIX, Outcome, PAGE_RECORDS};
+use crate::journal::{JobRecord, OPEN_PREFIX, Outcome, PAGE_RECORDS, Patience};
 use crate::peer::{JobStatus, PeerMessage};
 
 /// Time after which recovery goes on without workers and records that it hasn't heard of.
 const RECOVERY_BOUND: Span = Span::from_secs(5);
-/// Pause between two readings of all open jobs.
+/// Pause between two readings of all open jobs, and its growth with each record read: what they
+/// cost in a second is bounded.
 const SWEEP_PAUSE: Span = Span::from_secs(30);
+/// Growth of the pause with each record, in milliseconds.
+const SWEEP_RECORD_MS: u64 = 500;
+/// Pause between two hints to a placer that a record was moved to it.
+const MOVE_PAUSE: Span = Span::from_secs(5);
 
 /// What is known at a change of the placer.
 #[derive(Debug)]
@@ -32,11 +37,20 @@
     sweeping: Option<Moment>,
     /// Moment of the next reading.
     sweep_due: Moment,
+    /// Records read so far in this reading.
+    records: u64,
 }
 
 impl Recovery {
     pub(super) const fn open(now: Moment) -> Self {
-        Self { since: now, asked: Vec::new(), swept: None, sweeping: None, sweep_due: now }
+        Self {
+            since: now,
+            asked: Vec::new(),
+            swept: None,
+            sweeping: None,
+            sweep_due: now,
+            records: 0,
+        }
     }
 
     pub(super) fn expect(&mut self, worker: &WorkerId) {
@@ -130,6 +144,7 @@
     fn sweep(&mut self, cx: &mut Context<'_>) {
         if self.recovery.sweeping.is_none() {
             self.recovery.sweeping = Some(cx.now);
+            self.recovery.records = 0;
             self.read_page(String::new(), cx);
         }
     }
@@ -137,7 +152,7 @@
     fn read_page(&mut self, after: String, cx: &mut Context<'_>) {
         let prefix = OPEN_PREFIX.to_string();
         let request = StoreRequest::List { prefix, after, limit: PAGE_RECORDS };
-        self.journal.call(Tag::Sweep, request, None, cx);
+        self.journal.call(Tag::Sweep, request, Patience::Endless, cx);
     }
 
     pub(super) fn on_page(&mut self, outcome: Outcome, cx: &mut Context<'_>) {
@@ -147,30 +162,35 @@
             self.recovery.sweeping = None;
             return;
         }
+        self.recovery.records += records.len() as u64;
         let last = records.last().map(|record| record.key.clone());
         for found in records {
-            let Some(record) = JobRecord::read(&found.value) else { continue };
-            if record.domain != self.domain {
-                continue;
-            }
-            let i = match self.find(&record.spec.key) {
-                Err(i) => i,
-                Ok(i) => {
-                    self.remove_again(i, found.at, cx);
-                    continue;
-                }
-            };
-            let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
-            self.jobs.insert(i, job);
-            self.take(i, found.at, record, cx);
+            self.take_found(&found, cx);
         }
         match last.filter(|_| more) {
             Some(after) => self.read_page(after, cx),
             None => {
                 self.recovery.swept = began;
                 self.recovery.sweeping = None;
-                let jitter = Span(self.rng.u64(..SWEEP_PAUSE.0 / 4));
-                self.recovery.sweep_due = cx.now + SWEEP_PAUSE + jitter;
+                let pause = SWEEP_PAUSE.0 + SWEEP_RECORD_MS * self.recovery.records;
+                let jitter = self.rng.u64(..pause / 4);
+                self.recovery.sweep_due = cx.now + Span(pause + jitter);
+            }
+        }
+    }
+
+    /// Takes an open job of this domain that nobody here knows.
+    pub(super) fn take_found(&mut self, found: &Record, cx: &mut Context<'_>) {
+        let Some(record) = JobRecord::read(&found.value) else { return };
+        if record.domain != self.domain {
+            return;
+        }
+        match self.find(&record.spec.key) {
+            Ok(i) => self.remove_again(i, found.at, cx),
+            Err(i) => {
+                let job = self.new_job(record.spec.clone(), record.age(cx.wall), false, cx);
+                self.jobs.insert(i, job);
+                self.take(i, found.at, record, cx);
             }
         }
     }
@@ -236,8 +256,7 @@
         let job = &mut self.jobs[i];
         let seen = found.iter().map(|(_, report)| report.id.attempt).max().unwrap_or_default();
         // A job that others had before may have run there, whatever the record says.
-        let taken = job.spec.idempotent && job.wanted.epoch > 1;
-        let least = Attempt(u32::from(taken));
+        let least = Attempt(u32::from(job.taken));
         job.attempt = match job.spec.idempotent {
             true => job.attempt.max(seen).max(least),
             // Without an intent in the store nothing of it was ever started.
@@ -265,12 +284,14 @@
         if self.jobs[i].end.is_some() {
             return self.drive_end(i, cx);
         }
-        let key = self.jobs[i].key().clone();
         match (&self.jobs[i].place, self.jobs[i].claim) {
             (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
             (Place::Leaving(_), _) => {}
-            (Place::Out, _) => self.enter(&key, cx),
-            (_, Claim::Memory) if !self.journal.is_down() => self.create(i, None, cx),
+            (Place::Out, _) => {
+                let key = self.jobs[i].key().clone();
+                self.enter(&key, cx);
+            }
+            (_, Claim::Memory) if !self.journal.is_down() => self.create(i, Patience::Endless, cx),
             _ => {}
         }
     }
@@ -302,8 +323,8 @@
         }
     }
 
-    /// Tells the other domain's placer of a job that its record has been moved to; the placer
-    /// finds the record by itself if this is lost.
+    /// Tells the other domain's placer of a job whose record has been moved to it, until the
+    /// placer has taken the record.
     fn submit_to(
         &mut self,
         i: usize,
@@ -311,6 +332,7 @@
         world: World<'_>,
         cx: &mut Context<'_>,
     ) {
+        self.jobs[i].place = Place::Leaving(cx.now + MOVE_PAUSE);
         let job = &self.jobs[i];
         if let Some(placer) = world.members.placer(&domain, cx.now) {
             let message = PeerMessage::Submit {
@@ -323,7 +345,8 @@
             };
             cx.out.peer(&placer, message);
         }
-        self.abandon(i, JobStatus::Elsewhere(domain), cx);
+        self.notify(i, &JobStatus::Elsewhere(domain), cx);
+        self.verify(i, cx);
     }
 }
 
