--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -3,8 +3,8 @@
 //! The [`Node`] is the whole of the daemon's logic without any input or output: it takes typed
 //! [`Input`]s and leaves typed [`Output`]s in an [`Outbox`]. A stakker actor feeds it from real
 //! edges, and tests feed it under virtual time from faulty ones. Inside the node, each duty is a
-//! vertical slice with its state, messages and tests: [`members`], [`notes`], [`hosts`],
-//! [`intake`], [`placer`], [`journal`] and [`keeper`].
+//! vertical slice with its state, messages and tests: `members`, `notes`, `hosts`,
+//! `intake`, `placer`, `journal` and `keeper`.
 
 mod answers;
 mod caller_http;
