Route a burst by what was sent since the loads were heard, and seed intake apart

Besides, intake seeded its jitter with the moment of its start, which is 0 in every real daemon, so that the retries of all daemons fell together after an outage of the store.

--- a/crates/daemon/src/intake.rs
+++ b/crates/daemon/src/intake.rs
@@ -15,6 +15,7 @@
 mod dump;
 mod hold;
 mod lookup;
+mod recent;
 mod updates;
 
 #[cfg(test)]
@@ -23,6 +24,7 @@
 use answers::{error_answer, refusal_answer};
 use hold::{Ask, Hold, Submission};
 use lookup::Tag;
+use recent::Recent;
 
 /// Intake's part of the daemon's rate of store calls.
 const STORE_PERCENT: u64 = 20;
@@ -66,17 +68,21 @@
     draining: Option<Moment>,
     /// Submissions so far.
     submissions: u64,
+    recent: Recent,
     rng: fastrand::Rng,
 }
 
 impl Intake {
-    pub(crate) fn open(now: Moment) -> Self {
+    /// Opens without any request; `seed` has to differ between daemons, so that their retries
+    /// spread.
+    pub(crate) fn open(now: Moment, seed: u64) -> Self {
         Self {
             holds: Vec::new(),
-            journal: Journal::open(Duty::Intake, STORE_PERCENT, now, now.0),
+            journal: Journal::open(Duty::Intake, STORE_PERCENT, now, seed),
             draining: None,
             submissions: 0,
-            rng: fastrand::Rng::with_seed(now.0),
+            recent: Recent::default(),
+            rng: fastrand::Rng::with_seed(seed),
         }
     }
 
--- a/crates/daemon/src/intake/hold.rs
+++ b/crates/daemon/src/intake/hold.rs
@@ -190,7 +190,9 @@
         let hold = &mut self.holds[i];
         let Ask::Submit(submission) = &hold.ask else { return };
         let Some(state) = world.state else { return };
-        let views = world.members.views(cx.now);
+        let mut views = world.members.views(cx.now);
+        self.recent.add_to(&mut views, cx.now);
+        let first = hold.domain.is_none();
         let domain = match &hold.domain {
             Some(domain) => domain.clone(),
             None => match route(&submission.spec, state, &views) {
@@ -201,6 +203,9 @@
         let Some(placer) = world.members.placer(&domain, cx.now) else {
             return self.reroute(i);
         };
+        if first {
+            self.recent.note(&domain, &submission.spec, cx.now);
+        }
         // The same domain as long as it can be reached, so that no second one takes the job too.
         hold.domain = Some(domain.clone());
         let message = PeerMessage::Submit {
--- a/crates/daemon/src/node.rs
+++ b/crates/daemon/src/node.rs
@@ -59,7 +59,7 @@
             hosts: Hosts::open(&settings, now, incarnation),
             keeper: Keeper::open(&settings, incarnation),
             placer: Placer::open(&settings, now, incarnation),
-            intake: Intake::open(now),
+            intake: Intake::open(now, incarnation),
             settings,
             opened: now,
             handled: now,
--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -300,3 +300,26 @@
         assert_kept(&lab);
     }
 }
+
+#[test]
+fn burst_within_one_heartbeat_spreads_over_the_domains() {
+    for seed in 1..4 {
+        let mut lab = calm(seed);
+        for i in 0..60 {
+            let mut plan = plan(&format!("burst-{i}"), 4_000, true, None);
+            plan.body.shape = Shape { tasks: 1, accelerators: 8, adjacency: Adjacency::Worker };
+            plan.body.checkpoint = true;
+            lab.submit_after(Span(10 + i), plan);
+        }
+        lab.run(Span::from_secs(3));
+        let runs = lab.record().runs();
+        let started = |domain: &str| {
+            runs.iter().filter(|run| run.worker.as_str().starts_with(domain)).count()
+        };
+        for domain in ["cuenca", "quito-norte", "quito-sur"] {
+            assert!(started(domain) >= 3, "seed {seed}: {domain} started {}", started(domain));
+        }
+        lab.run(Span::from_secs(120));
+        assert_kept(&lab);
+    }
+}
