Never end a job by tasks found on the workers while its record may be another owner's

Cause: a placer that was handed a moved job (not waited for by a caller there) found its completed tasks on the workers, told the end and let the workers forget it, without a record of its own; then the create met the record of another owner, and the job ran and was cancelled. Ruled out: an end told early because the store is slow. Such an end now waits for the record.

--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -41,15 +41,19 @@
     /// Takes the next step of a job's end into the store.
     pub(super) fn drive_end(&mut self, i: usize, cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
+        let light = job.is_light();
         let Some(end) = &mut job.end else { return };
         if end.step != EndStep::Open {
             return;
         }
         match job.claim {
-            Claim::Memory if !matches!(end.ending, Ending::Refused(_)) => {
+            Claim::Memory if matches!(end.ending, Ending::Refused(_)) => {}
+            Claim::Memory if light || is_unrun(&end.ending) => {
                 end.step = EndStep::Settled;
                 self.forget_old(i, cx);
             }
+            // Its tasks were found on the workers: the record may be another owner's.
+            Claim::Memory => self.create(i, Patience::Endless, cx),
             Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
             Claim::Owned if job.writing.is_some() => {}
             Claim::Owned if end.loose => {
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -148,9 +148,10 @@
             self.drain(cx);
         }
         let Ok(i) = self.find(&key) else { return };
-        if self.jobs[i].end.is_some() {
+        let (ended, claim) = (self.jobs[i].end.is_some(), self.jobs[i].claim);
+        if ended && claim == Claim::Memory {
             self.probe(i, cx);
-        } else {
+        } else if !ended {
             let brief = Patience::Brief(CREATE_BOUND);
             self.create(i, if light { Patience::Endless } else { brief }, cx);
         }
--- a/crates/lab/src/world.rs
+++ b/crates/lab/src/world.rs
@@ -38,7 +38,7 @@
 /// Latency between two hosts.
 const LATENCY: Span = Span(1);
 /// Events that a report of a violation shows.
-const TRACE_EVENTS: usize = 12_000;
+const TRACE_EVENTS: usize = 20_000;
 
 /// An event of the run.
 #[derive(Debug)]
--- a/crates/lab/src/world/edges.rs
+++ b/crates/lab/src/world/edges.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_api::{EdgeFault, Revision, StoreRequest, WorkerBatch};
 use bulrushlink_core::{Moment, Span};
-use bulrushlink_daemon::{CallId, Input, Output};
+use bulrushlink_daemon::{CallId, Input, Output, PeerMessage};
 use bulrushlink_standin::WorkerMode;
 
 use super::{Lab, Step};
@@ -74,14 +74,12 @@
         self.kill(daemon);
     }
 
-    fn send_peer(
-        &mut self,
-        daemon: usize,
-        to: &bulrushlink_core::DaemonId,
-        message: bulrushlink_daemon::PeerMessage,
-    ) {
+    fn send_peer(&mut self, daemon: usize, to: &bulrushlink_core::DaemonId, message: PeerMessage) {
         let from = self.daemons[daemon].id().clone();
         let Some(target) = self.daemon(to) else { return };
+        if let PeerMessage::Update { key, status, .. } = &message {
+            self.note(format!("{from} to {to}: {key} {status:?}"));
+        }
         if self.links.is_cut(&Party::Daemon(from.clone()), &Party::Daemon(to.clone())) {
             return;
         }
