--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -232,11 +232,12 @@
 fn a_planned_stop_that_is_paused_answers_what_arrived_meanwhile() {
     for seed in 1..4 {
         let mut lab = calm(seed);
-        for i in 0..40 {
-            lab.submit_after(Span(50 * i), plan(&format!("late-{i}"), 300, true, None));
+        for i in 0..80 {
+            let wait = Some(Span::from_secs(20));
+            lab.submit_after(Span(20 * i), plan(&format!("late-{i}"), 2_000, true, wait));
         }
-        lab.fault_after(Span(500), Fault::Stop(id("quito-sur-1")));
-        lab.fault_after(Span(600), Fault::Freeze(id("quito-sur-1")));
+        lab.fault_after(Span(100), Fault::Stop(id("quito-sur-1")));
+        lab.fault_after(Span(101), Fault::Freeze(id("quito-sur-1")));
         lab.fault_after(Span(5_000), Fault::Wake(id("quito-sur-1")));
         lab.run(Span::from_secs(60));
         assert_kept(&lab);
