Cut answers of the store and its watches too in the lab, and prove that the permit holds

A watch that waited when a cut struck was answered through the cut, so that a domain which was cut off heard of its withdrawal: the proof of the permit was empty (no start inside the domain).

--- a/crates/lab/src/world/edges.rs
+++ b/crates/lab/src/world/edges.rs
@@ -197,20 +197,27 @@
             self.note(format!("store: {request:?} -> {reply:?}"));
         }
         let slow = self.store.mode == StoreMode::Slow;
-        let own = Party::Daemon(self.daemons[daemon].id().clone());
-        let mute = self.links.is_mute(&own, &Party::Store);
-        if self.store.mode != StoreMode::LosesReplies && !mute {
+        if self.store.mode != StoreMode::LosesReplies && self.hears_store(daemon) {
             let extra = if slow { SLOW_STORE } else { Span::ZERO };
             self.reply_after(daemon, incarnation, extra, Input::Store(call, Ok(reply)));
         }
     }
 
+    /// Tells whether answers of the store reach a daemon now.
+    fn hears_store(&self, daemon: usize) -> bool {
+        let own = Party::Daemon(self.daemons[daemon].id().clone());
+        !self.links.is_cut(&Party::Store, &own) && !self.links.is_mute(&own, &Party::Store)
+    }
+
     /// Answers the watches that have something to hear.
     pub(super) fn answer_watches(&mut self) {
         if !matches!(self.store.mode, StoreMode::Up | StoreMode::StaleWatches) {
             return;
         }
         for (watch, reply) in self.store.due(self.timeline.now()) {
+            if !self.hears_store(watch.daemon) {
+                continue;
+            }
             let input = Input::Store(watch.call, Ok(reply));
             self.reply_after(watch.daemon, watch.incarnation, Span::ZERO, input);
         }
--- a/crates/lab/tests/promises.rs
+++ b/crates/lab/tests/promises.rs
@@ -1,7 +1,7 @@
 //! Single promises under the one failure that threatens them most.
 
 use bulrushlink_api::{JobState, SubmitBody};
-use bulrushlink_core::{Adjacency, Shape, Span, Urgency};
+use bulrushlink_core::{Adjacency, Moment, Shape, Span, Urgency};
 use bulrushlink_lab::{Fault, JobPlan, Lab, Layout, StartPoint, StoreMode};
 
 fn plan(name: &str, run_ms: u64, idempotent: bool, wait: Option<Span>) -> JobPlan {
@@ -277,6 +277,12 @@
         for domain in ["cuenca", "quito-norte", "quito-sur"] {
             lab.fault_after(Span(4_600), Fault::KillDomain(id(domain)));
             lab.fault_after(Span(6_000), Fault::StartDomain(id(domain)));
+            // The workers can't tell either what ran.
+            for worker in 0..8 {
+                let name = format!("{domain}-r{}-w{}", worker / 4, worker % 4);
+                lab.fault_after(Span(4_600), Fault::KillWorker(id(&name)));
+                lab.fault_after(Span(5_500), Fault::MendWorker(id(&name)));
+            }
         }
         lab.fault_after(Span(6_500), Fault::Store(StoreMode::Up));
         lab.run(Span::from_secs(300));
@@ -296,6 +302,10 @@
         }
         lab.run(Span::from_secs(85));
         assert_eq!(lab.settled().len(), 2, "seed {seed}: the withdrawal was told");
+        let runs = lab.record().runs();
+        let inside = runs.iter().filter(|run| run.worker.as_str().starts_with("cuenca"));
+        let served = inside.filter(|run| run.started > Moment(1_018_000)).count();
+        assert!(served > 5, "seed {seed}: {served} starts in the domain that is cut off");
         lab.mend_all();
         lab.run(Span::from_secs(120));
         assert_kept(&lab);
