Write a waiting start intent with the takeover of a moved job

Cause: a placer that reserved while it took a moved record over lost the intent that it wanted to write, and waited 10 s for it. Ruled out: a starved read of the ended jobs.

--- a/crates/daemon/src/placer/records.rs
+++ b/crates/daemon/src/placer/records.rs
@@ -247,7 +247,9 @@
         job.attempt = job.attempt.max(record.attempt);
         job.committed |= record.intent.is_some();
         job.taken = true;
-        job.wanted = JobRecord { cancelled, ..record.clone() };
+        // A start that waits for its intent goes on: the intent is written with the takeover.
+        let intent = record.intent.clone().or_else(|| job.wanted.intent.take());
+        job.wanted = JobRecord { cancelled, intent, ..record.clone() };
         if cancelled && job.cancel.is_none() {
             job.cancel = Some(cx.now);
         }
