--- a/examples/slopes/main.rs
+++ b/examples/slopes/main.rs
@@ -83,7 +83,7 @@
         measured.notes = rows;
         head = Some(size);
     }
-    let report = Report::of(measured, head);
+    let report = Report::of(measured, head, !ask.quick);
     if ask.json {
         println!("{}", serde_json::to_string_pretty(&report).expect("a report has a JSON form"));
     } else {
--- a/examples/slopes/report.rs
+++ b/examples/slopes/report.rs
@@ -26,7 +26,8 @@
 pub(crate) struct Report {
     /// The lines.
     pub(crate) slopes: Vec<Slope>,
-    /// What the lines give at the target; empty unless every size was measured.
+    /// What the lines give at the target; empty unless every size was measured, and for a quick
+    /// run, whose errors are too large for it.
     pub(crate) figures: Vec<Figure>,
     /// Size of the head, if it was measured.
     pub(crate) head: Option<HeadSize>,
@@ -68,7 +69,7 @@
 }
 
 impl Report {
-    pub(crate) fn of(measured: Measured, head: Option<HeadSize>) -> Self {
+    pub(crate) fn of(measured: Measured, head: Option<HeadSize>, extrapolates: bool) -> Self {
         let Measured { workers, tasks, daemons, notes } = measured;
         let mut slopes = Vec::new();
         for (quantity, read) in PROCESS.into_iter().chain(BYTES).chain(CALLS) {
@@ -85,6 +86,7 @@
         let figures = quantities
             .flat_map(|quantity| roles.map(|role| at_target(role, quantity, &slopes)))
             .flatten()
+            .filter(|_| extrapolates)
             .collect();
         let rows = [workers, tasks, daemons, notes].concat();
         Self { slopes, figures, head, rows }
--- a/examples/slopes/target.rs
+++ b/examples/slopes/target.rs
@@ -22,6 +22,8 @@
 const NOTES_LISTED: f64 = 360.0;
 /// Workers that a daemon keeps there.
 const NOTES_KEPT: f64 = 20.0;
+/// Standard errors that a slope has to differ by from none.
+const SURE_ERRORS: f64 = 2.0;
 /// Other daemons of the domain in the deployments that differ in workers.
 const MATES_MEASURED: f64 = 1.0;
 
@@ -56,11 +58,18 @@
     }
 }
 
+/// Takes a slope that can't be told from none for none: the sizes of the target would turn its
+/// error into the largest part.
+fn sure(line: Line) -> Line {
+    let slope = if line.slope.abs() < SURE_ERRORS * line.error { 0.0 } else { line.slope };
+    Line { slope, ..line }
+}
+
 /// Extrapolates a quantity; `None` unless every size was measured.
 pub(crate) fn at_target(role: Role, quantity: &str, slopes: &[Slope]) -> Option<Figure> {
     let line = |role: &str, per: &str| -> Option<Line> {
         let is_it = |s: &&Slope| s.role == role && s.per == per && s.quantity == quantity;
-        slopes.iter().find(is_it).map(|s| s.line)
+        slopes.iter().find(is_it).map(|s| sure(s.line))
     };
     let list = line("member", "listed worker")?;
     let mates = line("any", "daemon of the domain")?;
