--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -1,7 +1,9 @@
 //! A job as its placer knows it: what the store holds of it, and where it is on the workers.
 
 use bulrushlink_api::TaskId;
-use bulrushlink_core::{Attempt, DaemonId, Ending, JobKey, JobSpec, Moment, Span, WorkerId};
+use bulrushlink_core::{
+    Attempt, DaemonId, DomainId, Ending, JobKey, JobSpec, Moment, Span, WorkerId,
+};
 use serde::Serialize;
 
 use crate::journal::{JobRecord, Kept, SpecDigest};
@@ -84,6 +86,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Said {
     Waiting(bool),
+    Undecided,
     Running(bool),
     Ended,
 }
@@ -125,6 +128,8 @@
     /// The record that is being written.
     #[serde(skip)]
     pub(super) writing: Option<JobRecord>,
+    /// Whether it is certain that a task of it ran.
+    pub(super) ran: bool,
     /// Whether another owner had it before, in this process or another.
     pub(super) taken: bool,
     /// Moment at which the store was asked whether the record is still this owner's.
@@ -135,6 +140,8 @@
     pub(super) place: Place,
     /// Whether a start of it was sent that no checkpoint has undone.
     pub(super) committed: bool,
+    /// Whether a write of its record was sent that may or may not have had its effect.
+    pub(super) doubtful: bool,
     /// Moment of a wish to cancel it that the scheduler hasn't heard of yet.
     pub(super) cancel: Option<Moment>,
     /// Its end, if it has ended.
@@ -182,9 +189,14 @@
         }
     }
 
+    /// Tells whether the job is in the store to stay until its end.
+    fn is_kept(&self) -> bool {
+        self.claim == Claim::Owned && !self.end.as_ref().is_some_and(|end| end.loose)
+    }
+
     /// Returns in short what followers may hear.
     pub(super) fn said(&self, down: bool, now: Moment) -> Said {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         if self.end.as_ref().is_some_and(|end| self.may_tell(end, down, now)) {
             return Said::Ended;
         }
@@ -192,13 +204,14 @@
             Place::Placed(gang) if gang.committed && !matches!(gang.phase, Phase::Committing) => {
                 Said::Running(durable)
             }
+            _ if self.doubtful && !durable => Said::Undecided,
             _ => Said::Waiting(durable),
         }
     }
 
     /// Returns what followers may hear.
     pub(super) fn status(&self, down: bool, now: Moment) -> JobStatus {
-        let durable = self.claim == Claim::Owned;
+        let durable = self.is_kept();
         match (self.said(down, now), &self.end) {
             (Said::Ended, Some(end)) => match &end.ending {
                 Ending::Refused(refusal) if end.unsure => JobStatus::Unsure(refusal.clone()),
@@ -206,10 +219,17 @@
                 ending => JobStatus::Ended(ending.clone()),
             },
             (Said::Running(_), _) => JobStatus::Running { durable },
+            (Said::Undecided, _) => JobStatus::Undecided,
             _ => JobStatus::Waiting { durable },
         }
     }
 
+    /// Tells whether the caller wants it no more, and no other domain has it or may get it.
+    pub(super) fn is_cancelled_here(&self, domain: &DomainId) -> bool {
+        let moved = self.kept.as_ref().is_some_and(|kept| kept.record.domain != *domain);
+        self.wanted.cancelled && !moved && self.wanted.domain == *domain
+    }
+
     /// Tells whether its end was told to anybody.
     pub(super) fn is_told(&self) -> bool {
         self.said == Some(Said::Ended)
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_api::{Record, StoreRequest, TaskReport, TaskState};
 use bulrushlink_core::{
-    Attempt, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
+    Attempt, Ending, Event, JobKey, Moment, Placement, Scheduler, Span, TaskPlace, WorkerId, route,
 };
 
 use super::gang::{Gang, Phase};
@@ -255,10 +255,8 @@
     fn submit(&mut self, i: usize, found: &[(WorkerId, TaskReport)], cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
         let seen = found.iter().map(|(_, report)| report.id.attempt).max().unwrap_or_default();
-        // A job that others had before may have run there, whatever the record says.
-        let least = Attempt(u32::from(job.taken));
         job.attempt = match job.spec.idempotent {
-            true => job.attempt.max(seen).max(least),
+            true => job.attempt.max(seen),
             // Without an intent in the store nothing of it was ever started.
             false => Attempt(0),
         };
@@ -276,6 +274,8 @@
         if self.jobs[i].gone {
             return;
         }
+        let tag = Tag::Record(self.jobs[i].key().clone());
+        self.jobs[i].doubtful = self.journal.is_doubtful(|other| *other == tag);
         self.tick_gang(i, cx);
         self.press_cancel(i, cx);
         if !self.is_active() {
@@ -285,6 +285,11 @@
             return self.drive_end(i, cx);
         }
         match (&self.jobs[i].place, self.jobs[i].claim) {
+            // The scheduler doesn't have the job any more, and can't cancel it.
+            (Place::Leaving(_), _) if self.jobs[i].is_cancelled_here(&self.domain) => {
+                let key = self.jobs[i].key().clone();
+                self.finish(&key, Ending::Cancelled { ran: false }, cx);
+            }
             (Place::Leaving(due), _) if *due <= cx.now => self.hand_over(i, world, cx),
             (Place::Leaving(_), _) => {}
             (Place::Out, _) => {
