--- a/crates/cli/src/status.rs
+++ b/crates/cli/src/status.rs
@@ -8,7 +8,7 @@
   0  done: accepted, running, completed, or in force
   1  the job ran and failed
   2  wrong usage or bad input; nothing was changed
-  3  refused, not run; the answer says when to come back
+  3  refused: this submission is not run; the answer says when to come back
   4  the job was cancelled
   5  the outcome of the job is unknown
   6  the release note was not accepted
