--- a/tests/system/processes.rs
+++ b/tests/system/processes.rs
@@ -54,8 +54,30 @@
     runs.iter().filter(|run| run.task.key == *key).count()
 }
 
-fn mixed_jobs(domain: &str) -> Vec<SubmitBody> {
-    (0..12).map(|i| job(&format!("job-{i}"), domain, 2_500, i % 2 == 0)).collect()
+/// A placer with jobs that is about to be struck, and a daemon that stays.
+struct Struck {
+    placer: usize,
+    other: usize,
+    jobs: Vec<SubmitBody>,
+}
+
+/// Gives the placer of one domain jobs of both kinds, through another daemon.
+fn load_placer(processes: &Processes) -> Struck {
+    let placer = eventually("a placer of cuenca", || processes.placer("cuenca"));
+    let other = (placer + 1) % processes.daemons.len();
+    let body = |i| job(&format!("job-{i}"), "cuenca", 2_500, i % 2 == 0);
+    let jobs: Vec<_> = (0..12).map(body).collect();
+    for body in &jobs {
+        submit(processes, other, body);
+    }
+    Struck { placer, other, jobs }
+}
+
+/// Submits one more job and checks its end.
+fn check_one_more(processes: &Processes, daemon: usize) {
+    let again = job("after", "cuenca", 100, false);
+    submit(processes, daemon, &again);
+    check_ends(processes, daemon, &[again]);
 }
 
 /// Checks the end of jobs that lived through a failure of their placer.
@@ -79,36 +101,22 @@
 fn killed_placer_loses_no_job_and_repeats_none() {
     let mut processes = Processes::spawn("killed-placer", 6);
     processes.apply_first_note();
-    let placer = eventually("a placer of cuenca", || processes.placer("cuenca"));
-    let other = (placer + 1) % 6;
-    let jobs = mixed_jobs("cuenca");
-    for body in &jobs {
-        submit(&processes, other, body);
-    }
+    let Struck { placer, other, jobs } = load_placer(&processes);
     processes.daemons[placer].process.kill();
     check_ends(&processes, other, &jobs);
     processes.daemons[placer].restart();
-    let again = job("after", "cuenca", 100, false);
-    submit(&processes, other, &again);
-    check_ends(&processes, other, &[again]);
+    check_one_more(&processes, other);
 }
 
 #[test]
 fn frozen_placer_repeats_no_job_when_it_wakes() {
     let processes = Processes::spawn("frozen-placer", 6);
     processes.apply_first_note();
-    let placer = eventually("a placer of cuenca", || processes.placer("cuenca"));
-    let other = (placer + 1) % 6;
-    let jobs = mixed_jobs("cuenca");
-    for body in &jobs {
-        submit(&processes, other, body);
-    }
+    let Struck { placer, other, jobs } = load_placer(&processes);
     processes.daemons[placer].process.signal("STOP");
     check_ends(&processes, other, &jobs);
     processes.daemons[placer].process.signal("CONT");
-    let again = job("after", "cuenca", 100, false);
-    submit(&processes, other, &again);
-    check_ends(&processes, other, &[again]);
+    check_one_more(&processes, other);
     check_ends(&processes, placer, &jobs);
 }
 
