Core: a quarantined worker always gets another chance, a gang outlasts one bad worker

Cause 1: only small idempotent jobs probe a quarantined worker, so where nothing but gangs or jobs that can't be repeated waited, the worker stayed out for ever, and with it the room that a gang needed. A probe that is 30 s overdue while work waits or a guarantee is degraded now readmits the worker on trial; a relapse doubles the time out.

Cause 2: a gang that needs every worker of its rack has nothing to avoid; its three failures on one bad worker ended it as "failed on 3 workers". Such a gang may fail six times, with pauses.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -155,6 +155,7 @@
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
         self.stop_again();
+        self.try_out_overdue();
         self.demote_late();
         self.refuse_unfit();
         self.tend_drains();
--- a/crates/core/src/sched/blame.rs
+++ b/crates/core/src/sched/blame.rs
@@ -23,10 +23,11 @@
         workers.sort_unstable();
         workers.dedup();
         for worker in &workers {
-            self.fleet.health_mut(*worker).strikes.clear();
             if self.fleet.worker(*worker).health.is_quarantined() {
-                self.readmit(*worker);
+                self.fleet.readmit(*worker);
+                self.note_readmitted(*worker);
             }
+            self.fleet.health_mut(*worker).trust();
         }
         let failing = std::mem::take(&mut self.kinds.entry(space, &kind).failing);
         for worker in failing.into_iter().filter(|worker| !workers.contains(worker)) {
@@ -98,7 +99,8 @@
             kinds.get(space, kind).is_none_or(|k| k.failing.iter().all(|w| *w == worker))
         });
         let most = (self.fleet.count() / QUARANTINE_PART).max(1).min(self.fleet.count() - 1);
-        if score < SCORE_MAX || self.fleet.quarantined().len() >= most {
+        let bad = score >= SCORE_MAX || state.health.has_relapsed();
+        if !bad || self.fleet.quarantined().len() >= most {
             return;
         }
         self.fleet.quarantine(worker, self.now);
@@ -107,8 +109,22 @@
         self.actions.push(Action::Quarantine(id));
     }
 
-    fn readmit(&mut self, worker: WorkerIx) {
-        self.fleet.readmit(worker);
+    /// Readmits workers on trial that no job came to probe, while work or a guarantee lacks room:
+    /// what waits may be too large for a probe and need just these workers. The cost is that a job
+    /// that isn't idempotent may meet a worker that is still bad; the time to the next trial grows.
+    pub(super) fn try_out_overdue(&mut self) {
+        let lacking = self.waiting > 0 || !self.guarantees.broken.is_empty();
+        if !lacking || !self.is_in() {
+            return;
+        }
+        let overdue = |ix: &WorkerIx| self.fleet.worker(*ix).health.is_overdue(self.now);
+        for worker in self.fleet.quarantined().iter().copied().filter(overdue).collect::<Vec<_>>() {
+            self.fleet.try_out(worker);
+            self.note_readmitted(worker);
+        }
+    }
+
+    fn note_readmitted(&mut self, worker: WorkerIx) {
         self.freed = true;
         let id = self.fleet.worker(worker).info.id.clone();
         self.actions.push(Action::Readmit(id));
--- a/crates/core/src/sched/fleet.rs
+++ b/crates/core/src/sched/fleet.rs
@@ -471,7 +471,14 @@
 
     /// Trusts a worker again.
     pub(super) fn readmit(&mut self, ix: WorkerIx) {
-        self.worker_mut(ix).health.leave();
+        self.worker_mut(ix).health.trust();
+        self.quarantined.retain(|other| *other != ix);
+        self.refresh(ix);
+    }
+
+    /// Lets a worker have work again until it fails some.
+    pub(super) fn try_out(&mut self, ix: WorkerIx) {
+        self.worker_mut(ix).health.try_out();
         self.quarantined.retain(|other| *other != ix);
         self.refresh(ix);
     }
--- a/crates/core/src/sched/health.rs
+++ b/crates/core/src/sched/health.rs
@@ -22,6 +22,8 @@
 const STRIKES_MAX: usize = 8;
 /// Time until the first probe of a quarantined worker.
 const PROBE_FIRST: Span = Span::from_secs(30);
+/// Time that a probe may be overdue before the worker is readmitted on trial.
+const TRIAL_AFTER: Span = Span::from_secs(30);
 /// The longest time between two probes.
 const PROBE_MAX: Span = Span::from_secs(900);
 
@@ -54,6 +56,8 @@
     /// Starts in a row that the worker didn't answer.
     pub(super) misses: u8,
     quarantine: Option<Quarantine>,
+    /// Time between probes in the quarantine that a trial ended; until a job completes here.
+    trial: Option<Span>,
 }
 
 /// State of a quarantined worker.
@@ -76,6 +80,16 @@
         self.quarantine.as_ref()
     }
 
+    /// Tells whether the worker may be readmitted on trial, as nothing came that could probe it.
+    pub(super) fn is_overdue(&self, now: Moment) -> bool {
+        self.quarantine.is_some_and(|q| q.prober.is_none() && q.probe + TRIAL_AFTER <= now)
+    }
+
+    /// Tells whether a job has failed here since the worker was readmitted on trial.
+    pub(super) const fn has_relapsed(&self) -> bool {
+        self.trial.is_some() && !self.strikes.is_empty()
+    }
+
     /// Notes a failure; one job counts once.
     pub(super) fn strike(&mut self, strike: Strike) {
         if strike.job.is_some() && self.strikes.iter().any(|s| s.job == strike.job) {
@@ -122,13 +136,21 @@
     }
 
     pub(super) fn enter(&mut self, now: Moment) {
-        let probe = now + PROBE_FIRST;
-        self.quarantine =
-            Some(Quarantine { since: now, probe, interval: PROBE_FIRST, prober: None });
+        let interval = self.trial.take().map_or(PROBE_FIRST, longer);
+        let probe = now + interval;
+        self.quarantine = Some(Quarantine { since: now, probe, interval, prober: None });
     }
 
-    pub(super) fn leave(&mut self) {
+    /// Ends the quarantine until the next failure.
+    pub(super) fn try_out(&mut self) {
+        self.trial = self.quarantine.take().map(|q| q.interval);
+        self.strikes.clear();
+    }
+
+    /// Forgets all failures, as a job has completed.
+    pub(super) fn trust(&mut self) {
         self.quarantine = None;
+        self.trial = None;
         self.strikes.clear();
     }
 
@@ -144,10 +166,14 @@
         if let Some(quarantine) = &mut self.quarantine {
             quarantine.prober = None;
             if blame {
-                let doubled = Span(quarantine.interval.0 * 2);
-                quarantine.interval = doubled.min(PROBE_MAX);
+                quarantine.interval = longer(quarantine.interval);
             }
             quarantine.probe = now + quarantine.interval;
         }
     }
 }
+
+/// Returns the time until the next probe after one that failed.
+fn longer(interval: Span) -> Span {
+    Span(interval.0 * 2).min(PROBE_MAX)
+}
--- a/crates/core/src/sched/jobs.rs
+++ b/crates/core/src/sched/jobs.rs
@@ -83,7 +83,7 @@
     Adopted,
     #[display("start failed: {_0}; is tried again")]
     StartFailed(StartFault),
-    #[display("failed on {_0} workers; is tried again")]
+    #[display("failed {_0} times; is tried again")]
     Retry(u8),
     #[display("is being stopped: {_0}")]
     Stopping(StopReason),
--- a/crates/core/src/sched/outcome.rs
+++ b/crates/core/src/sched/outcome.rs
@@ -15,6 +15,12 @@
 
 /// The most attempts of one job that may fail.
 const FAILURES_MAX: u8 = 3;
+/// The same for a gang that has to go back to a worker it failed on, as it needs that worker.
+const FORCED_MAX: u8 = 6;
+/// Wait before a job that had to go back to a worker it failed on is tried again.
+const REPEAT_AFTER: Span = Span::from_secs(10);
+/// The longest such wait.
+const REPEAT_AFTER_MAX: Span = Span::from_secs(60);
 /// Time for which nothing is started on a worker that refused a start.
 const SHUN: Span = Span::from_secs(3);
 /// Doublings of that time for a worker that stays silent.
@@ -188,15 +194,24 @@
         }
         job.failures += 1;
         let (failures, space) = (job.failures, job.space);
-        if failures >= FAILURES_MAX {
-            let reason = format!("failed on {failures} workers, at last: {reason}");
+        let workers = job.failed_on.len() as u8;
+        let alone = job.places.iter().all(|p| p.worker == job.places[0].worker);
+        let forced = !alone && job.avoid.len() < job.failed_on.len();
+        let most = if forced { FORCED_MAX } else { FAILURES_MAX };
+        if workers >= FAILURES_MAX || failures >= most {
+            let reason = format!("failed {failures} times on {workers} workers, at last: {reason}");
             return self.finish(ix, Ending::Failed { reason });
         }
         if !self.spaces.get_mut(space).take_token() {
             let reason = format!("failed, and the workspace's retries are used up: {reason}");
             return self.finish(ix, Ending::Failed { reason });
         }
-        self.requeue(ix, Reason::Retry(failures));
+        let repeats = failures.saturating_sub(workers.max(1));
+        if repeats == 0 || !forced {
+            return self.requeue(ix, Reason::Retry(failures));
+        }
+        let wait = Span(REPEAT_AFTER.0 << (repeats - 1)).min(REPEAT_AFTER_MAX);
+        self.delay(ix, wait, Reason::Retry(failures));
     }
 
     pub(super) fn on_vacated(&mut self, key: &JobKey, attempt: Attempt, saved: bool) {
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -335,3 +335,66 @@
     let why = table.sched.why(&key).unwrap();
     assert!(why.text.contains("isn't stopped again"), "{why}");
 }
+
+/// Makes a rack of four workers of which the first one fails all and is quarantined, idle else.
+fn rack_with_a_quarantined_worker() -> Table {
+    let mut table = Table::open(1, 4, 4, vec![workspace("a", &[])]);
+    table.broken = vec![worker_id(0)];
+    let mut i = 0;
+    while table.quarantined.is_empty() {
+        table.submit(spec("a", &format!("s{i}"), shape(1, 1, DOMAIN)), secs(20));
+        table.advance(secs(1));
+        i += 1;
+        assert!(i < 400, "a bad worker is quarantined");
+    }
+    table.advance(secs(300));
+    table
+}
+
+#[test]
+fn a_healthy_worker_leaves_quarantine_though_nothing_that_waits_may_probe_it() {
+    let mut table = rack_with_a_quarantined_worker();
+    table.broken.clear();
+    let mut gang = spec("a", "gang", shape(4, 8, Adjacency::Rack));
+    gang.idempotent = false;
+    table.submit(gang, secs(60));
+    table.advance(secs(300));
+    let ended = table.named("gang").ended.clone();
+    assert!(matches!(ended, Some(Ending::Completed { .. })), "{ended:?}");
+}
+
+#[test]
+fn a_gang_does_not_end_for_the_fault_of_one_worker() {
+    let mut table = rack_with_a_quarantined_worker();
+    let before = table.starts;
+    table.submit(spec("a", "gang", shape(4, 8, Adjacency::Rack)), secs(60));
+    table.advance(secs(400));
+    assert_eq!(table.named("gang").ended, None);
+    let tries = table.starts - before;
+    assert!((2..=5).contains(&tries), "{tries} tries");
+    table.broken.clear();
+    table.advance(secs(1000));
+    let ended = table.named("gang").ended.clone();
+    assert!(matches!(ended, Some(Ending::Completed { .. })), "{ended:?}");
+}
+
+#[test]
+fn a_large_gang_outlasts_one_bad_worker_that_it_cannot_avoid() {
+    let mut table = Table::open(1, 8, 8, vec![workspace("a", &[])]);
+    table.broken = vec![worker_id(0)];
+    table.submit(spec("a", "gang", shape(8, 8, Adjacency::Rack)), secs(60));
+    table.advance(secs(120));
+    assert_eq!(table.named("gang").ended, None);
+    table.broken.clear();
+    table.advance(secs(600));
+    let ended = table.named("gang").ended.clone();
+    assert!(matches!(ended, Some(Ending::Completed { .. })), "{ended:?}");
+}
+
+#[test]
+fn a_gang_that_fails_wherever_it_runs_ends_as_failed() {
+    let mut table = Table::open(1, 8, 8, vec![workspace("a", &[])]);
+    table.submit_as(spec("a", "gang", shape(8, 8, Adjacency::Rack)), secs(60), true);
+    table.advance(secs(3000));
+    assert!(matches!(table.named("gang").ended, Some(Ending::Failed { .. })));
+}
