Core: unused guarantees make way for work that can't be stopped

Only the drain packed guarantees anew around a job, after 6 expected run times (at least 5 min, at most 1 h). Now it is done after 10 s, when all guarantees keep a block.

--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -154,6 +154,7 @@
         self.ticked = self.now;
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
+        self.make_way();
         self.stop_again();
         self.try_out_overdue();
         self.demote_late();
--- a/crates/core/src/sched/drain.rs
+++ b/crates/core/src/sched/drain.rs
@@ -87,7 +87,7 @@
     }
 
     /// Tells whether a job may start on `places` right now.
-    fn is_startable(&self, ix: JobIx, places: &[Place]) -> bool {
+    pub(super) fn is_startable(&self, ix: JobIx, places: &[Place]) -> bool {
         let firm = !self.jobs.get(ix).preemptible();
         let clear = |place: &Place| {
             let worker = self.fleet.worker(place.worker);
--- a/crates/core/src/sched/repack.rs
+++ b/crates/core/src/sched/repack.rs
@@ -5,14 +5,19 @@
 //! when firm work has waited long for room that scattered blocks take up.
 
 use crate::sched::Scheduler;
-use crate::sched::fit::Place;
+use crate::sched::fit::{self, Place};
+use crate::sched::fleet::View;
 use crate::sched::guarantee::InstanceIx;
+use crate::sched::jobs::{JobIx, Reason};
 use crate::sched::share::bind_all;
 use crate::units::{AcceleratorSet, Span};
 
 /// Time between two packings of all guarantees.
 const REPACK_INTERVAL: Span = Span::from_secs(10);
 
+/// The most waiting jobs that one tick packs for.
+const HEADS_MAX: usize = 4;
+
 /// What a packing started from.
 type Bindings = Vec<(InstanceIx, Vec<Place>)>;
 
@@ -34,6 +39,34 @@
         self.freed = true;
     }
 
+    /// Starts work that can't be stopped where only the way that unused guarantees lie keeps it
+    /// from free accelerators: they are packed around it, and all of them keep a block.
+    pub(super) fn make_way(&mut self) {
+        let due = self.now.since(self.repacked) >= REPACK_INTERVAL;
+        if !due || !self.is_in() {
+            return;
+        }
+        let firm = self.queue.lanes().iter().filter(|lane| lane.key.view == View::Hard);
+        let mut heads: Vec<_> = firm
+            .map(|lane| lane.entries[0].job)
+            .filter(|ix| self.now.since(self.jobs.get(*ix).since) >= REPACK_INTERVAL)
+            .collect();
+        heads.sort_by_key(|ix| (self.jobs.get(*ix).submitted(), *ix));
+        for ix in heads.into_iter().take(HEADS_MAX) {
+            self.make_way_for(ix);
+        }
+    }
+
+    fn make_way_for(&mut self, ix: JobIx) {
+        let job = self.jobs.get(ix);
+        let found = fit::find(&self.fleet, View::Soft, job.spec.shape, &job.avoid);
+        let Some(places) = found else { return };
+        self.repacked = self.now;
+        if self.repack_around(&places) && self.is_startable(ix, &places) {
+            self.begin(ix, places, Reason::Unheld);
+        }
+    }
+
     /// Packs the unused guarantees away from `places`; tells whether all found a block that had
     /// one before.
     pub(super) fn repack_around(&mut self, places: &[Place]) -> bool {
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -398,3 +398,27 @@
     table.advance(secs(3000));
     assert!(matches!(table.named("gang").ended, Some(Ending::Failed { .. })));
 }
+
+#[test]
+fn work_that_cannot_be_stopped_does_not_wait_for_scattered_idle_guarantees() {
+    let half = shape(1, 4, DOMAIN);
+    let spaces =
+        vec![workspace("a", &[(half, 1)]), workspace("b", &[(half, 1)]), workspace("c", &[])];
+    let mut table = Table::open(1, 2, 2, spaces);
+    let firm = |name: &str, shape| {
+        let mut job = spec("c", name, shape);
+        job.idempotent = false;
+        job
+    };
+    table.submit(firm("small", half), secs(30));
+    table.lose(0);
+    table.advance(secs(5));
+    table.join(0);
+    table.advance(secs(60));
+    let large = firm("large", shape(1, 8, DOMAIN));
+    table.submit(large.clone(), secs(30));
+    let why = table.sched.why(&large.key).unwrap();
+    assert!(why.text.contains("as close") || why.text.contains("held back"), "{why}");
+    table.advance(secs(20));
+    assert!(table.named("large").started.is_some(), "{}", table.sched.why(&large.key).unwrap());
+}
