--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -154,7 +154,9 @@
         self.ticked = self.now;
         self.fleet.forget_foreign(self.now);
         self.repack_broken();
+        self.make_way();
         self.stop_again();
+        self.try_out_overdue();
         self.demote_late();
         self.refuse_unfit();
         self.tend_drains();
