Number the attempts of a moved job on, and never refuse it as new

Cause: a job that isn't idempotent and was checkpointed was submitted to the next scheduler as attempt 0, the only way to say that it may be started. Submit now tells apart the last attempt that may have run and the last number that was used. Ruled out: a second run; the worker's record shows attempt 3 stopped with its checkpoint saved.

--- a/crates/core/benches/decide.rs
+++ b/crates/core/benches/decide.rs
@@ -96,7 +96,7 @@
             domain: None,
             input: String::new(),
         };
-        Event::Submit { spec, attempt: Attempt(0), age: Span::ZERO }
+        Event::Submit { spec, attempt: Attempt(0), used: Attempt(0), age: Span::ZERO }
     }
 
     /// Chooses what happens next so that tasks and queue keep their size.
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -120,7 +120,9 @@
             Event::Share(share) => self.on_share(share),
             Event::Worker(info) => self.on_worker(info),
             Event::WorkerLost(id) => self.on_worker_lost(&id),
-            Event::Submit { spec, attempt, age } => self.on_submit(spec, attempt, age),
+            Event::Submit { spec, attempt, used, age } => {
+                self.on_submit(spec, attempt, used, age);
+            }
             Event::Adopt { spec, attempt, placement, age, ran } => {
                 self.on_adopt(spec, attempt, placement, age, ran);
             }
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -92,13 +92,14 @@
     Worker(WorkerInfo),
     /// A worker is gone, with all that ran on it.
     WorkerLost(WorkerId),
-    /// A new job; `attempt` is the last one known to have started, 0 for none, and `age` the time
-    /// since its submission.
+    /// A new job, or one that another scheduler had before.
     Submit {
         /// The job.
         spec: JobSpec,
-        /// Last attempt that was started.
+        /// Last attempt that may have run and left nothing to go on from, 0 for none.
         attempt: Attempt,
+        /// Last attempt that was ever numbered; every later one gets a larger number.
+        used: Attempt,
         /// Time since the submission.
         age: Span,
     },
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -23,15 +23,18 @@
 const SLACK_FACTOR: u64 = 3;
 
 impl Scheduler {
-    pub(super) fn on_submit(&mut self, spec: JobSpec, attempt: Attempt, age: Span) {
+    pub(super) fn on_submit(&mut self, spec: JobSpec, attempt: Attempt, used: Attempt, age: Span) {
         if self.jobs.find(&spec.key).is_some() {
             return;
         }
-        let fresh = attempt == Attempt(0);
+        let used = used.max(attempt);
+        let fresh = used == Attempt(0);
         let space = self.spaces.intern(&spec.key.workspace);
         let refused = if fresh { self.refuse(&spec, space) } else { None };
-        let unknown = !fresh && (!spec.idempotent || spec.shape.check().is_err());
+        let ran = attempt > Attempt(0);
+        let unknown = ran && !spec.idempotent || !fresh && spec.shape.check().is_err();
         let ix = self.add_job(spec, space, attempt, age);
+        self.jobs.get_mut(ix).attempt = used;
         if let Some(refusal) = refused {
             self.finish(ix, Ending::Refused(refusal));
         } else if unknown {
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -242,7 +242,7 @@
     let mut job = spec("a", "j", shape(1, 1, DOMAIN));
     job.idempotent = false;
     job.checkpoint = true;
-    let event = Event::Submit { spec: job, attempt: Attempt(1), age: secs(5) };
+    let event = Event::Submit { spec: job, attempt: Attempt(1), used: Attempt(1), age: secs(5) };
     let actions = table.sched.decide(event, table.now);
     let unknown = matches!(&actions[..], [Action::Finish { ending: Ending::Unknown { .. }, .. }]);
     assert!(unknown, "{actions:?}");
@@ -422,3 +422,17 @@
     table.advance(secs(20));
     assert!(table.named("large").started.is_some(), "{}", table.sched.why(&large.key).unwrap());
 }
+
+#[test]
+fn a_job_that_goes_on_elsewhere_numbers_its_attempts_on() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let mut job = spec("a", "j", shape(1, 1, DOMAIN));
+    job.idempotent = false;
+    job.checkpoint = true;
+    let (attempt, used) = (Attempt(0), Attempt(3));
+    let event = Event::Submit { spec: job, attempt, used, age: secs(5) };
+    let mut actions = table.sched.decide(event, table.now);
+    actions.extend(table.sched.decide(Event::Tick, table.now));
+    let later = matches!(&actions[..], [Action::Start { attempt: Attempt(4), .. }]);
+    assert!(later, "{actions:?}");
+}
--- a/crates/core/tests/random.rs
+++ b/crates/core/tests/random.rs
@@ -144,7 +144,7 @@
             let open = |r: &&table::Record| r.ended.is_none() && !r.handed;
             if let Some(record) = table.records.get(*i).filter(open) {
                 let (spec, attempt) = (record.spec.clone(), record.attempt);
-                table.tell(Event::Submit { spec, attempt, age: Span::ZERO });
+                table.tell(Event::Submit { spec, attempt, used: attempt, age: Span::ZERO });
             }
         }
         Op::Pass(ms) => table.advance(Span(*ms)),
--- a/crates/core/tests/table/mod.rs
+++ b/crates/core/tests/table/mod.rs
@@ -177,7 +177,7 @@
             run,
             bad,
         });
-        self.tell(Event::Submit { spec, attempt: Attempt(0), age: Span::ZERO });
+        self.tell(Event::Submit { spec, attempt: Attempt(0), used: Attempt(0), age: Span::ZERO });
     }
 
     pub fn service(&mut self, service: Service) {
@@ -251,8 +251,8 @@
             }
             let known = spec.idempotent || record.spent;
             let attempt = if known { record.attempt } else { Attempt(0) };
-            self.records[i].attempt = attempt;
-            self.tell(Event::Submit { spec, attempt, age });
+            let used = self.records[i].attempt;
+            self.tell(Event::Submit { spec, attempt, used, age });
         }
     }
 
--- a/crates/daemon/src/placer/recovery.rs
+++ b/crates/daemon/src/placer/recovery.rs
@@ -255,15 +255,15 @@
     fn submit(&mut self, i: usize, found: &[(WorkerId, TaskReport)], cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
         let seen = found.iter().map(|(_, report)| report.id.attempt).max().unwrap_or_default();
-        job.attempt = match job.spec.idempotent {
-            true => job.attempt.max(seen),
-            // Without an intent in the store nothing of it was ever started.
-            false => Attempt(0),
-        };
+        job.attempt = job.attempt.max(seen);
+        // Without an intent in the store nothing of a job that isn't idempotent has run, or it
+        // goes on from a checkpoint.
+        let ran = if job.spec.idempotent { job.attempt } else { Attempt(0) };
         job.place = Place::Waiting;
         self.events.push_back(Event::Submit {
             spec: job.spec.clone(),
-            attempt: job.attempt,
+            attempt: ran,
+            used: job.attempt,
             age: job.age(cx.now),
         });
         self.press_cancel(i, cx);
--- a/examples/policy/baseline.rs
+++ b/examples/policy/baseline.rs
@@ -222,7 +222,9 @@
             Event::Share(share) => self.share = Some(share),
             Event::Worker(info) => self.bench.join(info),
             Event::WorkerLost(worker) => return self.on_lost(&worker),
-            Event::Submit { spec, attempt, age } => return self.submit(spec, attempt, age, now),
+            Event::Submit { spec, attempt, age, .. } => {
+                return self.submit(spec, attempt, age, now);
+            }
             Event::Cancel(key) => {
                 return self.index(&key).and_then(|i| self.on_cancel(i)).into_iter().collect();
             }
--- a/examples/policy/run.rs
+++ b/examples/policy/run.rs
@@ -293,7 +293,7 @@
         heard[domain].add(&truth.spec);
         self.jobs[job] = State::Inside(domain);
         let (spec, attempt) = (truth.spec.clone(), self.last[job]);
-        let event = Event::Submit { spec, attempt, age: now.since(truth.arrives) };
+        let event = Event::Submit { spec, attempt, used: attempt, age: now.since(truth.arrives) };
         self.decide(domain, event, now);
     }
 
