Make the end of a job without a record durable before its workers forget it

Cause: an idempotent job with a waiting caller that ran without a record, because the store was slow or cut off, was settled from memory at its end. Ruled out: completed told before its claim; the job had no claim at all. Its end now creates the record, meets the other owner's if there is one, and writes the outcome. The cost is three more store calls for a job that ran in an outage, once the store is back.

--- a/crates/daemon/src/placer/ending.rs
+++ b/crates/daemon/src/placer/ending.rs
@@ -49,18 +49,18 @@
     /// Takes the next step of a job's end into the store.
     pub(super) fn drive_end(&mut self, i: usize, cx: &mut Context<'_>) {
         let job = &mut self.jobs[i];
-        let light = job.is_light();
         let Some(end) = &mut job.end else { return };
         if end.step != EndStep::Open {
             return;
         }
         match job.claim {
             Claim::Memory if matches!(end.ending, Ending::Refused(_)) => {}
-            Claim::Memory if light || is_unrun(&end.ending) => {
+            Claim::Memory if is_unrun(&end.ending) => {
                 end.step = EndStep::Settled;
                 self.forget_old(i, cx);
             }
-            // Its tasks were found on the workers: the record may be another owner's.
+            // It ran without a record, and another owner may have one: the end has to be durable
+            // before its workers forget it, or that one would tell another end.
             Claim::Memory => self.create(i, Patience::Endless, cx),
             Claim::Creating if is_unrun(&end.ending) => self.take_back_record(i, cx),
             Claim::Owned if job.writing.is_some() => {}
