A waiting job moves to a failure domain that has room for it now

Cause: a job was routed once and then waited in its domain, gangs of 64 mostly, while a rack of another domain was free. Every 5 s the placer offers up to four jobs that waited 10 s (Event::Release, reroute); the scheduler hands over what still waits and has nothing kept for it.

Tests first: a_waiting_job_moves_to_a_domain_with_room fails without the look (run).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -42,7 +42,7 @@
     Change, DesiredState, DomainShare, DomainSpec, Entries, Guarantee, RackStock, ReleaseNote,
     Removals, Service, WorkspaceShare, WorkspaceSpec,
 };
-pub use route::{DomainView, route};
+pub use route::{DomainView, reroute, route};
 pub use sched::{
     Action, Event, JobState, KindState, Load, Scheduler, Shortfall, StartFault, State, StopReason,
     URGENT_BUCKETS, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
--- a/crates/core/src/route.rs
+++ b/crates/core/src/route.rs
@@ -60,6 +60,30 @@
     best.map(|view| view.id.clone()).ok_or_else(|| no_domain(spec, state))
 }
 
+/// Chooses a domain other than `own` for a job that waits there: one that has room for it now and
+/// where its workspace isn't guaranteed less. Jobs that can't borrow stay, since a load doesn't
+/// tell what of its free accelerators is held back.
+pub fn reroute(
+    spec: &JobSpec,
+    state: &DesiredState,
+    views: &[DomainView],
+    own: &DomainId,
+) -> Option<DomainId> {
+    if spec.domain.is_some() || !can_borrow(spec) {
+        return None;
+    }
+    let here = views.iter().find(|view| view.id == *own)?;
+    let held = guaranteed(spec, state, here);
+    let open = |view: &&DomainView| {
+        let service = state.domain(&view.id).map(|d| d.service);
+        let roomy = room(spec, &view.load).is_some();
+        let kept = guaranteed(spec, state, view) >= held;
+        view.id != *own && view.reachable && service == Some(Service::In) && roomy && kept
+    };
+    let best = views.iter().filter(open).min_by_key(|view| rank(spec, state, view));
+    best.map(|view| view.id.clone())
+}
+
 /// Says why no domain can take the job, and whether that may change without a release note.
 fn no_domain(spec: &JobSpec, state: &DesiredState) -> Refusal {
     let refuse = |reason, retry| Refusal { code: Code::NoDomain, reason, retry };
--- a/crates/core/src/sched.rs
+++ b/crates/core/src/sched.rs
@@ -125,6 +125,7 @@
                 self.on_adopt(spec, attempt, placement, age, ran);
             }
             Event::Cancel(key) => self.on_cancel(&key),
+            Event::Release(key) => self.on_release(&key),
             Event::Started(key, attempt) => self.on_started(&key, attempt),
             Event::StartFailed { key, attempt, worker, fault } => {
                 self.on_start_failed(&key, attempt, worker.as_ref(), fault);
--- a/crates/core/src/sched/event.rs
+++ b/crates/core/src/sched/event.rs
@@ -117,6 +117,9 @@
     },
     /// The caller wants the job no more.
     Cancel(JobKey),
+    /// Another failure domain has room for the job now. It is handed over if it still waits and
+    /// nothing is kept free for it here.
+    Release(JobKey),
     /// All tasks of the attempt run.
     Started(JobKey, Attempt),
     /// No task of the attempt runs, none ever will; `worker` is at fault if there is one.
--- a/crates/core/src/sched/intake.rs
+++ b/crates/core/src/sched/intake.rs
@@ -115,6 +115,18 @@
         }
     }
 
+    /// Lets another failure domain have a job that still waits and for which nothing is kept free.
+    /// One that has run and isn't idempotent stays: the next domain couldn't tell that its
+    /// checkpoint was saved.
+    pub(super) fn on_release(&mut self, key: &JobKey) {
+        let Some(ix) = self.jobs.find(key) else { return };
+        let job = self.jobs.get(ix);
+        let movable = job.repeatable() || job.ran == Attempt(0);
+        if job.phase == Phase::Waiting && job.spec.domain.is_none() && movable {
+            self.hand_over(ix);
+        }
+    }
+
     /// Refuses jobs that were let in while hardware was missing and that no hardware can hold.
     pub(super) fn refuse_unfit(&mut self) {
         let lanes = self.queue.lanes().iter();
--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -422,3 +422,24 @@
     table.advance(secs(20));
     assert!(table.named("large").started.is_some(), "{}", table.sched.why(&large.key).unwrap());
 }
+
+#[test]
+fn a_job_is_released_only_while_nothing_is_kept_for_it() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let whole = shape(1, 8, DOMAIN);
+    table.submit(spec("a", "runs", whole), secs(60));
+    table.submit(spec("a", "waits", whole), secs(60));
+    let mut pinned = spec("a", "pinned", whole);
+    pinned.domain = Some("cuenca".parse().unwrap());
+    table.submit(pinned, secs(60));
+    table.advance(secs(10));
+    for name in ["runs", "waits", "pinned"] {
+        let key = table.named(name).spec.key.clone();
+        table.tell(Event::Release(key));
+    }
+    let handed = |table: &mut Table, name: &str| table.named(name).handed;
+    assert!(handed(&mut table, "waits"));
+    assert!(!handed(&mut table, "runs") && !handed(&mut table, "pinned"));
+    table.advance(secs(200));
+    assert!(matches!(table.named("pinned").ended, Some(Ending::Completed { .. })));
+}
--- a/crates/daemon/src/placer.rs
+++ b/crates/daemon/src/placer.rs
@@ -23,6 +23,7 @@
 mod ending;
 mod gang;
 mod job;
+mod moves;
 mod records;
 mod recovery;
 mod reports;
@@ -92,6 +93,8 @@
     /// Events for the scheduler.
     events: VecDeque<Event>,
     delayed: Vec<Delayed>,
+    /// Moment of the last look for room in other domains.
+    looked: Moment,
     /// Last number given to a write.
     seq: u64,
     rng: fastrand::Rng,
@@ -115,6 +118,7 @@
             refused: Vec::new(),
             events: VecDeque::new(),
             delayed: Vec::new(),
+            looked: now,
             seq: 0,
             rng: fastrand::Rng::with_seed(incarnation),
             own,
@@ -258,6 +262,7 @@
             self.tick_job(i, world, cx);
         }
         self.tick_orphans(cx);
+        self.tick_moves(world, cx);
         if matches!(self.standing, Standing::Active)
             && self.scheduler.next_tick().is_some_and(|due| due <= cx.now)
         {
--- a/crates/daemon/src/placer/job.rs
+++ b/crates/daemon/src/placer/job.rs
@@ -144,6 +144,8 @@
     pub(super) doubtful: bool,
     /// Moment of a wish to cancel it that the scheduler hasn't heard of yet.
     pub(super) cancel: Option<Moment>,
+    /// Moment at which it was last offered to other domains.
+    pub(super) offered: Option<Moment>,
     /// Its end, if it has ended.
     pub(super) end: Option<End>,
     /// Whether this owner has nothing to do with it any more.
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -186,6 +186,7 @@
             committed: false,
             doubtful: false,
             cancel: None,
+            offered: None,
             end: None,
             gone: false,
             followers: Vec::new(),
--- a/crates/daemon/src/placer/tests.rs
+++ b/crates/daemon/src/placer/tests.rs
@@ -476,3 +476,31 @@
     assert_eq!(net.attempts(&borrower.spec().key).len(), 2);
     assert_whole(&net);
 }
+
+#[test]
+fn a_waiting_job_moves_to_a_domain_with_room() {
+    let mut net = Net::open(TWO, 7);
+    let fill = |net: &mut Net, request: &str, domain: &str, run: u64| {
+        let mut body = long_job(request, 4, true, Span::from_secs(run));
+        body.domain = Some(domain.parse().unwrap());
+        net.submit(0, &body);
+        body.spec().key
+    };
+    fill(&mut net, "c", "cuenca", 600);
+    fill(&mut net, "n", "norte", 600);
+    net.run(Span::from_secs(5));
+    let body = long_job("w", 4, true, Span::from_secs(1));
+    let key = body.spec().key;
+    net.submit(0, &body);
+    net.run(Span::from_secs(20));
+    let path = format!("jobs/{key}");
+    let record = net.store.records().find(|r| r.key == path).expect("it is open").value.clone();
+    let there = if record.contains("\"domain\":\"cuenca\"") { "n" } else { "c" };
+    let blocks = job(there, 4, true, None).spec().key;
+    assert!(net.record.runs_of(&key).is_empty());
+    net.caller(0, CallerCall::Cancel(blocks));
+    let token = net.status(0, &key, Some(LONG));
+    let answer = net.wait(token, LONG);
+    assert_eq!(answer.code, Code::Completed, "{answer:?}");
+    assert_eq!(net.attempts(&key), [Attempt(1)]);
+}
--- a/examples/policy/agenda.rs
+++ b/examples/policy/agenda.rs
@@ -30,6 +30,8 @@
     Tick(usize),
     Announce,
     Observe,
+    /// The placers look for room elsewhere.
+    Look,
     Sample,
 }
 
--- a/examples/policy/baseline.rs
+++ b/examples/policy/baseline.rs
@@ -206,6 +206,13 @@
         actions
     }
 
+    fn on_release(&mut self, index: usize) -> Option<Action> {
+        self.jobs[index].placement.is_empty().then(|| {
+            let job = self.jobs.remove(index);
+            Action::HandOver { key: job.spec.key, attempt: job.attempt }
+        })
+    }
+
     fn on_cancel(&mut self, index: usize) -> Option<Action> {
         let job = &mut self.jobs[index];
         if job.placement.is_empty() {
@@ -226,6 +233,9 @@
             Event::Cancel(key) => {
                 return self.index(&key).and_then(|i| self.on_cancel(i)).into_iter().collect();
             }
+            Event::Release(key) => {
+                return self.index(&key).and_then(|i| self.on_release(i)).into_iter().collect();
+            }
             Event::Started(key, attempt) => {
                 if let Some(index) = self.current(&key, attempt) {
                     self.jobs[index].ran = true;
--- a/examples/policy/run.rs
+++ b/examples/policy/run.rs
@@ -5,7 +5,7 @@
 
 use bulrushlink_core::{
     Attempt, DesiredState, DomainId, DomainView, Ending, Entries, Event, JobKey, JobSpec, Load,
-    Moment, ReleaseNote, Scheduler, Service, Span, route,
+    Moment, ReleaseNote, Scheduler, Service, Span, reroute, route,
 };
 
 use serde::Serialize;
@@ -20,6 +20,13 @@
 const ANNOUNCE_EVERY: Span = Span::from_secs(1);
 const OBSERVE_EVERY: Span = Span::from_secs(10);
 const OBSERVE_AGE: Span = Span::from_secs(3);
+const LOOK_EVERY: Span = Span::from_secs(5);
+/// Wait after which another domain is looked for.
+const LOOK_AFTER: Span = Span::from_secs(10);
+/// Time between two moves of a job.
+const MOVE_EVERY: Span = Span::from_secs(180);
+/// The most jobs that a domain offers to others in one look.
+const MOVES_MAX: usize = 4;
 const LOSS_NOTICE: Span = Span::from_secs(2);
 const ROUTE_RETRY: Span = Span::from_secs(5);
 /// Time after the last arrival by which all jobs must have ended.
@@ -116,6 +123,8 @@
     last: Vec<Attempt>,
     /// Since when a job has had no accelerators.
     idle: Vec<Option<Moment>>,
+    /// When a job was last offered to other domains.
+    offered: Vec<Option<Moment>>,
     outcomes: Vec<Outcome>,
     /// Loads as each entry host knows them, by host and domain.
     heard: Vec<Vec<Load>>,
@@ -149,6 +158,7 @@
         jobs: vec![State::Outside; count],
         last: vec![Attempt(0); count],
         idle: vec![None; count],
+        offered: vec![None; count],
         outcomes: vec![Outcome::default(); count],
         heard: vec![vec![Load::default(); domains]; ENTRY_HOSTS],
         samples: Vec::new(),
@@ -183,6 +193,7 @@
             }
         }
         self.agenda.add(Moment(0), Happening::Observe);
+        self.agenda.add(Moment(0), Happening::Look);
         self.agenda.add(Moment(0), Happening::Sample);
     }
 
@@ -237,6 +248,7 @@
             Happening::Tick(_) => {}
             Happening::Announce => self.announce(now),
             Happening::Observe => self.observe(now),
+            Happening::Look => self.look(now),
             Happening::Sample => self.sample(now),
         }
     }
@@ -277,20 +289,14 @@
             return;
         }
         let truth = &self.workload.jobs[job];
-        let heard = &mut self.heard[truth.entry];
-        let view = |i: usize| DomainView {
-            id: self.workload.domains[i].clone(),
-            load: heard[i],
-            reachable: true,
-        };
-        let views: Vec<_> = (0..heard.len()).map(view).collect();
+        let views = self.views(truth.entry);
         let Some(chosen) = self.contender.route(&truth.spec, &self.state, &views) else {
             self.agenda.add(now + ROUTE_RETRY, Happening::Route(job));
             return;
         };
         let domain = self.workload.domains.iter().position(|id| *id == chosen);
         let domain = domain.expect("the router chooses among the domains");
-        heard[domain].add(&truth.spec);
+        self.heard[truth.entry][domain].add(&truth.spec);
         self.jobs[job] = State::Inside(domain);
         let (spec, attempt) = (truth.spec.clone(), self.last[job]);
         let event = Event::Submit { spec, attempt, age: now.since(truth.arrives) };
@@ -361,6 +367,47 @@
         self.agenda.add(now + OBSERVE_EVERY, Happening::Observe);
     }
 
+    /// Offers jobs that have waited to a domain that has room for them now, as the product's placers
+    /// do; the longest wait goes first. Any policy gains by it, so all of them get it.
+    fn look(&mut self, now: Moment) {
+        self.agenda.add(now + LOOK_EVERY, Happening::Look);
+        let mut waits: Vec<_> = (0..self.jobs.len())
+            .filter_map(|job| self.idle[job].map(|since| (since, job)))
+            .filter(|(since, job)| {
+                let offered = self.offered[*job].is_none_or(|at| now.since(at) >= MOVE_EVERY);
+                now.since(*since) >= LOOK_AFTER && offered
+            })
+            .collect();
+        waits.sort_unstable();
+        let mut moves = vec![0; self.policies.len()];
+        for (_, job) in waits {
+            let State::Inside(domain) = self.jobs[job] else { continue };
+            if moves[domain] == MOVES_MAX || !self.has_room_elsewhere(job, domain) {
+                continue;
+            }
+            moves[domain] += 1;
+            self.offered[job] = Some(now);
+            let key = self.workload.jobs[job].spec.key.clone();
+            self.decide(domain, Event::Release(key), now);
+        }
+    }
+
+    fn has_room_elsewhere(&self, job: usize, domain: usize) -> bool {
+        let truth = &self.workload.jobs[job];
+        let views = self.views(truth.entry);
+        reroute(&truth.spec, &self.state, &views, &self.workload.domains[domain]).is_some()
+    }
+
+    fn views(&self, entry: usize) -> Vec<DomainView> {
+        let heard = &self.heard[entry];
+        let view = |i: usize| DomainView {
+            id: self.workload.domains[i].clone(),
+            load: heard[i],
+            reachable: true,
+        };
+        (0..heard.len()).map(view).collect()
+    }
+
     fn close(mut self) -> Trace {
         assert!(self.jobs.iter().all(|state| *state == State::Ended), "every job ends");
         for (outcome, record) in self.outcomes.iter_mut().zip(&self.table.records) {
