--- a/crates/core/tests/decisions.rs
+++ b/crates/core/tests/decisions.rs
@@ -436,3 +436,24 @@
     let later = matches!(&actions[..], [Action::Start { attempt: Attempt(4), .. }]);
     assert!(later, "{actions:?}");
 }
+
+#[test]
+fn a_job_is_released_only_while_nothing_is_kept_for_it() {
+    let mut table = Table::open(1, 1, 1, vec![workspace("a", &[])]);
+    let whole = shape(1, 8, DOMAIN);
+    table.submit(spec("a", "runs", whole), secs(60));
+    table.submit(spec("a", "waits", whole), secs(60));
+    let mut pinned = spec("a", "pinned", whole);
+    pinned.domain = Some("cuenca".parse().unwrap());
+    table.submit(pinned, secs(60));
+    table.advance(secs(10));
+    for name in ["runs", "waits", "pinned"] {
+        let key = table.named(name).spec.key.clone();
+        table.tell(Event::Release(key));
+    }
+    let handed = |table: &mut Table, name: &str| table.named(name).handed;
+    assert!(handed(&mut table, "waits"));
+    assert!(!handed(&mut table, "runs") && !handed(&mut table, "pinned"));
+    table.advance(secs(200));
+    assert!(matches!(table.named("pinned").ended, Some(Ending::Completed { .. })));
+}
--- a/crates/daemon/src/placer/submits.rs
+++ b/crates/daemon/src/placer/submits.rs
@@ -187,6 +187,7 @@
             committed: false,
             doubtful: false,
             cancel: None,
+            offered: None,
             end: None,
             gone: false,
             followers: Vec::new(),
