--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -15,12 +15,12 @@
 use crate::calls::Results;
 use crate::edge::Input;
 use crate::edges::Edges;
-use crate::json_log;
 use crate::listener::{bind, bound_addr};
 use crate::node::Node;
 use crate::peer_link::PeerSockets;
 use crate::runtime::NodeActor;
 use crate::settings::Settings;
+use bulrushlink_telemetry::{Sink, open_log};
 
 /// The longest sleep of the loop, in milliseconds.
 const WAIT_MAX_MS: u64 = 1_000;
@@ -96,7 +96,7 @@
     ///
     /// As [`Self::spawn`].
     pub fn run(settings: Settings) -> Result<(), Error> {
-        json_log::open(&settings.log, &settings.daemon)?;
+        open_log(&settings.log, &settings.daemon, Sink::Stderr)?;
         let signals = Signals::new([SIGTERM, SIGINT]);
         let mut signals = signals.map_err(|e| Error::new(Code::Unreachable, e.to_string()))?;
         let daemon = Self::spawn(settings)?;
--- a/crates/daemon/src/edges.rs
+++ b/crates/daemon/src/edges.rs
@@ -13,13 +13,13 @@
 use crate::edge::{Input, Output};
 use crate::hosts_edge::HostsEdge;
 use crate::listener::{Bounds, Listener};
-use crate::metrics_page::MetricsPage;
 use crate::operator_http::OperatorFront;
 use crate::peer_link::{Heard, PeerLink, PeerSockets};
 use crate::runtime::{NodeActor, NodeView};
 use crate::settings::Settings;
 use crate::store_edge::StoreEdge;
 use crate::worker_edge::{WorkerCall, WorkerEdge};
+use bulrushlink_telemetry::MetricsPage;
 
 /// Largest body of an operator's request, in bytes: a release note may fill a store value.
 const OPERATOR_BODY_MAX_BYTES: usize = 1024 * 1024;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -20,11 +20,11 @@
 mod hosts_edge;
 mod intake;
 mod journal;
-mod json_log;
+
 mod keeper;
 mod listener;
 mod members;
-mod metrics_page;
+
 mod node;
 mod notes;
 mod operator_http;
--- a/crates/daemon/src/operator_http.rs
+++ b/crates/daemon/src/operator_http.rs
@@ -10,7 +10,7 @@
 use crate::caller_http::no_such_path;
 use crate::edge::Input;
 use crate::listener::{Front, Incoming, Outcome};
-use crate::metrics_page::MetricsPage;
+use bulrushlink_telemetry::MetricsPage;
 
 /// Reads operators' requests.
 pub(crate) struct OperatorFront {
--- /dev/null
+++ b/crates/fleet/src/lead.rs
@@ -0,0 +1,310 @@
+//! Election of the placer: the holder of a leased key in the store.
+//!
+//! The revision at which the key was created is the epoch. Everything that the placer writes has
+//! that revision among its conditions, so that a deposed one can't write.
+
+use bulrushlink_core::{DaemonId, Moment, Span};
+
+use crate::edge::{Commit, Fault, Output, StoreEvent, StoreOp, StoreReply, Subject, Tag};
+use crate::ids::{Epoch, LeaseId, Rev};
+use crate::record::keys;
+
+/// Life of the key without renewal: long enough for the answers of a slow store (400 ms) and a
+/// repeated renewal, short because nothing starts while it runs out.
+const LEASE: Span = Span(2_000);
+/// Period of renewal, so that two renewals can fail.
+const RENEW_EVERY: Span = Span(600);
+/// Time for an answer to a renewal.
+const RENEW_TIMEOUT: Span = Span(550);
+/// Time for an answer to a step of the election; see [`LEASE`].
+const STEP_TIMEOUT: Span = Span(900);
+/// Longest wait for the end of another placer; a watch may fall silent.
+const WATCH_WAIT: Span = Span(4_000);
+/// What a watch may take beyond its wait.
+const WATCH_SLACK: Span = Span(700);
+/// Shortest pause after a failed step.
+const RETRY_MIN: Span = Span(100);
+/// Random addition to the pause, so that the candidates don't meet again.
+const RETRY_JITTER_MS: u64 = 200;
+/// Time after the last renewal for which a placer that can't reach the store keeps the runs of its
+/// workers alive. A successor waits as long before it gives up a worker that it can't reach.
+pub(crate) const HOLD_ON: Span = Span(8_000);
+
+/// A step of the election.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LeadTag {
+    /// Looks who leads.
+    Look(u64),
+    /// Waits until nobody leads.
+    Watch(u64),
+    /// Opens a lease.
+    Open(u64),
+    /// Claims the key.
+    Claim(u64),
+    /// Renews the lease.
+    Renew(u64),
+    /// Ends the lease.
+    End,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Phase {
+    /// Waits until the given time before it looks again.
+    Rest(Moment),
+    /// Waits for the answer to a step with this ordinal.
+    Step(u64),
+    /// Leads under a lease.
+    Leading {
+        lease: LeaseId,
+        epoch: Epoch,
+        renewed: Moment,
+        next: Moment,
+        renewing: Option<Moment>,
+    },
+    /// Will not lead any more.
+    Retired,
+}
+
+/// What has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Turn {
+    /// This daemon leads now.
+    Elected(Epoch),
+    /// It doesn't any more.
+    Deposed,
+}
+
+/// This daemon's part in the election.
+#[derive(Debug)]
+pub(crate) struct Lead {
+    /// Value of the key when this process holds it.
+    name: Vec<u8>,
+    phase: Phase,
+    ordinal: u64,
+    /// Lease to claim with, and when it was asked for.
+    lease: Option<(LeaseId, Moment)>,
+    random: fastrand::Rng,
+}
+
+impl Lead {
+    pub(crate) fn open(daemon: &DaemonId, incarnation: u64) -> Self {
+        let name = format!("{daemon}/{incarnation}").into_bytes();
+        Self {
+            name,
+            phase: Phase::Rest(Moment::default()),
+            ordinal: 0,
+            lease: None,
+            random: fastrand::Rng::with_seed(incarnation),
+        }
+    }
+
+    /// Tells whether the lease surely runs, so that nobody else leads.
+    pub(crate) fn is_sure(&self, now: Moment) -> bool {
+        match self.phase {
+            Phase::Leading { renewed, .. } => now.since(renewed) < LEASE,
+            _ => false,
+        }
+    }
+
+    pub(crate) fn due(&self) -> Option<Moment> {
+        match self.phase {
+            Phase::Rest(until) => Some(until),
+            Phase::Leading { renewed, next, renewing: None, .. } => {
+                Some(next.min(renewed + HOLD_ON))
+            }
+            Phase::Leading { renewed, .. } => Some(renewed + HOLD_ON),
+            Phase::Step(_) | Phase::Retired => None,
+        }
+    }
+
+    pub(crate) fn tick(&mut self, now: Moment, out: &mut Vec<Output>) -> Option<Turn> {
+        match self.phase {
+            Phase::Rest(until) if now >= until => {
+                let op = StoreOp::Get(keys::LEADER.to_string());
+                self.step(op, STEP_TIMEOUT, LeadTag::Look, out);
+                None
+            }
+            Phase::Leading { renewed, .. } if now.since(renewed) >= HOLD_ON => {
+                log::warn!(event = "deposed"; "no renewal for {}", now.since(renewed));
+                self.rest(now);
+                Some(Turn::Deposed)
+            }
+            Phase::Leading { lease, epoch, renewed, next, renewing: None } if now >= next => {
+                self.ordinal += 1;
+                let tag = Tag::Lead(LeadTag::Renew(self.ordinal));
+                out.push(Output::Store(tag, StoreOp::RenewLease(lease), RENEW_TIMEOUT));
+                let renewing = Some(now);
+                self.phase = Phase::Leading { lease, epoch, renewed, next, renewing };
+                None
+            }
+            _ => None,
+        }
+    }
+
+    pub(crate) fn answered(
+        &mut self,
+        now: Moment,
+        tag: LeadTag,
+        result: Result<StoreReply, Fault>,
+        out: &mut Vec<Output>,
+    ) -> Option<Turn> {
+        if let LeadTag::Renew(ordinal) = tag {
+            return self.renewed(now, ordinal, result);
+        }
+        let current = match tag {
+            LeadTag::Look(n) | LeadTag::Watch(n) | LeadTag::Open(n) | LeadTag::Claim(n) => n,
+            LeadTag::Renew(_) | LeadTag::End => return None,
+        };
+        if self.phase != Phase::Step(current) {
+            return None;
+        }
+        match (tag, result) {
+            (LeadTag::Look(_), Ok(StoreReply::Item(item, as_of))) => {
+                return self.looked(now, item.map(|i| (i.value, i.rev)), as_of, out);
+            }
+            (LeadTag::Watch(_), Ok(StoreReply::Events(events, as_of))) => {
+                self.watched(now, &events, as_of, out);
+            }
+            (LeadTag::Open(_), Ok(StoreReply::Lease(lease, _))) => {
+                let began = self.lease.map_or(now, |(_, began)| began);
+                self.lease = Some((lease, began));
+                self.claim(lease, out);
+            }
+            (LeadTag::Claim(_), Ok(StoreReply::Committed(rev))) => return self.elected(now, rev),
+            (_, Ok(_)) => self.rest(now),
+            (_, Err(fault)) => {
+                log::debug!(event = "election_fault", cause:% = fault; "election step failed");
+                self.rest(now);
+            }
+        }
+        None
+    }
+
+    /// Gives the key up, so that another daemon leads at once.
+    pub(crate) fn retire(&mut self, out: &mut Vec<Output>) {
+        if let Phase::Leading { lease, .. } = self.phase {
+            out.push(Output::Store(
+                Tag::Lead(LeadTag::End),
+                StoreOp::EndLease(lease),
+                STEP_TIMEOUT,
+            ));
+            log::info!(event = "leader_resigned"; "the leader's key is given up");
+        }
+        self.phase = Phase::Retired;
+    }
+
+    /// Stops leading because a call has shown that another daemon does.
+    pub(crate) fn depose(&mut self, now: Moment) {
+        if matches!(self.phase, Phase::Leading { .. }) {
+            self.rest(now);
+        }
+    }
+
+    fn step(
+        &mut self,
+        op: StoreOp,
+        timeout: Span,
+        tag: impl Fn(u64) -> LeadTag,
+        out: &mut Vec<Output>,
+    ) {
+        self.ordinal += 1;
+        self.phase = Phase::Step(self.ordinal);
+        out.push(Output::Store(Tag::Lead(tag(self.ordinal)), op, timeout));
+    }
+
+    fn rest(&mut self, now: Moment) {
+        let jitter = Span(self.random.u64(..RETRY_JITTER_MS));
+        self.phase = Phase::Rest(now + RETRY_MIN + jitter);
+    }
+
+    fn looked(
+        &mut self,
+        now: Moment,
+        holder: Option<(Vec<u8>, Rev)>,
+        as_of: Rev,
+        out: &mut Vec<Output>,
+    ) -> Option<Turn> {
+        match holder {
+            // An unanswered claim of this process was carried out.
+            Some((value, rev)) if value == self.name => return self.elected(now, rev),
+            Some(_) => self.watch(as_of, out),
+            None => match self.lease {
+                Some((lease, began)) if now.since(began) < RENEW_EVERY => self.claim(lease, out),
+                _ => {
+                    self.lease = Some((LeaseId(0), now));
+                    self.step(StoreOp::OpenLease(LEASE), STEP_TIMEOUT, LeadTag::Open, out);
+                }
+            },
+        }
+        None
+    }
+
+    fn watch(&mut self, after: Rev, out: &mut Vec<Output>) {
+        let op = StoreOp::Watch(keys::LEADER.to_string(), after, WATCH_WAIT);
+        self.step(op, WATCH_WAIT + WATCH_SLACK, LeadTag::Watch, out);
+    }
+
+    fn watched(&mut self, now: Moment, events: &[StoreEvent], as_of: Rev, out: &mut Vec<Output>) {
+        match events.last() {
+            Some(StoreEvent::Written(_)) => self.watch(as_of, out),
+            Some(StoreEvent::Removed(_)) => self.phase = Phase::Rest(now),
+            // Silence proves nothing, so that the key is looked at again.
+            None => self.phase = Phase::Rest(now),
+        }
+    }
+
+    fn claim(&mut self, lease: LeaseId, out: &mut Vec<Output>) {
+        let key = keys::LEADER.to_string();
+        let commit = Commit {
+            expect: vec![(Subject::Key(key.clone()), Rev::ABSENT)],
+            writes: vec![(key, self.name.clone(), Some(lease))],
+            removes: Vec::new(),
+        };
+        self.step(StoreOp::Commit(commit), STEP_TIMEOUT, LeadTag::Claim, out);
+    }
+
+    fn elected(&mut self, now: Moment, rev: Rev) -> Option<Turn> {
+        let Some((lease, began)) = self.lease else {
+            self.rest(now);
+            return None;
+        };
+        let epoch = Epoch(rev.0);
+        self.phase = Phase::Leading {
+            lease,
+            epoch,
+            renewed: began,
+            next: began + RENEW_EVERY,
+            renewing: None,
+        };
+        log::info!(event = "elected", epoch:% = epoch; "this daemon places from now on");
+        Some(Turn::Elected(epoch))
+    }
+
+    fn renewed(
+        &mut self,
+        now: Moment,
+        ordinal: u64,
+        result: Result<StoreReply, Fault>,
+    ) -> Option<Turn> {
+        let Phase::Leading { lease, epoch, renewed, renewing: Some(began), .. } = self.phase else {
+            return None;
+        };
+        if ordinal != self.ordinal {
+            return None;
+        }
+        let (renewed, next) = match result {
+            Ok(StoreReply::Lease(..)) => (began, began + RENEW_EVERY),
+            Ok(_) => {
+                log::warn!(event = "deposed", epoch:% = epoch; "the lease has ended");
+                self.rest(now);
+                return Some(Turn::Deposed);
+            }
+            Err(fault) => {
+                log::warn!(event = "renewal_failed", cause:% = fault; "lease not renewed");
+                (renewed, now + RETRY_MIN)
+            }
+        };
+        self.phase = Phase::Leading { lease, epoch, renewed, next, renewing: None };
+        None
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,63 @@
+//! Scheduling of jobs of several steps on the workers of a platform.
+//!
+//! Any daemon takes callers' requests; one of them, elected in the store, places the tasks. The
+//! store is all that the daemons share: there is no protocol between them.
+//!
+//! A [`Node`] is the whole logic of a daemon without input or output: it takes typed [`Input`]s
+//! and returns typed [`Output`]s, so that the same code runs behind real sockets and under virtual
+//! time.
+//!
+//! # Example
+//!
+//! A job runs its second step when the first one is done:
+//!
+//! ```
+//! use bulrushlink_fleet::{JobSpec, Resources, Step};
+//! use bulrushlink_core::Span;
+//!
+//! let step = |tasks, after| Step {
+//!     tasks,
+//!     need: Resources { cpu: 4_000, memory: 8_192, accelerators: 1 },
+//!     estimate: Span::from_secs(3),
+//!     after,
+//!     gang: true,
+//!     one_rack: false,
+//!     label: None,
+//!     near: None,
+//!     per_worker: None,
+//!     saves: false,
+//!     copies: false,
+//!     endless: false,
+//! };
+//! let steps = vec![step(4, vec![]), step(1, vec![0])];
+//! let job = JobSpec { text: "replay 4410".into(), steps, schedule: None };
+//! assert!(job.check().is_ok());
+//! ```
+
+mod catalog;
+mod edge;
+mod front;
+mod ids;
+mod lead;
+mod model;
+mod node;
+mod placer;
+mod plan;
+mod record;
+mod settings;
+mod view;
+
+pub use catalog::{Catalog, Denial, Grant, Limits, Queue, Workspace};
+pub use edge::{
+    Answer, CallerCall, CallerVerb, Clock, Commit, EndCause, EndReport, Fault, Input, OperatorView,
+    Output, RequestId, RunReport, ShownState, StartRefusal, StoreEvent, StoreOp, StoreReply,
+    Subject, Tag, WorkerCall, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
+};
+pub use front::FrontTag;
+pub use ids::{Boot, Epoch, JobId, LeaseId, Rev, Run, TaskId};
+pub use lead::LeadTag;
+pub use model::{BadSpec, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step};
+pub use node::Node;
+pub use placer::PlacerTag;
+pub use record::Item;
+pub use settings::{Bounds, NodeSettings};
--- /dev/null
+++ b/crates/fleet/src/placer/decide.rs
@@ -0,0 +1,406 @@
+//! From what waits and what is free to starts and stops.
+
+use bulrushlink_core::{Moment, Span, WorkerId, WorkspaceId};
+
+use crate::ids::{JobId, Run, TaskId};
+use crate::model::{Resources, Step};
+use crate::plan::{Eviction, Rank, Room, Victim, evict, place_gang, place_singles, rank};
+
+use super::job::Job;
+use super::worker::{Phase, Slot, Worker};
+use super::{Placer, Scene};
+
+/// Accelerators are this many times as dear as cores when the loss of a stop is weighed.
+const ACCELERATOR_CORES: f64 = 8.0;
+/// Time for which room is kept for a gang beyond the longest stop.
+const CLAIM_SLACK: Span = Span(1_500);
+/// Time for which a task waits for its data's rack, as a share of the estimate.
+const RACK_PATIENCE: f64 = 0.5;
+
+/// Room that runs are being stopped for.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Claim {
+    pub(super) job: JobId,
+    round: u32,
+    step: u16,
+    /// Tasks with the worker that each is to go to.
+    tasks: Vec<(u32, WorkerId)>,
+    made: Moment,
+}
+
+/// Tasks of a step that wait to be placed.
+#[derive(Clone, Debug)]
+struct Unit {
+    rank: Rank,
+    job: JobId,
+    round: u32,
+    step: u16,
+    waiting: Vec<u32>,
+    /// The job is inside its workspace's guarantee.
+    guaranteed: bool,
+    priority: u32,
+    /// A run of the step has failed, so that doubtful workers are left out.
+    failed: bool,
+}
+
+impl Unit {
+    fn task(&self, index: u32) -> TaskId {
+        TaskId { job: self.job, round: self.round, step: self.step, index }
+    }
+}
+
+/// A worker chosen for each task.
+type Choice = Vec<(u32, usize)>;
+
+impl Placer {
+    /// Tells whether a worker may get a new run now.
+    pub(super) fn may_start(&self, scene: &Scene<'_>, at: usize) -> bool {
+        let now = scene.clock.now;
+        let seen = self.reading.fresh.is_some_and(|f| now.since(f) <= scene.bounds.workers_max());
+        let worker = &self.workers[at];
+        let domain = worker.entry.as_ref().map(|e| &e.domain);
+        let served = domain.is_some_and(|d| scene.evacuated.binary_search(d).is_err());
+        seen && served && scene.current && worker.is_open(now)
+    }
+
+    /// Places what can be placed.
+    pub(super) fn decide(&mut self, scene: &mut Scene<'_>) {
+        if !scene.sure || scene.catalog.is_none() {
+            return;
+        }
+        for job in self.jobs.iter_mut().filter(|j| !j.is_over()) {
+            job.open_rounds(scene.clock.wall);
+        }
+        let guaranteed = self.guaranteed_jobs(scene);
+        let mut free: Vec<Resources> = self.workers.iter().map(Worker::free).collect();
+        self.use_claims(scene, &mut free);
+        let mut units = self.units(scene, &guaranteed);
+        units.sort_by_key(|u| (u.rank, u.job, u.round, u.step));
+        for unit in units {
+            self.place_unit(scene, &unit, &guaranteed, &mut free);
+        }
+    }
+
+    /// Returns the jobs inside their workspaces' guarantees, sorted: the oldest ones of priority 0
+    /// that fit together.
+    fn guaranteed_jobs(&self, scene: &Scene<'_>) -> Vec<JobId> {
+        let Some(catalog) = scene.catalog else { return Vec::new() };
+        let mut left: Vec<(&WorkspaceId, u64)> =
+            catalog.workspaces.iter().map(|w| (&w.name, w.guaranteed)).collect();
+        let urgent =
+            |j: &&Job| !j.is_over() && catalog.queue(&j.queue).is_some_and(|q| q.priority == 0);
+        let mut jobs: Vec<&Job> = self.jobs.iter().filter(urgent).collect();
+        jobs.sort_by_key(|j| (j.accepted, j.id));
+        let mut kept = Vec::new();
+        for job in jobs {
+            let Some(workspace) = &job.state.workspace else { continue };
+            let Ok(at) = left.binary_search_by(|(name, _)| (*name).cmp(workspace)) else {
+                continue;
+            };
+            let need = accelerators(job);
+            if need <= left[at].1 {
+                left[at].1 -= need;
+                kept.push(job.id);
+            }
+        }
+        kept.sort();
+        kept
+    }
+
+    /// Lists everything that waits and may start.
+    fn units(&self, scene: &Scene<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
+        let mut units = Vec::new();
+        let Some(catalog) = scene.catalog else { return units };
+        for job in self.jobs.iter().filter(|j| !j.is_over() && scene.clock.now >= j.rest) {
+            let Some(queue) = catalog.queue(&job.queue) else { continue };
+            let kept = guaranteed.binary_search(&job.id).is_ok();
+            for round in &job.state.rounds {
+                for (number, record) in round.steps.iter().enumerate() {
+                    let step = &job.spec.steps[number];
+                    let after = |s: &u16| round.steps[usize::from(*s)].is_done();
+                    if !step.after.iter().all(after) {
+                        continue;
+                    }
+                    let waits = |t: &crate::record::TaskRecord| !t.done && t.place.is_none();
+                    let waiting: Vec<u32> =
+                        (0..step.tasks).filter(|i| waits(&record.tasks[*i as usize])).collect();
+                    let whole = waiting.len() == step.tasks as usize;
+                    if waiting.is_empty() || (step.gang && !whole) {
+                        continue;
+                    }
+                    units.push(Unit {
+                        rank: rank(kept, queue.priority, job.accepted),
+                        job: job.id,
+                        round: round.round,
+                        step: number as u16,
+                        waiting,
+                        guaranteed: kept,
+                        priority: queue.priority,
+                        failed: record.failures > 0 || record.tasks.iter().any(|t| t.failures > 0),
+                    });
+                }
+            }
+        }
+        units
+    }
+
+    /// Starts gangs whose room has become free, and keeps the room of the others.
+    fn use_claims(&mut self, scene: &mut Scene<'_>, free: &mut [Resources]) {
+        for claim in std::mem::take(&mut self.claims) {
+            let Some(choice) = self.claimed(scene, &claim) else { continue };
+            let Ok(j) = self.job_at(claim.job) else { continue };
+            let need = self.jobs[j].spec.steps[usize::from(claim.step)].need;
+            let mut left = free.to_vec();
+            let mut fits = true;
+            for (_, at) in &choice {
+                fits &= left[*at].holds(&need);
+                left[*at] = left[*at].minus(&need);
+            }
+            free.copy_from_slice(&left);
+            if fits {
+                let task =
+                    TaskId { job: claim.job, round: claim.round, step: claim.step, index: 0 };
+                self.commit_choice(scene, &task, &choice, "room made");
+            } else {
+                self.claims.push(claim);
+            }
+        }
+    }
+
+    /// Returns the workers of a claim if it can still be used.
+    fn claimed(&self, scene: &Scene<'_>, claim: &Claim) -> Option<Choice> {
+        let job = &self.jobs[self.job_at(claim.job).ok()?];
+        let round = job.round(claim.round)?;
+        let record = round.steps.get(usize::from(claim.step))?;
+        let mut choice = Vec::new();
+        for (index, id) in &claim.tasks {
+            let task = record.tasks.get(*index as usize)?;
+            let at = self.worker_at(id).ok()?;
+            if task.done || task.place.is_some() || !self.may_start(scene, at) {
+                return None;
+            }
+            choice.push((*index, at));
+        }
+        Some(choice)
+    }
+
+    /// Gives up claims that have taken too long.
+    pub(super) fn drop_claims(&mut self, scene: &Scene<'_>) {
+        let longest = Span(scene.bounds.stop_ms) + CLAIM_SLACK;
+        self.claims.retain(|c| scene.clock.now.since(c.made) <= longest);
+    }
+
+    fn place_unit(
+        &mut self,
+        scene: &mut Scene<'_>,
+        unit: &Unit,
+        guaranteed: &[JobId],
+        free: &mut [Resources],
+    ) {
+        let same = |c: &Claim| (c.job, c.round, c.step) == (unit.job, unit.round, unit.step);
+        if self.claims.iter().any(same) {
+            return;
+        }
+        let Ok(j) = self.job_at(unit.job) else { return };
+        let step = self.jobs[j].spec.steps[usize::from(unit.step)].clone();
+        let rooms = self.rooms(scene, unit, &step, free);
+        let choice: Choice = if step.gang {
+            let Some(placed) = place_gang(&rooms, &step, unit.waiting.len()) else {
+                self.make_room(scene, unit, &step, rooms, guaranteed, free);
+                return;
+            };
+            unit.waiting.iter().copied().zip(placed).collect()
+        } else {
+            let waited = scene.clock.now.since(self.jobs[j].accepted).millis() as f64;
+            let anywhere = waited > step.estimate.millis() as f64 * RACK_PATIENCE;
+            let placed = place_singles(&rooms, &step, unit.waiting.len(), anywhere);
+            unit.waiting.iter().copied().zip(placed).collect()
+        };
+        if choice.is_empty() {
+            return;
+        }
+        for (_, at) in &choice {
+            free[*at] = free[*at].minus(&step.need);
+        }
+        self.commit_choice(scene, &unit.task(0), &choice, "free room");
+    }
+
+    /// Stops other work for a unit that may displace it.
+    fn make_room(
+        &mut self,
+        scene: &mut Scene<'_>,
+        unit: &Unit,
+        step: &Step,
+        mut rooms: Vec<Room>,
+        guaranteed: &[JobId],
+        free: &mut [Resources],
+    ) {
+        if !unit.guaranteed && unit.priority > 0 {
+            return;
+        }
+        let groups = self.add_victims(scene, unit, &mut rooms, guaranteed);
+        let Some(Eviction { placed, groups: chosen, cost }) =
+            evict(&rooms, step, unit.waiting.len())
+        else {
+            return;
+        };
+        log::info!(
+            event = "room_wanted", job:% = unit.job, step = unit.step, tasks = placed.len(),
+            stops = chosen.len(), lost_core_s = cost, guaranteed = unit.guaranteed;
+            "other work is stopped"
+        );
+        for group in chosen {
+            let (task, run) = groups[group];
+            if self.is_whole(&task) {
+                self.close_gang(scene, &task, run, "room is made for more urgent work");
+            } else {
+                self.close(
+                    scene,
+                    |s| s.task == task && s.run == run,
+                    "room is made for more urgent work",
+                );
+            }
+        }
+        for at in &placed {
+            free[*at] = free[*at].minus(&step.need);
+        }
+        let ids = placed.iter().map(|at| self.workers[*at].id().clone());
+        let tasks = unit.waiting.iter().copied().zip(ids).collect();
+        let (job, round, step) = (unit.job, unit.round, unit.step);
+        self.claims.push(Claim { job, round, step, tasks, made: scene.clock.now });
+    }
+
+    fn is_whole(&self, task: &TaskId) -> bool {
+        self.job_at(task.job).is_ok_and(|j| self.jobs[j].step(task).is_some_and(|s| s.gang))
+    }
+
+    /// Shows the workers as a unit sees them.
+    fn rooms(&self, scene: &Scene<'_>, unit: &Unit, step: &Step, free: &[Resources]) -> Vec<Room> {
+        let endpoint = self.job_at(unit.job).ok().and_then(|j| {
+            scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue)).map(|q| q.endpoint.as_str())
+        });
+        let siblings = |w: &Worker| {
+            let same = |s: &&Slot| {
+                let t = &s.task;
+                (t.job, t.round, t.step) == (unit.job, unit.round, unit.step)
+            };
+            w.slots.iter().filter(same).count() as u32
+        };
+        let room = |(at, worker): (usize, &Worker)| {
+            let entry = worker.entry.as_ref();
+            let mine = entry.is_some_and(|e| Some(e.endpoint.as_str()) == endpoint);
+            let labelled = step.label.as_ref().is_none_or(|wanted| {
+                entry.is_some_and(|e| e.labels.iter().any(|label| label == wanted))
+            });
+            let doubt = worker.doubt(scene.clock.now);
+            let trusted = !unit.failed || doubt == 0;
+            Room {
+                free: free[at],
+                capacity: entry.map_or(Resources::default(), |e| e.capacity),
+                rack: entry.and_then(|e| e.rack.clone()),
+                usable: mine && labelled && trusted && self.may_start(scene, at),
+                siblings: if step.per_worker.is_some() { siblings(worker) } else { 0 },
+                doubt,
+                victims: Vec::new(),
+            }
+        };
+        self.workers.iter().enumerate().map(room).collect()
+    }
+
+    /// Adds the runs that may be stopped for a unit; returns what each group stands for.
+    fn add_victims(
+        &self,
+        scene: &Scene<'_>,
+        unit: &Unit,
+        rooms: &mut [Room],
+        guaranteed: &[JobId],
+    ) -> Vec<(TaskId, Run)> {
+        let now = scene.clock.now;
+        let mut groups: Vec<(TaskId, Run)> = Vec::new();
+        for (at, worker) in self.workers.iter().enumerate() {
+            for slot in &worker.slots {
+                let whole = self.is_whole(&slot.task);
+                let leaving = matches!(slot.phase, Phase::Closing { .. });
+                let fixed = matches!(slot.phase, Phase::Planned(_));
+                if fixed || (!leaving && !self.yields(scene, unit, slot, guaranteed)) {
+                    continue;
+                }
+                let index = if whole { 0 } else { slot.task.index };
+                let key = (TaskId { index, ..slot.task }, slot.run);
+                let group = groups.iter().position(|g| *g == key).unwrap_or_else(|| {
+                    groups.push(key);
+                    groups.len() - 1
+                });
+                let cost = if leaving { 0.0 } else { self.loss(slot, whole, now) };
+                rooms[at].victims.push(Victim { need: slot.need, group, cost });
+            }
+        }
+        groups
+    }
+
+    /// Tells whether a run gives way to a unit.
+    fn yields(&self, scene: &Scene<'_>, unit: &Unit, slot: &Slot, guaranteed: &[JobId]) -> bool {
+        if guaranteed.binary_search(&slot.task.job).is_ok() {
+            return false;
+        }
+        let Ok(j) = self.job_at(slot.task.job) else { return false };
+        let queue = scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue));
+        let priority = queue.map_or(u32::MAX, |q| q.priority);
+        unit.guaranteed || unit.priority < priority
+    }
+
+    /// Estimates the work that is lost if a run is stopped, in core-seconds.
+    fn loss(&self, slot: &Slot, whole: bool, now: Moment) -> f64 {
+        let Ok(j) = self.job_at(slot.task.job) else { return 0.0 };
+        let tasks = self.jobs[j].step(&slot.task).map_or(1, |s| if whole { s.tasks } else { 1 });
+        let unsaved = now.since(slot.started.max(slot.saved_at)).secs_f64();
+        let cores = slot.need.cpu as f64 / 1000.0;
+        let weight = cores + slot.need.accelerators as f64 * ACCELERATOR_CORES;
+        // A run that has just begun loses little work, but its stop and restart still cost time.
+        (unsaved + 0.5) * weight * f64::from(tasks)
+    }
+
+    /// Plans the starts of a choice as part of the next record of the job.
+    fn commit_choice(&mut self, scene: &Scene<'_>, any: &TaskId, choice: &Choice, why: &str) {
+        let now = scene.clock.now;
+        let Ok(j) = self.job_at(any.job) else { return };
+        let Some(step) = self.jobs[j].step(any).cloned() else { return };
+        let gang_run = self.jobs[j].next_gang_run(any);
+        self.jobs[j].touch();
+        let version = self.jobs[j].version;
+        let mut places = Vec::new();
+        for (index, at) in choice {
+            let task = TaskId { index: *index, ..*any };
+            let own = self.jobs[j].task(&task).map_or(Run(1), |t| Run(t.run.0 + 1));
+            let run = if step.gang { gang_run } else { own };
+            let worker = &mut self.workers[*at];
+            // Nothing later looks at the room again, so that a wrong plan must end here.
+            assert!(worker.free().holds(&step.need), "{} has no room for {task}", worker.boot);
+            self.jobs[j].plan(&task, run, worker.boot.clone());
+            worker.add(Slot {
+                task,
+                run,
+                need: step.need,
+                phase: Phase::Planned(version),
+                since: now,
+                started: now,
+                saved_at: now,
+                saved: String::new(),
+                percent: 0,
+                moved: now,
+            });
+            places.push(format!("{index}:{}", worker.id()));
+        }
+        let job = &self.jobs[j];
+        log::info!(
+            event = "placed", job:% = any.job, round = any.round, step = any.step,
+            run = if step.gang { gang_run.0 } else { 0 }, waited_ms = now.since(job.accepted).millis(),
+            epoch:% = self.epoch(), places:% = places.join(","); "{why}"
+        );
+    }
+}
+
+/// Returns the accelerators that a job takes at most.
+fn accelerators(job: &Job) -> u64 {
+    job.spec.steps.iter().map(|s| u64::from(s.tasks) * s.need.accelerators).sum()
+}
--- /dev/null
+++ b/crates/fleet/src/placer/load.rs
@@ -0,0 +1,275 @@
+//! What a new placer reads before it decides anything.
+
+use bulrushlink_core::{Moment, Span};
+
+use crate::edge::{Fault, StoreOp, StoreReply, WorkerEntry};
+use crate::ids::{Boot, JobId, Rev, TaskId};
+use crate::record::{Item, JobRecord, StateRecord, decode, keys};
+
+use super::job::Job;
+use super::worker::{Phase, Slot, Worker};
+use super::{Placer, PlacerTag, STORE_RETRY, STORE_TIMEOUT, Scene, Stage, WORKERS_EVERY};
+
+impl Placer {
+    pub(super) fn list_inbox(&mut self, scene: &mut Scene<'_>, after: Option<String>) {
+        let tag = PlacerTag::LoadInbox(self.next_ordinal());
+        let op = StoreOp::List(keys::INBOX.to_string(), after);
+        self.ask_store(scene, tag, op, STORE_TIMEOUT);
+    }
+
+    fn list_states(&mut self, scene: &mut Scene<'_>, after: Option<String>) {
+        let tag = PlacerTag::LoadStates(self.next_ordinal());
+        let op = StoreOp::List(keys::STATES.to_string(), after);
+        self.ask_store(scene, tag, op, STORE_TIMEOUT);
+    }
+
+    /// Takes a page of the inbox; a page that can't be had is asked for again by the watch.
+    pub(super) fn inbox_page(&mut self, scene: &mut Scene<'_>, result: Result<StoreReply, Fault>) {
+        let Ok(StoreReply::Page(items, more, as_of)) = result else {
+            log::warn!(event = "load_failed"; "the inbox can't be read: {result:?}");
+            self.list_inbox(scene, None);
+            return;
+        };
+        // Changes after the first page are seen by the watch.
+        if self.watching.after == Rev::ABSENT {
+            self.watching.after = as_of;
+        }
+        for item in &items {
+            self.take_inbox(scene, item);
+        }
+        match items.last() {
+            Some(last) if more => self.list_inbox(scene, Some(last.key.clone())),
+            _ if self.stage == Stage::Inbox => {
+                self.stage = Stage::States;
+                self.list_states(scene, None);
+            }
+            _ => {
+                self.watching.relist = false;
+                self.watching.under_way = false;
+                self.apply_cancels(scene);
+            }
+        }
+    }
+
+    pub(super) fn states_page(&mut self, scene: &mut Scene<'_>, result: Result<StoreReply, Fault>) {
+        let Ok(StoreReply::Page(items, more, _)) = result else {
+            log::warn!(event = "load_failed"; "the states can't be read: {result:?}");
+            self.list_states(scene, None);
+            return;
+        };
+        items.iter().for_each(|item| self.take_state(item));
+        match items.last() {
+            Some(last) if more => self.list_states(scene, Some(last.key.clone())),
+            _ => self.activate(scene),
+        }
+    }
+
+    fn take_state(&mut self, item: &Item) {
+        let id = item.key.strip_prefix(keys::STATES).map(str::parse::<JobId>);
+        let Some(Ok(id)) = id else {
+            log::error!(event = "bad_key", key:% = item.key; "this key names no job");
+            return;
+        };
+        let Ok(at) = self.job_at(id) else { return };
+        match decode::<StateRecord>(&item.value) {
+            Ok(state) => {
+                let job = &mut self.jobs[at];
+                job.marked = !state.begun && job.spec.schedule.is_none();
+                job.state = state;
+                job.rev = item.rev;
+            }
+            Err(error) => {
+                log::error!(event = "bad_record", job:% = id; "{error}");
+                self.jobs.remove(at);
+            }
+        }
+    }
+
+    /// Adds a job unless it is known.
+    pub(super) fn take_job(&mut self, scene: &Scene<'_>, id: JobId, item: &Item) {
+        let Err(at) = self.job_at(id) else { return };
+        let record = match decode::<JobRecord>(&item.value) {
+            Ok(record) => record,
+            Err(error) => {
+                log::error!(event = "bad_record", job:% = id; "{error}");
+                return;
+            }
+        };
+        let age = Span(scene.clock.wall.saturating_sub(record.accepted));
+        let accepted = scene.clock.now - age;
+        // Both records are created by one commit, and just the placer changes the state.
+        let state = StateRecord { workspace: record.workspace.clone(), ..StateRecord::default() };
+        self.jobs.insert(at, Job::new(id, record, state, item.rev, accepted));
+        self.stale = true;
+    }
+
+    /// Begins to place: the recorded runs count until their workers have been heard.
+    fn activate(&mut self, scene: &mut Scene<'_>) {
+        self.stage = Stage::Active;
+        let mut runs = Vec::new();
+        for job in &self.jobs {
+            for round in &job.state.rounds {
+                for (step, record) in round.steps.iter().enumerate() {
+                    let need = job.spec.steps[step].need;
+                    for (index, task) in record.tasks.iter().enumerate() {
+                        let Some(boot) = task.place.clone() else { continue };
+                        let (step, index) = (step as u16, index as u32);
+                        let id = TaskId { job: job.id, round: round.round, step, index };
+                        runs.push((boot, id, task.run, need));
+                    }
+                }
+            }
+        }
+        let now = scene.clock.now;
+        log::info!(
+            event = "placer_active", epoch:% = self.epoch, jobs = self.jobs.len(),
+            runs = runs.len(), took_ms = now.since(self.since).millis(); "records are read"
+        );
+        for (boot, task, run, need) in runs {
+            let slot = unheard(task, run, need, now);
+            self.restore(boot, slot, now);
+        }
+        self.apply_cancels(scene);
+    }
+
+    /// Puts a recorded run onto its worker, or frees it if that boot is known to be gone.
+    fn restore(&mut self, boot: Boot, slot: Slot, now: Moment) {
+        match self.worker_at(&boot.worker) {
+            Ok(at) if self.workers[at].boot == boot => self.workers[at].add(slot),
+            Ok(_) => {
+                if let Ok(at) = self.job_at(slot.task.job) {
+                    self.jobs[at].unplace(&slot.task, slot.run);
+                }
+            }
+            Err(at) => {
+                let mut worker = Worker::new(boot, None, now);
+                worker.add(slot);
+                self.workers.insert(at, worker);
+            }
+        }
+    }
+
+    pub(super) fn read_workers(&mut self, scene: &mut Scene<'_>) {
+        let now = scene.clock.now;
+        if self.reading.under_way.is_some() || now < self.reading.next {
+            return;
+        }
+        // An ordinal of its own series: pages of the records are told apart by theirs.
+        let ordinal = now.0;
+        self.reading.under_way = Some((ordinal, now));
+        self.ask_store(scene, PlacerTag::Workers(ordinal), StoreOp::Workers, STORE_TIMEOUT);
+    }
+
+    pub(super) fn workers_read(
+        &mut self,
+        scene: &mut Scene<'_>,
+        ordinal: u64,
+        result: Result<StoreReply, Fault>,
+    ) {
+        let Some((current, began)) = self.reading.under_way else { return };
+        if current != ordinal {
+            return;
+        }
+        self.reading.under_way = None;
+        let now = scene.clock.now;
+        match result {
+            Ok(StoreReply::Workers(entries, _)) => {
+                self.reading.next = began + WORKERS_EVERY;
+                self.reading.fresh = Some(began);
+                self.take_workers(scene, entries);
+            }
+            other => {
+                log::info!(event = "workers_unread"; "the workers can't be read: {other:?}");
+                self.reading.next = now + STORE_RETRY;
+            }
+        }
+    }
+
+    fn take_workers(&mut self, scene: &mut Scene<'_>, entries: Vec<WorkerEntry>) {
+        let now = scene.clock.now;
+        for worker in &mut self.workers {
+            let there = entries.binary_search_by(|e| e.id.cmp(worker.id())).is_ok();
+            if there {
+                worker.missing = None;
+            } else if worker.missing.is_none() {
+                log::info!(event = "worker_missing", worker:% = worker.id(); "entry is gone");
+                worker.missing = Some(now);
+            }
+        }
+        for entry in entries {
+            self.take_worker(scene, entry);
+        }
+        self.workers.retain(|w| !(w.is_gone(now) && w.slots.is_empty()));
+        self.stale = true;
+    }
+
+    fn take_worker(&mut self, scene: &mut Scene<'_>, entry: WorkerEntry) {
+        let now = scene.clock.now;
+        let boot = Boot { worker: entry.id.clone(), born: entry.born };
+        match self.worker_at(&entry.id) {
+            Err(at) => self.workers.insert(at, Worker::new(boot, Some(entry), now)),
+            Ok(at) if self.workers[at].boot.born < boot.born => {
+                self.reboot(scene, at, boot.born);
+                self.workers[at].entry = Some(entry);
+            }
+            Ok(at) if self.workers[at].boot.born == boot.born => {
+                let worker = &mut self.workers[at];
+                let known = worker.entry.as_ref().map(|e| e.state);
+                if known != Some(entry.state) {
+                    log::info!(
+                        event = "worker_state", worker:% = entry.id;
+                        "{known:?} becomes {:?}", entry.state
+                    );
+                }
+                worker.entry = Some(entry);
+            }
+            // The entry is older than what the worker itself has said.
+            Ok(_) => {}
+        }
+    }
+
+    /// Takes note of a new boot under a known identifier: what ran before is lost.
+    pub(super) fn reboot(&mut self, scene: &mut Scene<'_>, at: usize, born: u64) {
+        let now = scene.clock.now;
+        let worker = &mut self.workers[at];
+        log::info!(
+            event = "worker_reborn", worker:% = worker.id(), born = born,
+            runs = worker.slots.len(); "a new boot under the same identifier"
+        );
+        let mut fresh =
+            Worker::new(Boot { worker: worker.id().clone(), born }, worker.entry.clone(), now);
+        fresh.faults = std::mem::take(&mut worker.faults);
+        let slots = std::mem::take(&mut worker.slots);
+        self.workers[at] = fresh;
+        for slot in slots {
+            // An unanswered start may still reach the new boot, so that it is barred there first.
+            let unanswered = match slot.phase {
+                Phase::Starting => true,
+                Phase::Closing { answered, .. } => answered.is_none(),
+                Phase::Planned(_) | Phase::Running | Phase::Unheard => false,
+            };
+            if unanswered {
+                let phase = Phase::Closing { sent: None, answered: None, next: now };
+                self.workers[at].add(Slot { phase, since: now, ..slot });
+            } else {
+                self.lose(scene, &slot, "the worker has crashed");
+            }
+        }
+    }
+}
+
+/// Makes the slot of a run that an earlier placer recorded.
+fn unheard(task: TaskId, run: crate::ids::Run, need: crate::model::Resources, now: Moment) -> Slot {
+    Slot {
+        task,
+        run,
+        need,
+        phase: Phase::Unheard,
+        since: now,
+        started: now,
+        saved_at: now,
+        saved: String::new(),
+        percent: 0,
+        moved: now,
+    }
+}
--- /dev/null
+++ b/crates/fleet/src/plan.rs
@@ -0,0 +1,163 @@
+//! Placement: pure functions from what is free to where tasks go.
+
+use bulrushlink_core::RackId;
+
+use crate::model::{Resources, Step};
+
+mod evict;
+mod order;
+#[cfg(test)]
+mod tests;
+
+pub(crate) use evict::{Eviction, evict};
+pub(crate) use order::{Rank, rank};
+
+/// A run that could be stopped to make room.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Victim {
+    /// What its end frees on this worker.
+    pub(crate) need: Resources,
+    /// Position of the run among all runs; members of a gang share it.
+    pub(crate) group: usize,
+    /// Work that would be lost with the whole group, in core-seconds.
+    pub(crate) cost: f64,
+}
+
+/// A worker as placement sees it.
+#[derive(Clone, Debug, PartialEq)]
+pub(crate) struct Room {
+    /// What nothing uses or has claimed.
+    pub(crate) free: Resources,
+    /// All that the worker has.
+    pub(crate) capacity: Resources,
+    /// Rack, if it is known.
+    pub(crate) rack: Option<RackId>,
+    /// Has the label that the step wants, belongs to its endpoint and may get work.
+    pub(crate) usable: bool,
+    /// Tasks of the same step that are there already.
+    pub(crate) siblings: u32,
+    /// Reasons to avoid the worker; fewer are better.
+    pub(crate) doubt: u32,
+    /// Runs that may be stopped for the step at hand.
+    pub(crate) victims: Vec<Victim>,
+}
+
+impl Room {
+    /// Returns how many tasks of a step go into the given free room.
+    fn places(&self, step: &Step, free: &Resources) -> u64 {
+        if !self.usable {
+            return 0;
+        }
+        let most = step.per_worker.map_or(u64::MAX, |m| u64::from(m.saturating_sub(self.siblings)));
+        free.count(&step.need).min(most)
+    }
+
+    /// Returns how many tasks of a step go into what is free.
+    fn free_places(&self, step: &Step) -> u64 {
+        self.places(step, &self.free)
+    }
+
+    /// Returns how many tasks of a step would go into the empty worker.
+    fn all_places(&self, step: &Step) -> u64 {
+        self.places(step, &self.capacity)
+    }
+}
+
+/// Order in which workers are filled: trusted ones first, then those with the least left over, so
+/// that whole workers stay free for tasks that need one.
+fn fill_order(rooms: &[Room], step: &Step, among: &[usize]) -> Vec<usize> {
+    let mut order: Vec<usize> = among.to_vec();
+    let key = |i: &usize| {
+        let room = &rooms[*i];
+        let left = room.free.minus(&step.need);
+        (room.doubt, left.accelerators, left.cpu, *i)
+    };
+    order.sort_by_key(key);
+    order
+}
+
+/// Puts up to `count` tasks on the given workers and returns a worker for each.
+fn fill(rooms: &[Room], step: &Step, count: usize, among: &[usize]) -> Vec<usize> {
+    let mut placed = Vec::new();
+    for i in fill_order(rooms, step, among) {
+        let places = rooms[i].free_places(step) as usize;
+        let take = places.min(count - placed.len());
+        placed.extend(std::iter::repeat_n(i, take));
+        if placed.len() == count {
+            break;
+        }
+    }
+    placed
+}
+
+/// Groups the workers by rack; workers without one are left out.
+fn racks(rooms: &[Room]) -> Vec<(RackId, Vec<usize>)> {
+    let mut racks: Vec<(RackId, Vec<usize>)> = Vec::new();
+    for (i, room) in rooms.iter().enumerate() {
+        let Some(rack) = &room.rack else { continue };
+        match racks.binary_search_by(|(id, _)| id.cmp(rack)) {
+            Ok(at) => racks[at].1.push(i),
+            Err(at) => racks.insert(at, (rack.clone(), vec![i])),
+        }
+    }
+    racks
+}
+
+/// Returns the racks on which all of `count` tasks run at full speed, were they empty.
+fn good_racks(rooms: &[Room], step: &Step, count: usize) -> Vec<(RackId, Vec<usize>)> {
+    let mut racks = racks(rooms);
+    if let Some(near) = &step.near {
+        racks.retain(|(id, _)| id == near);
+    } else if !step.one_rack {
+        return Vec::new();
+    }
+    let size = |workers: &[usize]| workers.iter().map(|i| rooms[*i].all_places(step)).sum::<u64>();
+    racks.retain(|(_, workers)| size(workers) >= count as u64);
+    racks
+}
+
+/// Where the members of a gang may go, best first: single racks where that matters, and the whole
+/// fleet where it doesn't, or where no rack is large enough.
+pub(crate) fn regions(rooms: &[Room], step: &Step, count: usize) -> Vec<Vec<usize>> {
+    let mut good = good_racks(rooms, step, count);
+    if good.is_empty() {
+        return vec![(0..rooms.len()).collect()];
+    }
+    let free = |workers: &[usize]| workers.iter().map(|i| rooms[*i].free_places(step)).sum::<u64>();
+    // The rack with the least room to spare goes first; those that are too full come last.
+    good.sort_by_key(|(_, workers)| {
+        let places = free(workers);
+        (places < count as u64, places)
+    });
+    good.into_iter().map(|(_, workers)| workers).collect()
+}
+
+/// Places a whole gang into free room, or nothing.
+pub(crate) fn place_gang(rooms: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
+    let whole = |among: Vec<usize>| {
+        let placed = fill(rooms, step, count, &among);
+        (placed.len() == count).then_some(placed)
+    };
+    regions(rooms, step, count).into_iter().find_map(whole)
+}
+
+/// Places as many of `count` single tasks as there is free room for.
+///
+/// Tasks with data on a rack go there; the others only if `anywhere` is set.
+pub(crate) fn place_singles(
+    rooms: &[Room],
+    step: &Step,
+    count: usize,
+    anywhere: bool,
+) -> Vec<usize> {
+    let all: Vec<usize> = (0..rooms.len()).collect();
+    let Some(near) = &step.near else { return fill(rooms, step, count, &all) };
+    let (home, away): (Vec<usize>, Vec<usize>) =
+        all.into_iter().partition(|i| rooms[*i].rack.as_ref() == Some(near));
+    let mut placed = fill(rooms, step, count, &home);
+    let exists = home.iter().any(|i| rooms[*i].all_places(step) > 0);
+    if placed.len() < count && (anywhere || !exists) {
+        placed.extend(fill(rooms, step, count - placed.len(), &away));
+    }
+    placed
+}
--- /dev/null
+++ b/crates/fleet/src/settings.rs
@@ -0,0 +1,84 @@
+//! Bounds that the deployment sets and the figures that follow from them.
+
+use bulrushlink_core::{Code, DaemonId, DomainId, Error, Span};
+use serde::Deserialize;
+
+/// The bounds of a deployment that the decisions rest on.
+#[derive(Clone, Copy, Debug, PartialEq, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bounds {
+    /// Time within which a withdrawn key must stop working, in milliseconds.
+    pub revoke_ms: u64,
+    /// Time after which a draining worker must get nothing, in milliseconds.
+    pub drain_ms: u64,
+    /// Longest lease of a run, in milliseconds.
+    pub lease_max_ms: u64,
+    /// Time that a stop of a run takes at most, in milliseconds.
+    pub stop_ms: u64,
+    /// Time that a member of a gang waits for the others, in milliseconds.
+    pub gang_ms: u64,
+    /// Time between SIGTERM and SIGKILL, in seconds.
+    pub grace_s: u64,
+    /// Time that the state of an ended job can be asked for, in seconds.
+    pub status_s: u64,
+    /// How many times as long a task takes away from its rack.
+    pub remote_factor: f64,
+    /// Time within which a guaranteed job must begin, in milliseconds.
+    pub reclaim_ms: u64,
+}
+
+/// The shortest bound that the periods of this program can keep, in milliseconds.
+const BOUND_MIN_MS: u64 = 100;
+
+/// What a node has to know of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct NodeSettings {
+    /// Unique name of the process's host.
+    pub daemon: DaemonId,
+    /// The failure domain of the host.
+    pub domain: DomainId,
+    /// Tells this process from earlier ones on the same host.
+    pub incarnation: u64,
+    /// The deployment's bounds.
+    pub bounds: Bounds,
+}
+
+impl Bounds {
+    /// Checks that the bounds can be kept.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::SettingsInvalid`] for the first bound that can't.
+    pub fn check(&self) -> Result<(), Error> {
+        let spans = [
+            ("/bounds/revoke_ms", self.revoke_ms),
+            ("/bounds/drain_ms", self.drain_ms),
+            ("/bounds/lease_max_ms", self.lease_max_ms),
+            ("/bounds/gang_ms", self.gang_ms),
+            ("/bounds/reclaim_ms", self.reclaim_ms),
+        ];
+        for (name, value) in spans {
+            if value < BOUND_MIN_MS {
+                return Err(Error::at(Code::SettingsInvalid, name, "less than 100 ms"));
+            }
+        }
+        if self.grace_s == 0 {
+            return Err(Error::at(Code::SettingsInvalid, "/bounds/grace_s", "must be at least 1"));
+        }
+        Ok(())
+    }
+
+    /// Age up to which a view of the configuration may be used to accept anything.
+    ///
+    /// Six tenths of the bound on withdrawn keys leave the rest for the answer itself.
+    pub const fn view_max(&self) -> Span {
+        Span(self.revoke_ms * 6 / 10)
+    }
+
+    /// Age up to which a view of the workers may be used to start something.
+    ///
+    /// The remainder is for the commit and the start that follow the decision.
+    pub const fn workers_max(&self) -> Span {
+        Span(self.drain_ms * 7 / 10)
+    }
+}
--- /dev/null
+++ b/crates/telemetry/src/json_log.rs
@@ -0,0 +1,146 @@
+//! Log lines as JSON.
+//!
+//! `simplelog` formats text lines only. This sink takes the library's place as the writer of lines
+//! and plugs into its `CombinedLogger`; levels and the combination stay the library's.
+
+use bulrushlink_core::{Code, DaemonId, Error};
+use log::kv::{Key, Value, VisitSource};
+use log::{LevelFilter, Log, Metadata, Record};
+use serde_json::{Map, json};
+use simplelog::{CombinedLogger, Config, SharedLogger};
+use std::io::Write;
+use std::sync::Mutex;
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+use crate::budget::Budget;
+
+/// Targets whose lines obey the level of the settings; the libraries' lines are kept from `warn` on.
+const OWN_TARGETS: &str = "bulrushlink";
+
+/// Longest line in bytes: a pipe takes that much whole or not at all.
+const LINE_MAX_BYTES: usize = 4_096;
+
+/// Where lines go.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Sink {
+    /// To stderr, every line, waiting if need be.
+    Stderr,
+    /// To stdout, a bounded number of lines, never waiting; what is dropped is counted.
+    Stdout,
+}
+
+/// Writes each record as one JSON line.
+struct JsonLog {
+    level: LevelFilter,
+    daemon: DaemonId,
+    sink: Sink,
+    origin: Instant,
+    budget: Mutex<Budget>,
+}
+
+/// Sends the log lines of the process to a sink.
+///
+/// # Errors
+///
+/// [`Code::SettingsInvalid`] when the level is unknown.
+pub fn open_log(level: &str, daemon: &DaemonId, sink: Sink) -> Result<(), Error> {
+    let level: LevelFilter =
+        level.parse().map_err(|_| Error::at(Code::SettingsInvalid, "/log", "unknown level"))?;
+    if sink == Sink::Stdout {
+        let stdout = std::io::stdout();
+        let flags = rustix::fs::fcntl_getfl(&stdout)
+            .and_then(|f| rustix::fs::fcntl_setfl(&stdout, f | rustix::fs::OFlags::NONBLOCK));
+        flags.map_err(|e| Error::new(Code::SettingsInvalid, format!("stdout: {e}")))?;
+    }
+    let (daemon, origin, budget) = (daemon.clone(), Instant::now(), Mutex::default());
+    let log = Box::new(JsonLog { level, daemon, sink, origin, budget });
+    CombinedLogger::init(vec![log])
+        .map_err(|e| Error::new(Code::SettingsInvalid, format!("the log can't be opened: {e}")))?;
+    std::panic::set_hook(Box::new(|panic| log::error!("{panic}")));
+    Ok(())
+}
+
+impl SharedLogger for JsonLog {
+    fn level(&self) -> LevelFilter {
+        self.level
+    }
+
+    fn config(&self) -> Option<&Config> {
+        None
+    }
+
+    fn as_log(self: Box<Self>) -> Box<dyn Log> {
+        Box::new(*self)
+    }
+}
+
+impl Log for JsonLog {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        let own = metadata.target().starts_with(OWN_TARGETS);
+        let level = if own { self.level } else { self.level.min(LevelFilter::Warn) };
+        metadata.level() <= level
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if !self.enabled(record.metadata()) {
+            return;
+        }
+        match self.sink {
+            Sink::Stderr => {
+                let line = line(record, &self.daemon, 0);
+                // There is nowhere to tell that stderr is gone.
+                let _ = writeln!(std::io::stderr().lock(), "{line}");
+            }
+            Sink::Stdout => self.write_bounded(record),
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+impl JsonLog {
+    /// Writes a line unless too many were written lately or the reader is too slow.
+    fn write_bounded(&self, record: &Record<'_>) {
+        // A thread that panicked while it logged leaves a count that is good enough.
+        let mut budget = self.budget.lock().unwrap_or_else(|e| e.into_inner());
+        let now = self.origin.elapsed().as_millis() as u64;
+        let Some(dropped) = budget.take(now) else { return };
+        let mut line = line(record, &self.daemon, dropped).to_string();
+        if line.len() >= LINE_MAX_BYTES {
+            budget.drop_line(dropped);
+            return;
+        }
+        line.push('\n');
+        // Past the buffer of `std`, which would block or split a line.
+        if rustix::io::write(std::io::stdout(), line.as_bytes()).is_err() {
+            budget.drop_line(dropped);
+        }
+    }
+}
+
+struct Ids(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Ids {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), log::kv::Error> {
+        self.0.insert(key.to_string(), json!(value.to_string()));
+        Ok(())
+    }
+}
+
+fn line(record: &Record<'_>, daemon: &DaemonId, dropped: u64) -> serde_json::Value {
+    let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut ids = Ids(Map::new());
+    ids.0.insert("daemon".to_string(), json!(daemon));
+    if record.key_values().visit(&mut ids).is_err() {
+        ids.0.insert("ids".to_string(), json!("unreadable"));
+    }
+    let mut fields = ids.0;
+    if dropped > 0 {
+        fields.insert("dropped_lines".to_string(), json!(dropped));
+    }
+    fields.insert("wall_ms".to_string(), json!(wall.as_millis() as u64));
+    fields.insert("level".to_string(), json!(record.level().as_str()));
+    fields.insert("target".to_string(), json!(record.target()));
+    fields.insert("message".to_string(), json!(record.args().to_string()));
+    serde_json::Value::Object(fields)
+}
--- a/crates/daemon/src/metrics_page.rs
+++ b/crates/telemetry/src/metrics_page.rs
@@ -1,7 +1,7 @@
 //! The metrics of the process in the usual text format.
 //!
 //! The exporter's own listener needs a runtime that nothing else here has, so that the page is
-//! served by the operators' listener. Counters and gauges need no upkeep; histograms would.
+//! served by a listener of the process itself. Histograms need [`MetricsPage::upkeep`].
 
 use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
 use std::sync::OnceLock;
@@ -10,11 +10,11 @@
 
 /// Renders the metrics of all daemons of this process.
 #[derive(Clone)]
-pub(crate) struct MetricsPage(PrometheusHandle);
+pub struct MetricsPage(PrometheusHandle);
 
 impl MetricsPage {
     /// Installs the recorder, once for the process.
-    pub(crate) fn open() -> Self {
+    pub fn open() -> Self {
         let handle = HANDLE.get_or_init(|| {
             let recorder = PrometheusBuilder::new().build_recorder();
             let handle = recorder.handle();
@@ -26,7 +26,13 @@
         Self(handle.clone())
     }
 
-    pub(crate) fn render(&self) -> String {
+    /// Merges the samples of the histograms, which would pile up otherwise.
+    pub fn upkeep(&self) {
+        self.0.run_upkeep();
+    }
+
+    /// Renders the page.
+    pub fn render(&self) -> String {
         self.0.render()
     }
 }
--- a/src/bin/bulrushlinkd.rs
+++ b/src/bin/bulrushlinkd.rs
@@ -8,7 +8,11 @@
 
 fn main() -> ExitCode {
     let args: Vec<String> = std::env::args().skip(1).collect();
-    match bulrushlink_daemon::run(&args) {
+    let result = match args.split_first() {
+        Some((first, rest)) if first == "platform" => bulrushlink_platform::run(rest),
+        _ => bulrushlink_daemon::run(&args),
+    };
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error}");
