--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -118,7 +118,10 @@
     flights: Vec<Flight>,
     reading: Reading,
     watching: Watching,
+    /// Number of the latest commit or hold.
     ordinal: u64,
+    /// Number of the latest page of records that was asked for.
+    listing: u64,
     /// Something has changed that placement depends on.
     stale: bool,
     reviewed: Moment,
@@ -142,6 +145,7 @@
             reading: Reading { next: now, ..Reading::default() },
             watching: Watching::default(),
             ordinal: 0,
+            listing: 0,
             stale: true,
             reviewed: now,
             flush_next: now,
@@ -194,8 +198,8 @@
         result: Result<StoreReply, Fault>,
     ) {
         match tag {
-            PlacerTag::LoadInbox(n) if n == self.ordinal => self.inbox_page(scene, result),
-            PlacerTag::LoadStates(n) if n == self.ordinal => self.states_page(scene, result),
+            PlacerTag::LoadInbox(n) if n == self.listing => self.inbox_page(scene, result),
+            PlacerTag::LoadStates(n) if n == self.listing => self.states_page(scene, result),
             PlacerTag::Watch(_) => self.watched(scene, result),
             PlacerTag::Workers(n) => self.workers_read(scene, n, result),
             PlacerTag::Commit(n) => self.committed(scene, n, result),
@@ -229,9 +233,9 @@
         }
     }
 
-    fn next_ordinal(&mut self) -> u64 {
-        self.ordinal += 1;
-        self.ordinal
+    fn next_listing(&mut self) -> u64 {
+        self.listing += 1;
+        self.listing
     }
 
     fn ask_store(&self, scene: &mut Scene<'_>, tag: PlacerTag, op: StoreOp, timeout: Span) {
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -12,13 +12,13 @@
 
 impl Placer {
     pub(super) fn list_inbox(&mut self, scene: &mut Scene<'_>, after: Option<String>) {
-        let tag = PlacerTag::LoadInbox(self.next_ordinal());
+        let tag = PlacerTag::LoadInbox(self.next_listing());
         let op = StoreOp::List(keys::INBOX.to_string(), after);
         self.ask_store(scene, tag, op, STORE_TIMEOUT);
     }
 
     fn list_states(&mut self, scene: &mut Scene<'_>, after: Option<String>) {
-        let tag = PlacerTag::LoadStates(self.next_ordinal());
+        let tag = PlacerTag::LoadStates(self.next_listing());
         let op = StoreOp::List(keys::STATES.to_string(), after);
         self.ask_store(scene, tag, op, STORE_TIMEOUT);
     }
