--- a/crates/fleet/src/edge.rs
+++ b/crates/fleet/src/edge.rs
@@ -6,7 +6,7 @@
 
 use crate::catalog::Catalog;
 use crate::front::FrontTag;
-use crate::ids::{Epoch, LeaseId, Rev, Run, TaskId};
+use crate::ids::{Epoch, FencingToken, LeaseId, Rev, Run, TaskId};
 use crate::lead::LeadTag;
 use crate::model::{JobSpec, Resources};
 use crate::placer::PlacerTag;
@@ -396,15 +396,15 @@
     Exit,
 }
 
-/// A call to one boot of a worker under an epoch.
+/// A call to one boot of a worker.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkerCall {
     /// The worker that is meant.
     pub worker: WorkerId,
     /// Its address.
     pub addr: SocketAddr,
-    /// The placer's epoch.
-    pub epoch: Epoch,
+    /// What bars the call if the worker has seen a higher one.
+    pub token: FencingToken,
     /// The call.
     pub op: WorkerOp,
 }
--- a/crates/fleet/src/ids.rs
+++ b/crates/fleet/src/ids.rs
@@ -50,12 +50,31 @@
     pub const ABSENT: Self = Self(0);
 }
 
-/// The fencing token of a placer: the revision at which it became the placer.
+/// The term of a placer: the revision at which it became the placer.
 ///
 /// Revisions only rise, so that a later placer always has a higher epoch.
 #[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Epoch(pub u64);
 
+/// Fences of one epoch; more new workers and boots than that don't come in one epoch.
+const FENCE_BITS: u32 = 20;
+
+/// What workers compare: they do nothing for an order with a lower one than they have seen.
+#[derive(Clone, Copy, Debug, Default, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct FencingToken(pub u64);
+
+impl Epoch {
+    /// Returns the token of a fence of this epoch; it is higher than all those of earlier epochs.
+    ///
+    /// # Panics
+    ///
+    /// If the fence is too large, as the next epoch's tokens would no longer be higher.
+    pub fn token(self, fence: u32) -> FencingToken {
+        assert!(fence < 1 << FENCE_BITS, "too many fences in one epoch");
+        FencingToken((self.0 << FENCE_BITS) + u64::from(fence))
+    }
+}
+
 /// A lease of the store.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LeaseId(pub u64);
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -54,7 +54,7 @@
     Subject, Tag, WorkerCall, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
 };
 pub use front::FrontTag;
-pub use ids::{Boot, Epoch, JobId, LeaseId, Rev, Run, TaskId};
+pub use ids::{Boot, Epoch, FencingToken, JobId, LeaseId, Rev, Run, TaskId};
 pub use lead::LeadTag;
 pub use model::{BadSpec, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step};
 pub use node::Node;
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -53,10 +53,10 @@
     Commit(u64),
     /// A removal of old records.
     Sweep,
-    /// A start of a run.
-    Start(WorkerId, TaskId, Run),
-    /// A stop of a run.
-    Stop(WorkerId, TaskId, Run),
+    /// A start of a run, with the fence of the boot it was meant for.
+    Start(WorkerId, u32, TaskId, Run),
+    /// A stop of a run, with the fence of the boot it was meant for.
+    Stop(WorkerId, u32, TaskId, Run),
     /// A hold, with its ordinal.
     Hold(WorkerId, u64),
 }
@@ -118,6 +118,8 @@
     flights: Vec<Flight>,
     reading: Reading,
     watching: Watching,
+    /// The latest fence of a worker's boot.
+    fences: u32,
     /// Number of the latest commit or hold.
     ordinal: u64,
     /// Number of the latest page of records that was asked for.
@@ -144,6 +146,7 @@
             flights: Vec::new(),
             reading: Reading { next: now, ..Reading::default() },
             watching: Watching::default(),
+            fences: 0,
             ordinal: 0,
             listing: 0,
             stale: true,
@@ -220,11 +223,11 @@
         result: Result<WorkerReply, Fault>,
     ) {
         match tag {
-            PlacerTag::Start(worker, task, run) => {
-                self.start_answered(scene, &worker, &task, run, result);
+            PlacerTag::Start(worker, fence, task, run) => {
+                self.start_answered(scene, (&worker, fence), &task, run, result);
             }
-            PlacerTag::Stop(worker, task, run) => {
-                self.stop_answered(scene, &worker, &task, run, result);
+            PlacerTag::Stop(worker, fence, task, run) => {
+                self.stop_answered(scene, (&worker, fence), &task, run, result);
             }
             PlacerTag::Hold(worker, ordinal) => {
                 self.hold_answered(scene, &worker, ordinal, clock, result);
@@ -251,8 +254,8 @@
         timeout: Span,
     ) -> bool {
         let Some(entry) = &worker.entry else { return false };
-        let (id, addr, epoch) = (worker.id().clone(), entry.addr, self.epoch);
-        let call = WorkerCall { worker: id, addr, epoch, op };
+        let token = self.epoch.token(worker.fence);
+        let call = WorkerCall { worker: worker.id().clone(), addr: entry.addr, token, op };
         scene.out.push(Output::Worker(Tag::Placer(self.epoch, tag), call, timeout));
         true
     }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -59,7 +59,7 @@
                 if let Some(born) = born
                     && born > self.workers[at].boot.born
                 {
-                    self.reboot(scene, at, born);
+                    self.reboot(at, born, now);
                 } else if born.is_some_and(|b| b < self.workers[at].boot.born) {
                     return;
                 }
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -172,6 +172,15 @@
         true
     }
 
+    /// Notes that a run, if it is anywhere, is on another boot of its worker.
+    pub(crate) fn move_boot(&mut self, task: &TaskId, run: Run, boot: &Boot) {
+        let Some(record) = self.task_mut(task) else { return };
+        if record.run == run && record.place.as_ref().is_some_and(|p| p.worker == boot.worker) {
+            record.place = Some(boot.clone());
+            self.touch();
+        }
+    }
+
     /// Takes the end of a run.
     pub(crate) fn end(
         &mut self,
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -142,7 +142,8 @@
                 }
             }
             Err(at) => {
-                let mut worker = Worker::new(boot, None, now);
+                self.fences += 1;
+                let mut worker = Worker::new(boot, self.fences, None, now);
                 worker.add(slot);
                 self.workers.insert(at, worker);
             }
@@ -197,19 +198,21 @@
             }
         }
         for entry in entries {
-            self.take_worker(scene, entry);
+            self.take_worker(now, entry);
         }
         self.workers.retain(|w| !(w.is_gone(now) && w.slots.is_empty()));
         self.stale = true;
     }
 
-    fn take_worker(&mut self, scene: &mut Scene<'_>, entry: WorkerEntry) {
-        let now = scene.clock.now;
+    fn take_worker(&mut self, now: Moment, entry: WorkerEntry) {
         let boot = Boot { worker: entry.id.clone(), born: entry.born };
         match self.worker_at(&entry.id) {
-            Err(at) => self.workers.insert(at, Worker::new(boot, Some(entry), now)),
+            Err(at) => {
+                self.fences += 1;
+                self.workers.insert(at, Worker::new(boot, self.fences, Some(entry), now));
+            }
             Ok(at) if self.workers[at].boot.born < boot.born => {
-                self.reboot(scene, at, boot.born);
+                self.reboot(at, boot.born, now);
                 self.workers[at].entry = Some(entry);
             }
             Ok(at) if self.workers[at].boot.born == boot.born => {
@@ -228,33 +231,32 @@
         }
     }
 
-    /// Takes note of a new boot under a known identifier: what ran before is lost.
-    pub(super) fn reboot(&mut self, scene: &mut Scene<'_>, at: usize, born: u64) {
-        let now = scene.clock.now;
+    /// Takes note of a new boot under a known identifier: what ran before is lost, but starts that
+    /// were sent meanwhile may have reached the new boot. Its fence bars those that come later.
+    pub(super) fn reboot(&mut self, at: usize, born: u64, now: Moment) {
         let worker = &mut self.workers[at];
         log::info!(
             event = "worker_reborn", worker:% = worker.id(), born = born,
             runs = worker.slots.len(); "a new boot under the same identifier"
         );
-        let mut fresh =
-            Worker::new(Boot { worker: worker.id().clone(), born }, worker.entry.clone(), now);
+        let boot = Boot { worker: worker.id().clone(), born };
+        self.fences += 1;
+        let mut fresh = Worker::new(boot.clone(), self.fences, worker.entry.clone(), now);
         fresh.faults = std::mem::take(&mut worker.faults);
-        let slots = std::mem::take(&mut worker.slots);
-        self.workers[at] = fresh;
-        for slot in slots {
-            // An unanswered start may still reach the new boot, so that it is barred there first.
-            let unanswered = match slot.phase {
-                Phase::Starting => true,
-                Phase::Closing { answered, .. } => answered.is_none(),
-                Phase::Planned(_) | Phase::Running | Phase::Unheard => false,
+        for slot in std::mem::take(&mut worker.slots) {
+            let phase = match slot.phase {
+                Phase::Planned(_) => slot.phase,
+                Phase::Closing { .. } => Phase::Closing { sent: None, answered: None, next: now },
+                // The first list of the new boot tells whether it has the run.
+                Phase::Starting | Phase::Running | Phase::Unheard => Phase::Unheard,
             };
-            if unanswered {
-                let phase = Phase::Closing { sent: None, answered: None, next: now };
-                self.workers[at].add(Slot { phase, since: now, ..slot });
-            } else {
-                self.lose(scene, &slot, "the worker has crashed");
+            if let Ok(j) = self.jobs.binary_search_by_key(&slot.task.job, |j| j.id) {
+                self.jobs[j].move_boot(&slot.task, slot.run, &boot);
             }
+            fresh.add(Slot { phase, since: now, ..slot });
         }
+        self.workers[at] = fresh;
+        self.stale = true;
     }
 }
 
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -80,7 +80,7 @@
         (slot.since, slot.started, slot.saved_at, slot.moved) = (now, now, now, now);
         let op = WorkerOp::Start { task: *task, run, text, saved, lease_end };
         let worker = worker.clone_head();
-        let tag = PlacerTag::Start(worker.id().clone(), *task, run);
+        let tag = PlacerTag::Start(worker.id().clone(), worker.fence, *task, run);
         self.ask_worker(scene, &worker, tag, op, ORDER_TIMEOUT);
         metrics::counter!("bulrushlink_starts_total").increment(1);
     }
@@ -88,13 +88,17 @@
     pub(super) fn start_answered(
         &mut self,
         scene: &mut Scene<'_>,
-        id: &WorkerId,
+        (id, fence): (&WorkerId, u32),
         task: &TaskId,
         run: Run,
         result: Result<WorkerReply, Fault>,
     ) {
         let now = scene.clock.now;
         let Ok(at) = self.worker_at(id) else { return };
+        // An order to an earlier boot says nothing of this one.
+        if self.workers[at].fence != fence {
+            return;
+        }
         let Some(s) = self.workers[at].slot(task, run) else { return };
         let slot = &mut self.workers[at].slots[s];
         match result {
@@ -229,7 +233,7 @@
             }
             let worker = self.workers[at].clone_head();
             for (task, run) in stops {
-                let tag = PlacerTag::Stop(worker.id().clone(), task, run);
+                let tag = PlacerTag::Stop(worker.id().clone(), worker.fence, task, run);
                 self.ask_worker(scene, &worker, tag, WorkerOp::Stop { task, run }, ORDER_TIMEOUT);
                 metrics::counter!("bulrushlink_stops_total").increment(1);
             }
@@ -239,13 +243,17 @@
     pub(super) fn stop_answered(
         &mut self,
         scene: &mut Scene<'_>,
-        id: &WorkerId,
+        (id, fence): (&WorkerId, u32),
         task: &TaskId,
         run: Run,
         result: Result<WorkerReply, Fault>,
     ) {
         let now = scene.clock.now;
         let Ok(at) = self.worker_at(id) else { return };
+        // An order to an earlier boot says nothing of this one.
+        if self.workers[at].fence != fence {
+            return;
+        }
         let Some(s) = self.workers[at].slot(task, run) else { return };
         let worker = &mut self.workers[at];
         let Phase::Closing { answered: None, .. } = worker.slots[s].phase else { return };
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -73,6 +73,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
     pub(crate) boot: Boot,
+    /// Fences orders to earlier boots, which can be carried out late. It rises with each boot.
+    pub(crate) fence: u32,
     /// What it reports of itself; none if just a record names it.
     pub(crate) entry: Option<WorkerEntry>,
     /// Since when its entry has been missing.
@@ -122,9 +124,10 @@
 }
 
 impl Worker {
-    pub(crate) fn new(boot: Boot, entry: Option<WorkerEntry>, now: Moment) -> Self {
+    pub(crate) fn new(boot: Boot, fence: u32, entry: Option<WorkerEntry>, now: Moment) -> Self {
         Self {
             boot,
+            fence,
             missing: entry.is_none().then_some(now),
             entry,
             fenced: false,
@@ -145,7 +148,7 @@
 
     /// Copies what a call needs to know, without the runs and ends.
     pub(crate) fn clone_head(&self) -> Self {
-        Self::new(self.boot.clone(), self.entry.clone(), self.hold_next)
+        Self::new(self.boot.clone(), self.fence, self.entry.clone(), self.hold_next)
     }
 
     pub(crate) fn id(&self) -> &WorkerId {
--- a/crates/lab/src/lib.rs
+++ b/crates/lab/src/lib.rs
@@ -30,8 +30,8 @@
 
 pub use callers::JobPlan;
 pub use checks::{Report, Violation};
-pub use fleet::{Breach, FleetLab, FleetNoise, Told, Trouble};
 pub use faults::{Fault, FaultPlan, StartPoint};
+pub use fleet::{Breach, FleetLab, FleetNoise, Told, Trouble};
 pub use layout::Layout;
 pub use links::{Noise, Party};
 pub use platform::StoreMode;
