Emulator of the platform on its wire, and the whole path as separate processes

crates/standin has the store and the workers of the platform, in memory for the lab and behind HTTP for tests of processes: a gang, steps, a repeat at another daemon, a cancel, a kill of the placer while a gang starts, bad input of callers and of the store's other writers, an outage, a withdrawn key, SIGHUP and SIGTERM. Daemons take ports from the system and tell them in their first line.

--- a/crates/lab/src/fleet.rs
+++ b/crates/lab/src/fleet.rs
@@ -7,7 +7,6 @@
 mod lab;
 mod record;
 mod store;
-mod worker;
 
 pub use lab::{FleetLab, FleetNoise, Trouble};
 pub use record::{Breach, Told};
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -6,11 +6,11 @@
     Limits, Node, NodeSettings, Output, Queue, RequestId, Resources, Rev, Run, ShownState, StoreOp,
     Tag, TaskId, WorkerCall, WorkerEntry, WorkerOp, WorkerReply, WorkerState, Workspace,
 };
+use bulrushlink_standin::{FleetRun, FleetWorker, FleetWorkerBounds};
 use std::collections::BTreeMap;
 
 use super::record::{Breach, JobTrack, Record, Told};
 use super::store::SimStore;
-use super::worker::{Done, SimRun, SimWorker, WorkerBounds};
 
 /// Origin of the time of day.
 const WALL_ORIGIN: u64 = 1_800_000_000_000;
@@ -135,7 +135,7 @@
     now: u64,
     seats: Vec<Seat>,
     store: SimStore,
-    workers: Vec<SimWorker>,
+    workers: Vec<FleetWorker>,
     /// When each worker can be reached again.
     cut: Vec<u64>,
     /// When the store was last told of each worker.
@@ -246,7 +246,7 @@
         for number in 0..workers {
             // Clocks of workers may be 2% slow.
             let pace = random.u64(980..=1_000);
-            lab.workers.push(SimWorker::new(entry(number), 0, pace));
+            lab.workers.push(FleetWorker::new(entry(number), 0, pace));
         }
         lab.publish();
         for seat in 0..daemons {
@@ -313,7 +313,7 @@
 
     /// Changes the configuration now.
     pub fn change_catalog(&mut self, change: impl FnOnce(&mut Catalog)) {
-        let mut catalog = self.store.catalog.clone();
+        let mut catalog = self.store.catalog().clone();
         change(&mut catalog);
         self.store.set_catalog(catalog);
     }
@@ -398,7 +398,7 @@
             }
             self.work();
             if self.now >= self.down {
-                self.store.expire(self.now);
+                self.store.keys.expire(self.now);
             }
             self.answer_waiting();
             for seat in 0..self.seats.len() {
@@ -543,8 +543,10 @@
         if now < self.cut[at] || !self.workers[at].up {
             return;
         }
-        let limits =
-            WorkerBounds { lease_max: self.bounds.lease_max_ms, stop: self.bounds.stop_ms / 2 };
+        let limits = FleetWorkerBounds {
+            lease_max: self.bounds.lease_max_ms,
+            stop: self.bounds.stop_ms / 2,
+        };
         if !matches!(order.op, WorkerOp::Hold { .. }) {
             let text = describe(at, &order, lost);
             self.record.note(now, text);
@@ -562,12 +564,12 @@
             let length = step.map_or(1_000, |s| s.estimate.millis());
             let worked = saved.parse().unwrap_or(0);
             let (need, gang) = step.map_or((Resources::default(), false), |s| (s.need, s.gang));
-            SimRun { task, run, need, began: now, worked, length, gang, stops: None }
+            FleetRun { task, run, need, began: now, worked, length, gang, stops: None }
         };
         let worker = &mut self.workers[at];
-        let (reply, done) = worker.call(now, order.token, &order.op, make, &limits);
+        let (reply, started) = worker.call(now, order.token, &order.op, make, &limits);
         let clock = Some(worker.clock(now));
-        if let Done::Started(task, run) = done {
+        if let Some((task, run)) = started {
             let capacity = worker.entry.capacity;
             if !capacity.holds(&worker.used()) {
                 self.record.breach(now, format!("{task} brings worker {at} over its capacity"));
@@ -607,7 +609,7 @@
     }
 
     fn break_gang(&mut self, task: TaskId, run: Run) {
-        let same = |r: &SimRun| {
+        let same = |r: &FleetRun| {
             (r.task.job, r.task.round, r.task.step, r.run) == (task.job, task.round, task.step, run)
         };
         for at in 0..self.workers.len() {
@@ -621,7 +623,7 @@
 
     /// Tells how many members of a gang's run are present.
     fn present(&self, task: TaskId, run: Run) -> u32 {
-        let same = |r: &&SimRun| {
+        let same = |r: &&FleetRun| {
             (r.task.job, r.task.round, r.task.step, r.run) == (task.job, task.round, task.step, run)
         };
         self.workers.iter().map(|w| w.runs.iter().filter(same).count() as u32).sum()
@@ -831,8 +833,8 @@
                 self.down = now + millis;
                 self.watches.clear();
             }
-            Trouble::LapseLeases => self.store.lapse_all(),
-            Trouble::Compact => self.store.compact(),
+            Trouble::LapseLeases => self.store.keys.lapse_all(),
+            Trouble::Compact => self.store.keys.compact(),
             Trouble::Failing(worker, on) => self.workers[worker].failing = on,
             Trouble::Hanging(worker, on) => self.workers[worker].hanging = on,
             Trouble::KillAll => (0..self.seats.len()).for_each(|seat| self.restart(seat)),
--- /dev/null
+++ b/crates/standin/src/emulator.rs
@@ -0,0 +1,12 @@
+//! A stand-in for the users' platform: its store and its workers, in memory and on its wire.
+//!
+//! [`KeyValues`] and [`FleetWorker`] take the time as an argument, for tests under virtual time;
+//! [`Emulator`] puts them behind HTTP.
+
+mod keys;
+mod wire;
+mod worker;
+
+pub use keys::{CommitRefusal, KeyChange, KeyValue, KeyValues};
+pub use wire::{Emulator, EmulatorOptions};
+pub use worker::{FleetRun, FleetWorker, FleetWorkerBounds};
--- a/crates/lab/src/fleet/worker.rs
+++ b/crates/standin/src/emulator/worker.rs
@@ -7,56 +7,65 @@
 
 /// A run on a worker.
 #[derive(Clone, Debug)]
-pub(super) struct SimRun {
-    pub(super) task: TaskId,
-    pub(super) run: Run,
-    pub(super) need: Resources,
-    pub(super) began: u64,
-    /// Work done and to be done, in milliseconds.
-    pub(super) worked: u64,
-    pub(super) length: u64,
-    pub(super) gang: bool,
+pub struct FleetRun {
+    /// The task.
+    pub task: TaskId,
+    /// The run.
+    pub run: Run,
+    /// What it takes.
+    pub need: Resources,
+    /// When it started.
+    pub began: u64,
+    /// Work done, in milliseconds.
+    pub worked: u64,
+    /// Work to be done, in milliseconds.
+    pub length: u64,
+    /// It is a member of a gang.
+    pub gang: bool,
     /// When the stop under way is over.
-    pub(super) stops: Option<u64>,
+    pub stops: Option<u64>,
 }
 
 /// A worker.
-pub(super) struct SimWorker {
-    pub(super) entry: WorkerEntry,
-    pub(super) up: bool,
+pub struct FleetWorker {
+    /// What it reports of itself.
+    pub entry: WorkerEntry,
+    /// It runs.
+    pub up: bool,
     /// When this boot began.
-    pub(super) booted: u64,
+    pub booted: u64,
     /// Speed of its clock, in thousandths.
-    pub(super) pace: u64,
-    pub(super) token: FencingToken,
-    pub(super) lease_end: u64,
-    pub(super) runs: Vec<SimRun>,
-    pub(super) ends: Vec<EndReport>,
-    pub(super) numbered: u64,
+    pub pace: u64,
+    /// The highest token that it has seen.
+    pub token: FencingToken,
+    /// End of the lease of all runs, by its own clock.
+    pub lease_end: u64,
+    /// What runs.
+    pub runs: Vec<FleetRun>,
+    /// Ends that haven't been acknowledged.
+    pub ends: Vec<EndReport>,
+    /// Number of the latest end.
+    pub numbered: u64,
     /// Runs that can't start any more, by task.
-    pub(super) barred: Vec<(TaskId, Run)>,
+    pub barred: Vec<(TaskId, Run)>,
     /// Everything that starts here fails.
-    pub(super) failing: bool,
+    pub failing: bool,
     /// Nothing here makes progress.
-    pub(super) hanging: bool,
-}
-
-/// What a call did, for the record.
-#[derive(Clone, Debug, PartialEq)]
-pub(super) enum Done {
-    Nothing,
-    Started(TaskId, Run),
+    pub hanging: bool,
 }
 
 /// Bounds that workers keep.
 #[derive(Clone, Copy, Debug)]
-pub(super) struct WorkerBounds {
-    pub(super) lease_max: u64,
-    pub(super) stop: u64,
+pub struct FleetWorkerBounds {
+    /// Longest lease, in milliseconds.
+    pub lease_max: u64,
+    /// Time that a stop takes, in milliseconds.
+    pub stop: u64,
 }
 
-impl SimWorker {
-    pub(super) fn new(entry: WorkerEntry, now: u64, pace: u64) -> Self {
+impl FleetWorker {
+    /// Starts a worker.
+    pub fn new(entry: WorkerEntry, now: u64, pace: u64) -> Self {
         Self {
             entry,
             up: true,
@@ -74,22 +83,24 @@
     }
 
     /// Returns the worker's own clock.
-    pub(super) fn clock(&self, now: u64) -> u64 {
+    pub fn clock(&self, now: u64) -> u64 {
         now.saturating_sub(self.booted) * self.pace / 1_000
     }
 
     /// Ends this life and begins the next one under the same identifier.
-    pub(super) fn reboot(&mut self, now: u64) {
+    pub fn reboot(&mut self, now: u64) {
         let mut entry = self.entry.clone();
         entry.born = entry.born.max(now) + 1;
         *self = Self::new(entry, now, self.pace);
     }
 
-    pub(super) fn used(&self) -> Resources {
+    /// Returns what the runs take.
+    pub fn used(&self) -> Resources {
         self.runs.iter().fold(Resources::default(), |sum, r| sum.plus(&r.need))
     }
 
-    pub(super) fn end(&mut self, at: usize, cause: EndCause) -> SimRun {
+    /// Ends a run.
+    pub fn end(&mut self, at: usize, cause: EndCause) -> FleetRun {
         let run = self.runs.remove(at);
         self.numbered += 1;
         let saved = if run.worked > 0 { run.worked.to_string() } else { String::new() };
@@ -111,21 +122,21 @@
         }
     }
 
-    fn extend(&mut self, now: u64, lease_end: u64, bounds: &WorkerBounds) {
+    fn extend(&mut self, now: u64, lease_end: u64, bounds: &FleetWorkerBounds) {
         let most = self.clock(now) + bounds.lease_max;
         self.lease_end = self.lease_end.max(lease_end.min(most));
     }
 
-    /// Carries out a call under a token.
-    pub(super) fn call(
+    /// Carries out a call under a token; returns the answer and the run that it has started.
+    pub fn call(
         &mut self,
         now: u64,
         token: FencingToken,
         op: &WorkerOp,
-        run: impl FnOnce(TaskId, Run, &str) -> SimRun,
-        bounds: &WorkerBounds,
-    ) -> (WorkerReply, Done) {
-        let refused = |refusal| (WorkerReply::Refused(refusal), Done::Nothing);
+        run: impl FnOnce(TaskId, Run, &str) -> FleetRun,
+        bounds: &FleetWorkerBounds,
+    ) -> (WorkerReply, Option<(TaskId, Run)>) {
+        let refused = |refusal| (WorkerReply::Refused(refusal), None);
         if token < self.token {
             return refused(StartRefusal::Fenced);
         }
@@ -133,7 +144,7 @@
         match op {
             WorkerOp::Start { task, run: number, saved, lease_end, .. } => {
                 if self.runs.iter().any(|r| r.task == *task && r.run == *number) {
-                    return (WorkerReply::Done, Done::Nothing);
+                    return (WorkerReply::Done, None);
                 }
                 if self.barred.iter().any(|(t, r)| t == task && number <= r) {
                     self.extend(now, *lease_end, bounds);
@@ -144,27 +155,28 @@
                 }
                 self.extend(now, *lease_end, bounds);
                 self.runs.push(run(*task, *number, saved));
-                (WorkerReply::Done, Done::Started(*task, *number))
+                (WorkerReply::Done, Some((*task, *number)))
             }
             WorkerOp::Stop { task, run } => {
                 match self.runs.iter_mut().find(|r| r.task == *task && r.run == *run) {
                     Some(live) => live.stops = live.stops.or(Some(now + bounds.stop)),
                     None => self.bar(*task, *run),
                 }
-                (WorkerReply::Done, Done::Nothing)
+                (WorkerReply::Done, None)
             }
             WorkerOp::Hold { lease_end, acked, .. } => {
                 if let Some(end) = lease_end {
                     self.extend(now, *end, bounds);
                 }
                 self.ends.retain(|e| e.number > *acked);
-                (self.lists(), Done::Nothing)
+                (self.lists(), None)
             }
         }
     }
 
-    pub(super) fn lists(&self) -> WorkerReply {
-        let report = |r: &SimRun| RunReport {
+    /// Lists what runs and what has ended.
+    pub fn lists(&self) -> WorkerReply {
+        let report = |r: &FleetRun| RunReport {
             task: r.task,
             run: r.run,
             saved: if r.worked > 0 { r.worked.to_string() } else { String::new() },
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,6 +7,7 @@
 mod checkpoints;
 mod command;
 mod deployment;
+mod emulator;
 mod fault;
 mod hosts;
 mod http;
@@ -20,6 +21,10 @@
 pub use checkpoints::Checkpoints;
 pub use command::Running;
 pub use deployment::{DeployedDomain, Deployment};
+pub use emulator::{
+    CommitRefusal, Emulator, EmulatorOptions, FleetRun, FleetWorker, FleetWorkerBounds, KeyChange,
+    KeyValue, KeyValues,
+};
 pub use fault::Faults;
 pub use hosts::HostTable;
 pub use platform::{AdminHosts, AdminWorker, Platform, PlatformOptions};
--- /dev/null
+++ b/tests/platform/fleet.rs
@@ -0,0 +1,242 @@
+//! Daemons as processes, and an emulator of the platform in the test.
+
+use bulrushlink_fleet::Resources;
+use bulrushlink_standin::{Emulator, EmulatorOptions, FleetWorkerBounds};
+use serde_json::{Value, json};
+use std::io::{BufRead, BufReader};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+/// Longest time that a step of a test may take; only a fault of the product reaches it.
+const STEP_LIMIT: Duration = Duration::from_secs(60);
+/// Pause between two looks at what a test waits for.
+const LOOK_PAUSE: Duration = Duration::from_millis(20);
+
+/// A daemon's process, ended with the test.
+pub(crate) struct DaemonProcess {
+    child: Child,
+    settings: PathBuf,
+    pub(crate) name: String,
+    pub(crate) callers: String,
+    pub(crate) ready: String,
+    pub(crate) metrics: String,
+}
+
+/// A fleet of daemons on an emulated platform.
+pub(crate) struct Fleet {
+    pub(crate) emulator: Emulator,
+    pub(crate) daemons: Vec<DaemonProcess>,
+}
+
+/// An answer: the status, the body and the time to come back, if it was told.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    pub(crate) status: u16,
+    pub(crate) body: String,
+    pub(crate) retry_after: Option<String>,
+}
+
+/// Ordinal of the settings files of this process.
+static FILES: AtomicUsize = AtomicUsize::new(0);
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+impl DaemonProcess {
+    fn spawn(name: String, store: &str) -> Self {
+        let any = "127.0.0.1:0";
+        let text = json!({
+            "daemon": name, "domain": "east", "log": "info", "callers": any, "ready": any,
+            "metrics": any, "store": store,
+            "bounds": {
+                "revoke_ms": 5000, "drain_ms": 2000, "lease_max_ms": 6000, "stop_ms": 900,
+                "gang_ms": 3000, "grace_s": 6, "status_s": 120, "remote_factor": 3,
+                "reclaim_ms": 3400,
+            },
+        });
+        let number = FILES.fetch_add(1, Ordering::SeqCst);
+        let file = format!("bulrushlink-{}-{number}.json", std::process::id());
+        let settings = std::env::temp_dir().join(file);
+        std::fs::write(&settings, text.to_string()).expect("the settings can be written");
+        let (child, line) = start(&settings);
+        let addr = |field: &str| line[field].as_str().expect("an address").to_string();
+        let (callers, ready, metrics) = (addr("callers"), addr("ready"), addr("metrics"));
+        Self { child, settings, name, callers, ready, metrics }
+    }
+
+    /// Kills the process and starts it again with the same settings, on other ports.
+    pub(crate) fn restart(&mut self) {
+        self.child.kill().expect("a child can be killed");
+        self.child.wait().expect("a child can be waited for");
+        let (child, line) = start(&self.settings);
+        self.child = child;
+        let addr = |field: &str| line[field].as_str().expect("an address").to_string();
+        (self.callers, self.ready, self.metrics) =
+            (addr("callers"), addr("ready"), addr("metrics"));
+    }
+
+    /// Sends a signal by its name.
+    pub(crate) fn signal(&self, name: &str) {
+        let pid = self.child.id().to_string();
+        let status = Command::new("kill").args([format!("-{name}"), pid]).status();
+        assert!(status.expect("kill runs").success());
+    }
+
+    /// Waits for the end and tells whether it was a good one.
+    pub(crate) fn wait(&mut self) -> bool {
+        let child = &mut self.child;
+        eventually("the process ends", || child.try_wait().expect("a child can be waited for"))
+            .success()
+    }
+
+    pub(crate) fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("a child can be waited for").is_none()
+    }
+}
+
+/// Starts a daemon and returns its first log line, which tells its addresses.
+fn start(settings: &Path) -> (Child, Value) {
+    let mut child = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"))
+        .args(["platform", "--settings"])
+        .arg(settings)
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the daemon starts");
+    let mut lines = BufReader::new(child.stdout.take().expect("a pipe")).lines();
+    let first = lines.next().expect("a first line").expect("a line of text");
+    let first: Value = serde_json::from_str(&first).expect("a line is JSON");
+    assert_eq!(first["event"], "start");
+    // The daemon never waits for its log, but a full pipe would make it drop lines.
+    std::thread::spawn(move || lines.for_each(drop));
+    (child, first)
+}
+
+/// Waits until there is something.
+pub(crate) fn eventually<T>(what: &str, mut look: impl FnMut() -> Option<T>) -> T {
+    let began = Instant::now();
+    loop {
+        if let Some(found) = look() {
+            return found;
+        }
+        assert!(began.elapsed() < STEP_LIMIT, "{what}: not within {STEP_LIMIT:?}");
+        std::thread::sleep(LOOK_PAUSE);
+    }
+}
+
+/// Calls a daemon; nothing if the connection fails.
+pub(crate) fn call(
+    addr: &str,
+    method: &str,
+    path: &str,
+    key: Option<&str>,
+    body: &str,
+) -> Option<Answer> {
+    let config = ureq::Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(Duration::from_secs(10)));
+    let agent: ureq::Agent = config.build().into();
+    let mut request = ureq::http::Request::builder()
+        .method(method)
+        .uri(format!("http://{addr}{path}"))
+        .header("Host", "jobs.example")
+        .header("Deadline-Ms", "5000");
+    if let Some(key) = key {
+        request = request.header("Authorization", format!("Token {key}"));
+    }
+    let request = request.body(body.to_string()).expect("a valid request");
+    let mut response = agent.run(request).ok()?;
+    let status = response.status().as_u16();
+    let header = response.headers().get("retry-after");
+    let retry_after = header.and_then(|h| h.to_str().ok()).map(str::to_string);
+    let body = response.body_mut().read_to_string().ok()?;
+    Some(Answer { status, body, retry_after })
+}
+
+/// Makes the text of a job; its tasks take `millis`.
+pub(crate) fn job(millis: u64, steps: &Value) -> String {
+    let gang = steps[0]["gang"].as_bool().unwrap_or(false);
+    let members = if gang { steps[0]["count"].as_u64().unwrap_or(0) } else { 0 };
+    json!({ "spec": format!("ms={millis} gang={members}"), "steps": steps }).to_string()
+}
+
+/// Makes a step.
+pub(crate) fn step(count: u32, gang: bool) -> Value {
+    json!({ "count": count, "cpu": 1000, "memMb": 1024, "gpu": 1, "estRuntimeMs": 300, "gang": gang })
+}
+
+impl Fleet {
+    /// Starts daemons and workers, and puts a configuration in force.
+    pub(crate) fn spawn(daemons: usize, workers: usize) -> Self {
+        let emulator = Emulator::spawn(EmulatorOptions {
+            workers,
+            capacity: Resources { cpu: 8_000, memory: 65_536, accelerators: 8 },
+            bounds: FleetWorkerBounds { lease_max: 6_000, stop: 50 },
+        })
+        .expect("the emulator starts");
+        emulator.put("op/config", &config(7, &["key-north"]));
+        emulator.put_rubbish("servers/i-rubbish");
+        let store = emulator.store().to_string();
+        let spawn = |n| DaemonProcess::spawn(format!("d{n}"), &store);
+        let daemons = (0..daemons).map(spawn).collect();
+        let fleet = Self { emulator, daemons };
+        for daemon in &fleet.daemons {
+            eventually("the daemon is ready", || {
+                let answer = call(&daemon.ready, "GET", "/api/ready", None, "")?;
+                (answer.status == 200).then_some(())
+            });
+        }
+        fleet
+    }
+
+    /// Submits a job until a daemon has given a final answer.
+    pub(crate) fn submit(&self, daemon: usize, id: &str, body: &str) -> Answer {
+        let path = format!("/replay/{id}");
+        eventually("the submission is answered", || {
+            call(&self.daemons[daemon].callers, "POST", &path, Some("key-north"), body)
+        })
+    }
+
+    /// Waits for a state of a job.
+    pub(crate) fn wait_state(&self, daemon: usize, id: &str, state: &str) {
+        let path = format!("/replay/{id}");
+        let wanted = json!({ "state": state }).to_string();
+        eventually(&format!("{id} is {state}"), || {
+            let answer = call(&self.daemons[daemon].callers, "GET", &path, Some("key-north"), "")?;
+            (answer.status == 200 && answer.body == wanted).then_some(())
+        });
+    }
+
+    /// Returns the daemon that places.
+    pub(crate) fn placer(&self) -> usize {
+        eventually("a daemon places", || {
+            let holder = self.emulator.value("bulrushlink/leader")?;
+            let (name, _) = holder.split_once('/')?;
+            self.daemons.iter().position(|d| d.name == name)
+        })
+    }
+}
+
+/// Makes a configuration.
+pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "replay", "host": "jobs.example", "prefix": "/replay/", "type": "unsafe",
+            "timeoutMs": 3000, "targetDurationMs": 1000, "priority": 1, "service": "dispatch",
+            "attempts": 2, "stretch": 3.0, "allowAnonymous": false,
+        }],
+        "services": [{ "name": "dispatch" }],
+        "limits": {
+            "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{ "name": "north", "apiKeys": keys, "priority": 1, "guaranteed": { "gpu": 8 } }],
+    })
+}
--- /dev/null
+++ b/tests/platform/main.rs
@@ -0,0 +1,4 @@
+//! Daemons on the users' platform as separate processes, against a stand-in on the same wire.
+
+mod fleet;
+mod path;
--- /dev/null
+++ b/tests/platform/path.rs
@@ -0,0 +1,130 @@
+//! The whole path, and what it does with bad input, kills, outages and signals.
+
+use serde_json::json;
+
+use crate::fleet::{Fleet, call, config, eventually, job, step};
+
+const KEY: Option<&str> = Some("key-north");
+
+fn id(n: u64) -> String {
+    format!("{n:016x}")
+}
+
+#[test]
+fn jobs_run_once_whichever_daemon_takes_them() {
+    let fleet = Fleet::spawn(3, 3);
+    let gang = job(300, &json!([step(12, true)]));
+    assert_eq!(fleet.submit(0, &id(1), &gang).status, 200);
+    assert_eq!(fleet.submit(1, &id(1), &gang).status, 200);
+    let mut second = step(2, false);
+    second["after"] = json!([0]);
+    let steps = job(200, &json!([step(3, false), second]));
+    assert_eq!(fleet.submit(2, &id(2), &steps).status, 200);
+    fleet.wait_state(0, &id(1), "completed");
+    fleet.wait_state(1, &id(2), "completed");
+    assert_eq!(fleet.submit(2, &id(1), &gang).status, 200);
+    let long = job(60_000, &json!([step(2, false)]));
+    assert_eq!(fleet.submit(0, &id(3), &long).status, 200);
+    fleet.wait_state(1, &id(3), "running");
+    let path = format!("/replay/{}", id(3));
+    let cancelled = call(&fleet.daemons[2].callers, "DELETE", &path, KEY, "");
+    assert_eq!(cancelled.map(|a| a.status), Some(200));
+    fleet.wait_state(0, &id(3), "cancelled");
+    let starts = fleet.emulator.starts().len();
+    assert_eq!(starts, 12 + 3 + 2 + 2);
+    assert_eq!(fleet.emulator.breaches(), Vec::<String>::new());
+    let page = call(&fleet.daemons[0].metrics, "GET", "/metrics", None, "").expect("a page");
+    assert!(page.body.contains("bulrushlink_answers_total"), "{}", page.body);
+}
+
+#[test]
+fn a_placer_killed_while_a_gang_starts_leaves_one_whole_run() {
+    let mut fleet = Fleet::spawn(3, 4);
+    let placer = fleet.placer();
+    let other = (placer + 1) % 3;
+    let gang = job(1_000, &json!([step(24, true)]));
+    for round in 0..3 {
+        let id = id(100 + round);
+        assert_eq!(fleet.submit(other, &id, &gang).status, 200);
+        let placer = fleet.placer();
+        fleet.daemons[placer].restart();
+        fleet.wait_state(other, &id, "completed");
+    }
+    assert_eq!(fleet.emulator.breaches(), Vec::<String>::new());
+}
+
+#[test]
+fn bad_input_gets_an_error_and_harms_nothing() {
+    let fleet = Fleet::spawn(1, 1);
+    let addr = &fleet.daemons[0].callers;
+    let good = job(50, &json!([step(1, false)]));
+    let status = |method: &str, path: &str, key: Option<&str>, body: &str| {
+        call(addr, method, path, key, body).map(|a| a.status)
+    };
+    let path = format!("/replay/{}", id(1));
+    assert_eq!(status("POST", &path, KEY, "{"), Some(400));
+    assert_eq!(status("POST", &path, KEY, r#"{"spec":"x","steps":[]}"#), Some(400));
+    let after = r#"{"spec":"x","steps":[{"count":1,"after":[0]}]}"#;
+    assert_eq!(status("POST", &path, KEY, after), Some(400));
+    assert_eq!(status("POST", &path, KEY, r#"{"steps":[{"count":4000000000}]}"#), Some(400));
+    assert_eq!(status("POST", "/replay/short", KEY, &good), Some(400));
+    assert_eq!(status("POST", &path, None, &good), Some(401));
+    assert_eq!(status("POST", &path, Some("key-west"), &good), Some(401));
+    assert_eq!(status("POST", "/other/x", KEY, &good), Some(404));
+    assert_eq!(status("GET", &path, KEY, ""), Some(410));
+    assert_eq!(status("DELETE", &path, KEY, ""), Some(410));
+    assert_eq!(status("PUT", &path, KEY, &good), Some(400));
+    let large = "x".repeat(70_000);
+    assert_eq!(status("POST", &path, KEY, &large), Some(413));
+    assert_eq!(status("POST", &path, KEY, &good), Some(200));
+    fleet.wait_state(0, &id(1), "completed");
+    let other = job(60, &json!([step(2, false)]));
+    assert_eq!(status("POST", &path, KEY, &other), Some(409));
+    let pending = call(addr, "GET", "/replay/", KEY, "").expect("an answer");
+    assert_eq!((pending.status, pending.body.as_str()), (200, r#"{"pending":0}"#));
+}
+
+#[test]
+fn an_outage_of_the_store_is_told_and_a_withdrawn_key_stops_working() {
+    let fleet = Fleet::spawn(2, 1);
+    let good = job(50, &json!([step(1, false)]));
+    fleet.emulator.set_down(true);
+    let refused = fleet.submit(0, &id(1), &good);
+    assert_eq!(refused.status, 503);
+    assert!(refused.retry_after.is_some());
+    eventually("the daemon is not ready", || {
+        let answer = call(&fleet.daemons[0].ready, "GET", "/api/ready", None, "")?;
+        (answer.status == 503).then_some(())
+    });
+    fleet.emulator.set_down(false);
+    eventually("the daemon serves again", || {
+        let answer =
+            call(&fleet.daemons[0].callers, "POST", &format!("/replay/{}", id(1)), KEY, &good)?;
+        (answer.status == 200).then_some(())
+    });
+    fleet.wait_state(1, &id(1), "completed");
+    assert_eq!(fleet.emulator.starts().len(), 1);
+    fleet.emulator.put("op/config", &config(9, &["key-south"]));
+    for daemon in &fleet.daemons {
+        eventually("the key stops working", || {
+            let path = format!("/replay/{}", id(1));
+            let answer = call(&daemon.callers, "GET", &path, KEY, "")?;
+            (answer.status == 401).then_some(())
+        });
+    }
+}
+
+#[test]
+fn signals_reload_and_stop_gracefully() {
+    let mut fleet = Fleet::spawn(2, 1);
+    let placer = fleet.placer();
+    fleet.daemons[placer].signal("HUP");
+    let good = job(50, &json!([step(1, false)]));
+    assert_eq!(fleet.submit(placer, &id(1), &good).status, 200);
+    assert!(fleet.daemons[placer].is_running());
+    fleet.daemons[placer].signal("TERM");
+    eventually("the other daemon places", || (fleet.placer() != placer).then_some(()));
+    assert_eq!(fleet.submit(placer, &id(2), &good).status, 200);
+    fleet.wait_state(1 - placer, &id(2), "completed");
+    assert!(fleet.daemons[placer].wait());
+}
