--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -14,8 +14,8 @@
 const ACCELERATOR_CORES: f64 = 8.0;
 /// How much dearer the loss of urgent work is, which has no time to be done over.
 const URGENT_LOSS: f64 = 10.0;
-/// Share of the accelerators that is kept free for urgent work, which can't wait for a stop.
-const RESERVE_SHARE: f64 = 0.08;
+/// Work that any stop costs, in seconds: the stop itself, the wait and the restart.
+const RESTART_LOSS_S: f64 = 0.5;
 /// Time for which room is kept for a gang beyond the longest stop.
 const CLAIM_SLACK: Span = Span(1_500);
 /// Time for which a task waits for its data's rack, as a share of the estimate.
@@ -227,15 +227,6 @@
         }
         let Ok(j) = self.job_at(unit.job) else { return };
         let step = self.jobs[j].spec.steps[usize::from(unit.step)].clone();
-        let mut unit = unit.clone();
-        if unit.priority > 0 {
-            let most = self.spare_tasks(&step, free, claimed);
-            if step.gang && most < unit.waiting.len() as u64 {
-                return;
-            }
-            unit.waiting.truncate(most as usize);
-        }
-        let unit = &unit;
         let rooms = self.rooms(scene, unit, &step, free, claimed);
         let choice: Choice = if step.gang {
             let Some(placed) = place_gang(&rooms, &step, unit.waiting.len()) else {
@@ -258,20 +249,6 @@
         self.commit_choice(scene, &unit.task(0), &choice, "free room");
     }
 
-    /// Returns how many tasks that aren't urgent can start without touching the reserve.
-    fn spare_tasks(&self, step: &Step, free: &[Resources], claimed: &[Resources]) -> u64 {
-        let capacity = |w: &Worker| w.entry.as_ref().map_or(0, |e| e.capacity.accelerators);
-        let all: u64 = self.workers.iter().map(capacity).sum();
-        let open = |(f, c): (&Resources, &Resources)| f.minus(c).accelerators;
-        let left: u64 = free.iter().zip(claimed).map(open).sum();
-        let reserve = (all as f64 * RESERVE_SHARE) as u64;
-        // A gang that needs nearly everything could never start beside the reserve.
-        let whole = if step.gang { u64::from(step.tasks) * step.need.accelerators } else { 0 };
-        let reserve = if whole + reserve > all { 0 } else { reserve };
-        let spare = left.saturating_sub(reserve);
-        spare.checked_div(step.need.accelerators).unwrap_or(u64::MAX)
-    }
-
     /// Stops other work for a unit that may displace it.
     fn make_room(
         &mut self,
@@ -412,14 +389,15 @@
     fn loss(&self, scene: &Scene<'_>, slot: &Slot, whole: bool) -> f64 {
         let now = scene.clock.now;
         let Ok(j) = self.job_at(slot.task.job) else { return 0.0 };
-        let tasks = self.jobs[j].step(&slot.task).map_or(1, |s| if whole { s.tasks } else { 1 });
-        let unsaved = now.since(slot.started.max(slot.saved_at)).secs_f64();
+        let Some(step) = self.jobs[j].step(&slot.task) else { return 0.0 };
+        let tasks = if whole { step.tasks } else { 1 };
+        // A run that saves its progress does so once more when it is stopped.
+        let lost = if step.saves { 0.0 } else { now.since(slot.started).secs_f64() };
         let cores = slot.need.cpu as f64 / 1000.0;
         let weight = cores + slot.need.accelerators as f64 * ACCELERATOR_CORES;
-        let urgent = self.is_urgent(scene, slot.task.job);
-        let weight = if urgent { weight * URGENT_LOSS } else { weight };
-        // A run that has just begun loses little work, but its stop and restart still cost time.
-        (unsaved + 0.5) * weight * f64::from(tasks)
+        let weight =
+            if self.is_urgent(scene, slot.task.job) { weight * URGENT_LOSS } else { weight };
+        (lost + RESTART_LOSS_S) * weight * f64::from(tasks)
     }
 
     /// Plans the starts of a choice as part of the next record of the job.
