--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -11,9 +11,9 @@
 
 /// Life of the key without renewal: long enough for the answers of a slow store (400 ms) and a
 /// repeated renewal, short because nothing starts while it runs out.
-const LEASE: Span = Span(2_000);
+const LEASE: Span = Span(1_500);
 /// Period of renewal, so that two renewals can fail.
-const RENEW_EVERY: Span = Span(600);
+const RENEW_EVERY: Span = Span(400);
 /// Time for an answer to a renewal.
 const RENEW_TIMEOUT: Span = Span(550);
 /// Time for an answer to a step of the election; see [`LEASE`].
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -187,20 +187,26 @@
     /// Ends all runs that fit.
     pub(super) fn close(&mut self, scene: &mut Scene<'_>, fits: impl Fn(&Slot) -> bool, why: &str) {
         let now = scene.clock.now;
-        let mut unplanned = Vec::new();
+        let (mut unplanned, mut closed) = (Vec::new(), Vec::new());
         for (at, worker) in self.workers.iter_mut().enumerate() {
             for slot in worker.slots.iter_mut().filter(|s| fits(s)) {
                 match slot.phase {
                     Phase::Planned(_) => unplanned.push((at, slot.task, slot.run)),
                     Phase::Starting | Phase::Running | Phase::Unheard => {
-                        log::debug!(event = "run_closing", task:% = slot.task, run = slot.run.0; "{why}");
                         slot.phase = Phase::Closing { sent: None, answered: None, next: now };
                         slot.since = now;
+                        closed.push((slot.task, slot.run, now.since(slot.started)));
                     }
                     Phase::Closing { .. } => {}
                 }
             }
         }
+        if let Some((task, run, ran)) = closed.first() {
+            log::info!(
+                event = "runs_stopped", job:% = task.job, first:% = task, run = run.0,
+                runs = closed.len(), ran_ms = ran.millis(); "{why}"
+            );
+        }
         for (at, task, run) in unplanned {
             if let Some(s) = self.workers[at].slot(&task, run) {
                 self.workers[at].slots.remove(s);
