--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -435,7 +435,8 @@
         log::info!(
             event = "placed", job:% = any.job, queue:% = job.queue, round = any.round, step = any.step,
             run = if step.gang { gang_run.0 } else { 0 }, waited_ms = now.since(job.accepted).millis(),
-            epoch:% = self.epoch(), places:% = places.join(","); "{why}"
+            epoch:% = self.epoch(), catalog = scene.catalog.map_or(0, |c| c.version),
+            workers_age_ms = self.reading.fresh.map_or(0, |f| now.since(f).millis()), places:% = places.join(","); "{why}"
         );
     }
 }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -212,11 +212,25 @@
             }
         }
         match self.workers[at].slot(&report.task, report.run) {
-            Some(s) => self.workers[at].slots[s].take(report, now),
+            Some(s) => {
+                let worked = self.worked(report);
+                let slot = &mut self.workers[at].slots[s];
+                if slot.phase == Phase::Unheard {
+                    slot.started = now - worked;
+                }
+                slot.take(report, now);
+            }
             None => self.stop_stray(scene, at, report),
         }
     }
 
+    /// Estimates how long a run has worked that an earlier placer started.
+    fn worked(&self, report: &RunReport) -> Span {
+        let job = self.job_at(report.task.job).ok().map(|j| &self.jobs[j]);
+        let estimate = job.and_then(|j| j.step(&report.task)).map_or(Span::ZERO, |s| s.estimate);
+        Span(estimate.millis() * u64::from(report.percent) / 100)
+    }
+
     /// Stops a run that no record accounts for.
     fn stop_stray(&mut self, scene: &mut Scene<'_>, at: usize, report: &RunReport) {
         let now = scene.clock.now;
