Refuse at once without the store, and serve callers with little time left

Cause (recorded incidents of both sites): callers of a failure domain that was cut off waited 2.8 s for commits without an answer and were told that the outcome isn't known; their last try, with under 200 ms left, got the same answer though nothing had been sent. Ruled out: the balancer (it takes a daemon out of rotation only after its readiness fails, which took 2 s). A daemon whose latest read of the store failed now refuses changes at once and isn't ready.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -17,8 +17,10 @@
 
 /// How long a caller waits who doesn't say.
 const PATIENCE_DEFAULT: Span = Span(3_000);
-/// Time kept for the answer to travel before the caller gives up.
+/// Longest time kept for the answer to travel before the caller gives up.
 const ANSWER_MARGIN: Span = Span(200);
+/// The same as a part of the caller's patience.
+const ANSWER_PART: u64 = 4;
 /// Time for an answer of the store; a slow store takes about 400 ms.
 const CALL_TIMEOUT: Span = Span(900);
 /// Pause before a call is repeated.
@@ -95,7 +97,8 @@
             return scene.answer(id, Answer::Busy(BUSY_BACK), "too many requests under way");
         }
         let patience = call.patience.unwrap_or(PATIENCE_DEFAULT);
-        let deadline = (now + patience) - ANSWER_MARGIN;
+        let margin = ANSWER_MARGIN.min(Span(patience.millis() / ANSWER_PART));
+        let deadline = (now + patience) - margin;
         let mut request = Request {
             id,
             call,
@@ -166,6 +169,11 @@
         if !scene.view.is_within(scene.clock.now, scene.bounds.view_max()) {
             return !self.refuse(scene, "view of the configuration is too old");
         }
+        let changes = !matches!(self.call.verb, CallerVerb::Look);
+        if changes && scene.view.is_lost() {
+            // A commit would most likely stay unanswered, and its outcome unknown.
+            return !self.refuse(scene, "the store can't be reached");
+        }
         let Some(catalog) = scene.view.catalog() else {
             return !self.refuse(scene, "no configuration yet");
         };
@@ -241,7 +249,7 @@
     fn call_store(&mut self, scene: &mut Scene<'_>, op: StoreOp) -> bool {
         let left = self.deadline.since(scene.clock.now);
         if left == Span::ZERO {
-            return self.give_up(scene);
+            return !self.refuse(scene, "out of time");
         }
         self.ordinal += 1;
         self.retry = None;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -62,7 +62,12 @@
 
     /// Tells whether the daemon can serve new callers.
     pub(crate) fn is_ready(&self, now: Moment) -> bool {
-        self.catalog.is_some() && self.is_within(now, READY_MAX)
+        self.catalog.is_some() && !self.lost && self.is_within(now, READY_MAX)
+    }
+
+    /// Tells whether the latest read had no answer.
+    pub(crate) fn is_lost(&self) -> bool {
+        self.lost
     }
 
     /// Returns the age of the view in milliseconds.
--- /dev/null
+++ b/crates/fleet/tests/callers.rs
@@ -0,0 +1,172 @@
+//! What callers are told, and when.
+
+use bulrushlink_core::{Moment, Span};
+use bulrushlink_fleet::{
+    Answer, Bounds, CallerCall, CallerVerb, Catalog, Clock, Fault, Input, JobSpec, Limits, Node,
+    NodeSettings, OperatorView, Output, Queue, RequestId, Resources, Rev, Step, StoreOp,
+    StoreReply, Tag,
+};
+
+fn clock(now: u64) -> Clock {
+    Clock { now: Moment(now), wall: 1_800_000_000_000 + now }
+}
+
+fn node() -> Node {
+    Node::open(NodeSettings {
+        daemon: "d0".parse().expect("a valid name"),
+        domain: "east".parse().expect("a valid name"),
+        incarnation: 1,
+        bounds: Bounds {
+            revoke_ms: 5_000,
+            drain_ms: 2_000,
+            lease_max_ms: 6_000,
+            stop_ms: 900,
+            gang_ms: 3_000,
+            grace_s: 6,
+            status_s: 120,
+            remote_factor: 3.0,
+            reclaim_ms: 3_400,
+        },
+    })
+}
+
+fn catalog() -> Catalog {
+    let queue = Queue {
+        name: "replay".to_string(),
+        host: "jobs.example".to_string(),
+        prefix: "/replay/".to_string(),
+        endpoint: "dispatch".to_string(),
+        priority: 1,
+        attempts: 2,
+        stretch: 3.0,
+        target: Span(1_000),
+        anonymous: true,
+        advised: false,
+    };
+    let limits =
+        Limits { head: 16_384, body: 262_144, head_time: Span(3_000), idle_time: Span(15_000) };
+    Catalog { version: 1, rev: Rev(1), queues: vec![queue], workspaces: Vec::new(), limits }
+}
+
+fn call(patience: u64) -> CallerCall {
+    let step = Step {
+        tasks: 1,
+        need: Resources { cpu: 1_000, memory: 1_024, accelerators: 1 },
+        estimate: Span(1_000),
+        after: Vec::new(),
+        gang: false,
+        one_rack: false,
+        label: None,
+        near: None,
+        per_worker: None,
+        saves: false,
+        copies: false,
+        endless: false,
+    };
+    let spec = JobSpec { text: "x".to_string(), steps: vec![step], schedule: None };
+    CallerCall {
+        host: "jobs.example".to_string(),
+        path: "/replay/00000000000000aa".to_string(),
+        key: None,
+        patience: Some(Span(patience)),
+        verb: CallerVerb::Submit(Ok(spec)),
+    }
+}
+
+/// Answers the read of the configuration that is among the outputs.
+fn give_catalog(node: &mut Node, now: u64, outputs: Vec<Output>) -> Vec<Output> {
+    let read = outputs.into_iter().find_map(|o| match o {
+        Output::Store(tag @ Tag::Catalog(_), ..) => Some(tag),
+        _ => None,
+    });
+    let view = OperatorView { catalog: Some(catalog()), evacuated: Vec::new() };
+    let reply = Ok(StoreReply::Operator(view));
+    node.take(clock(now), Input::Store(read.expect("a read of the configuration"), reply))
+}
+
+fn served() -> Node {
+    let mut node = node();
+    let outputs = node.take(clock(0), Input::Tick);
+    give_catalog(&mut node, 5, outputs);
+    assert!(node.is_ready(Moment(10)));
+    node
+}
+
+fn commits(outputs: &[Output]) -> usize {
+    let commit =
+        |o: &&Output| matches!(o, Output::Store(_, StoreOp::Commit(c), _) if c.writes.len() > 1);
+    outputs.iter().filter(commit).count()
+}
+
+fn answer(outputs: &[Output]) -> Option<&Answer> {
+    outputs.iter().find_map(|o| match o {
+        Output::Answer(_, answer) => Some(answer),
+        _ => None,
+    })
+}
+
+#[test]
+fn no_configuration_yet_means_come_back() {
+    let mut node = node();
+    let outputs = node.take(clock(0), Input::Caller(RequestId(1), call(3_000)));
+    assert!(matches!(answer(&outputs), Some(Answer::Unavailable(..))));
+}
+
+/// Found in the recorded incidents: the last try of a caller was told that its outcome isn't known
+/// though nothing had been sent.
+#[test]
+fn a_caller_with_little_time_left_is_still_served() {
+    let mut node = served();
+    let outputs = node.take(clock(100), Input::Caller(RequestId(1), call(120)));
+    assert_eq!((commits(&outputs), answer(&outputs)), (1, None));
+    let outputs = node.take(clock(195), Input::Tick);
+    assert_eq!(answer(&outputs), Some(&Answer::Unknown));
+    let outputs = node.take(clock(200), Input::Caller(RequestId(2), call(0)));
+    assert_eq!(commits(&outputs), 0);
+    assert!(matches!(answer(&outputs), Some(Answer::Unavailable(..))));
+}
+
+/// Found in the recorded incidents: callers in a failure domain that was cut off waited for all of
+/// their time.
+#[test]
+fn a_daemon_that_has_lost_the_store_refuses_at_once() {
+    let mut node = served();
+    let outputs = node.take(clock(800), Input::Tick);
+    let read = outputs.into_iter().find_map(|o| match o {
+        Output::Store(tag @ Tag::Catalog(_), ..) => Some(tag),
+        _ => None,
+    });
+    let lost = Err(Fault::Unknown("no answer in time".to_string()));
+    node.take(clock(1_600), Input::Store(read.expect("a second read"), lost));
+    assert!(!node.is_ready(Moment(1_610)));
+    let outputs = node.take(clock(1_610), Input::Caller(RequestId(1), call(3_000)));
+    assert_eq!(commits(&outputs), 0);
+    assert!(matches!(answer(&outputs), Some(Answer::Unavailable(..))));
+}
+
+#[test]
+fn an_unanswered_commit_is_repeated_and_never_called_not_run() {
+    let mut node = served();
+    let outputs = node.take(clock(100), Input::Caller(RequestId(1), call(3_000)));
+    let tag = outputs.into_iter().find_map(|o| match o {
+        Output::Store(tag @ Tag::Front(..), ..) => Some(tag),
+        _ => None,
+    });
+    let lost = Err(Fault::Unknown("reset".to_string()));
+    let outputs = node.take(clock(200), Input::Store(tag.expect("a commit"), lost));
+    assert_eq!(answer(&outputs), None);
+    let mut now = 200;
+    let repeated = (0..40).find_map(|_| {
+        now += 10;
+        let outputs = node.take(clock(now), Input::Tick);
+        outputs.into_iter().find_map(|o| match o {
+            Output::Store(tag @ Tag::Front(..), ..) => Some(tag),
+            _ => None,
+        })
+    });
+    let refused = Err(Fault::NotDone("status 503".to_string()));
+    let outputs = node.take(clock(now + 5), Input::Store(repeated.expect("a repeat"), refused));
+    assert_eq!(answer(&outputs), None);
+    let outputs = node.take(clock(2_900), Input::Tick);
+    assert_eq!(answer(&outputs), Some(&Answer::Unknown));
+}
