--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -15,7 +15,7 @@
 use decide::Claim;
 use flush::Flight;
 use job::Job;
-use worker::Worker;
+use worker::{Target, Worker};
 
 mod decide;
 mod flush;
@@ -248,16 +248,14 @@
     fn ask_worker(
         &self,
         scene: &mut Scene<'_>,
-        worker: &Worker,
+        target: Target,
         tag: PlacerTag,
         op: WorkerOp,
         timeout: Span,
-    ) -> bool {
-        let Some(entry) = &worker.entry else { return false };
-        let token = self.epoch.token(worker.fence);
-        let call = WorkerCall { worker: worker.id().clone(), addr: entry.addr, token, op };
+    ) {
+        let token = self.epoch.token(target.fence);
+        let call = WorkerCall { worker: target.worker, addr: target.addr, token, op };
         scene.out.push(Output::Worker(Tag::Placer(self.epoch, tag), call, timeout));
-        true
     }
 
     fn job_at(&self, id: JobId) -> Result<usize, usize> {
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -16,10 +16,11 @@
 const URGENT_LOSS: f64 = 10.0;
 /// Work that any stop costs, in seconds: the stop itself, the wait and the restart.
 const RESTART_LOSS_S: f64 = 0.5;
-/// Time for which room is kept for a gang beyond the longest stop.
-const CLAIM_SLACK: Span = Span(1_500);
-/// Time for which a task waits for its data's rack, as a share of the estimate.
-const RACK_PATIENCE: f64 = 0.5;
+/// Time for which room is kept for a gang, as a part of the time within which a guaranteed one must
+/// begin, so that there is time for another try.
+const CLAIM_PART: u64 = 2;
+/// Time for which a task waits for its data's rack, as a share of what it would lose elsewhere.
+const RACK_PATIENCE: f64 = 0.25;
 
 /// Room that runs are being stopped for.
 #[derive(Clone, Debug, PartialEq)]
@@ -209,7 +210,7 @@
 
     /// Gives up claims that have taken too long.
     pub(super) fn drop_claims(&mut self, scene: &Scene<'_>) {
-        let longest = Span(scene.bounds.stop_ms) + CLAIM_SLACK;
+        let longest = Span(scene.bounds.reclaim_ms / CLAIM_PART);
         self.claims.retain(|c| scene.clock.now.since(c.made) <= longest);
     }
 
@@ -236,7 +237,8 @@
             unit.waiting.iter().copied().zip(placed).collect()
         } else {
             let waited = scene.clock.now.since(self.jobs[j].accepted).millis() as f64;
-            let anywhere = waited > step.estimate.millis() as f64 * RACK_PATIENCE;
+            let lost = step.estimate.millis() as f64 * (scene.bounds.remote_factor - 1.0);
+            let anywhere = waited > lost * RACK_PATIENCE;
             let placed = place_singles(&rooms, &step, unit.waiting.len(), anywhere);
             unit.waiting.iter().copied().zip(placed).collect()
         };
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -36,9 +36,9 @@
             worker.promised = worker.promised.max(lease_end.unwrap_or(0));
             worker.hold = Some(HoldCall { ordinal, sent: scene.clock.now, acked });
             self.ordinal = ordinal;
-            let worker = self.workers[at].clone_head();
-            let tag = PlacerTag::Hold(worker.id().clone(), ordinal);
-            self.ask_worker(scene, &worker, tag, op, wait + HOLD_SLACK);
+            let Some(target) = self.workers[at].target() else { continue };
+            let tag = PlacerTag::Hold(target.worker.clone(), ordinal);
+            self.ask_worker(scene, target, tag, op, wait + HOLD_SLACK);
         }
     }
 
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -8,9 +8,9 @@
 use super::worker::{Phase, Slot};
 use super::{Placer, PlacerTag, Scene};
 
-/// Time for an answer to a start or a stop: a gang whose member is silent is broken off well before
-/// the others give up after about 3 s.
-const ORDER_TIMEOUT: Span = Span(700);
+/// Time for an answer to a start or a stop, as a part of the time that members of a gang wait for each
+/// other: a gang with a silent member is broken off well before the others give up.
+const ORDER_PART: u64 = 4;
 /// Pause before a stop without an answer is repeated.
 const STOP_RETRY: Span = Span(100);
 /// Time for which a run may make no progress before it is taken to hang.
@@ -79,9 +79,10 @@
         slot.phase = Phase::Starting;
         (slot.since, slot.started, slot.saved_at, slot.moved) = (now, now, now, now);
         let op = WorkerOp::Start { task: *task, run, text, saved, lease_end };
-        let worker = worker.clone_head();
-        let tag = PlacerTag::Start(worker.id().clone(), worker.fence, *task, run);
-        self.ask_worker(scene, &worker, tag, op, ORDER_TIMEOUT);
+        let Some(target) = worker.target() else { return };
+        let tag = PlacerTag::Start(target.worker.clone(), target.fence, *task, run);
+        let timeout = order_timeout(scene);
+        self.ask_worker(scene, target, tag, op, timeout);
         metrics::counter!("bulrushlink_starts_total").increment(1);
     }
 
@@ -237,10 +238,12 @@
             if stops.is_empty() {
                 continue;
             }
-            let worker = self.workers[at].clone_head();
+            let Some(target) = self.workers[at].target() else { continue };
+            let timeout = order_timeout(scene);
             for (task, run) in stops {
-                let tag = PlacerTag::Stop(worker.id().clone(), worker.fence, task, run);
-                self.ask_worker(scene, &worker, tag, WorkerOp::Stop { task, run }, ORDER_TIMEOUT);
+                let tag = PlacerTag::Stop(target.worker.clone(), target.fence, task, run);
+                let op = WorkerOp::Stop { task, run };
+                self.ask_worker(scene, target.clone(), tag, op, timeout);
                 metrics::counter!("bulrushlink_stops_total").increment(1);
             }
         }
@@ -316,3 +319,8 @@
         }
     }
 }
+
+/// Returns the time for an answer to a start or a stop.
+fn order_timeout(scene: &Scene<'_>) -> Span {
+    Span(scene.bounds.gang_ms / ORDER_PART)
+}
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -1,6 +1,7 @@
 //! A worker as the placer knows it: its boot, its clock, its lease and the runs on it.
 
 use bulrushlink_core::{Moment, Span, WorkerId};
+use std::net::SocketAddr;
 
 use crate::edge::{RunReport, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Run, TaskId};
@@ -61,6 +62,14 @@
     pub(crate) needs: Option<(JobId, u64)>,
 }
 
+/// Where calls to one boot of a worker go.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct Target {
+    pub(crate) worker: WorkerId,
+    pub(crate) fence: u32,
+    pub(crate) addr: SocketAddr,
+}
+
 /// A hold under way.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct HoldCall {
@@ -146,9 +155,10 @@
         }
     }
 
-    /// Copies what a call needs to know, without the runs and ends.
-    pub(crate) fn clone_head(&self) -> Self {
-        Self::new(self.boot.clone(), self.fence, self.entry.clone(), self.hold_next)
+    /// Returns where calls to this boot go; nothing if just a record names the worker.
+    pub(crate) fn target(&self) -> Option<Target> {
+        let addr = self.entry.as_ref()?.addr;
+        Some(Target { worker: self.id().clone(), fence: self.fence, addr })
     }
 
     pub(crate) fn id(&self) -> &WorkerId {
--- a/crates/fleet/src/settings.rs
+++ b/crates/fleet/src/settings.rs
@@ -1,6 +1,6 @@
 //! Bounds that the deployment sets and the figures that follow from them.
 
-use bulrushlink_core::{Code, DaemonId, DomainId, Error, Span};
+use bulrushlink_core::{Code, DaemonId, Error, Span};
 use serde::Deserialize;
 
 /// The bounds of a deployment that the decisions rest on.
@@ -35,8 +35,6 @@
 pub struct NodeSettings {
     /// Unique name of the process's host.
     pub daemon: DaemonId,
-    /// The failure domain of the host.
-    pub domain: DomainId,
     /// Tells this process from earlier ones on the same host.
     pub incarnation: u64,
     /// The deployment's bounds.
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -14,7 +14,6 @@
 fn node() -> Node {
     Node::open(NodeSettings {
         daemon: "d0".parse().expect("a valid name"),
-        domain: "east".parse().expect("a valid name"),
         incarnation: 1,
         bounds: Bounds {
             revoke_ms: 5_000,
--- a/crates/standin/src/emulator.rs
+++ b/crates/standin/src/emulator.rs
@@ -4,9 +4,11 @@
 //! [`Emulator`] puts them behind HTTP.
 
 mod keys;
+mod texts;
 mod wire;
 mod worker;
 
 pub use keys::{CommitRefusal, KeyChange, KeyValue, KeyValues};
+pub use texts::{JobText, pending_text, state_text};
 pub use wire::{Emulator, EmulatorOptions};
 pub use worker::{FleetRun, FleetWorker, FleetWorkerBounds};
--- /dev/null
+++ b/crates/standin/src/emulator/texts.rs
@@ -0,0 +1,73 @@
+//! Texts on the platform's wire, for tests.
+
+use serde_json::{Value, json};
+
+/// A job as callers write it; its tasks take a set time on the emulator's workers.
+#[derive(Clone, Debug)]
+pub struct JobText {
+    millis: u64,
+    steps: Vec<Value>,
+}
+
+impl JobText {
+    /// Makes a job without steps.
+    pub fn new(millis: u64) -> Self {
+        Self { millis, steps: Vec::new() }
+    }
+
+    /// Adds a step of tasks that take one accelerator each.
+    #[must_use]
+    pub fn step(mut self, count: u64, gang: bool) -> Self {
+        self.steps.push(json!({
+            "count": count, "cpu": 1000, "memMb": 1024, "gpu": 1, "estRuntimeMs": 300,
+            "gang": gang,
+        }));
+        self
+    }
+
+    /// Lets the latest step wait for another one.
+    #[must_use]
+    pub fn after(mut self, step: usize) -> Self {
+        if let Some(last) = self.steps.last_mut() {
+            last["after"] = json!([step]);
+        }
+        self
+    }
+
+    /// Returns the text.
+    pub fn text(&self) -> String {
+        let first = self.steps.first();
+        let gang =
+            first.filter(|s| s["gang"] == json!(true)).map_or(json!(0), |s| s["count"].clone());
+        let spec = format!("ms={} gang={gang}", self.millis);
+        json!({ "spec": spec, "steps": self.steps }).to_string()
+    }
+}
+
+/// Returns the body that shows a state of a job.
+pub fn state_text(state: &str) -> String {
+    json!({ "state": state }).to_string()
+}
+
+/// Returns the body that shows the length of a queue.
+pub fn pending_text(count: usize) -> String {
+    json!({ "pending": count }).to_string()
+}
+
+/// Returns a configuration with one queue, `/replay/` at `jobs.example`, and one workspace.
+pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
+    json!({
+        "version": version,
+        "routes": [{
+            "name": "replay", "host": "jobs.example", "prefix": "/replay/", "type": "unsafe",
+            "timeoutMs": 3000, "targetDurationMs": 1000, "priority": 1, "service": "dispatch",
+            "attempts": 2, "stretch": 3.0, "allowAnonymous": false,
+        }],
+        "services": [{ "name": "dispatch" }],
+        "limits": {
+            "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
+            "idleTimeoutMs": 15000,
+        },
+        "tenants": [{ "name": "north", "apiKeys": keys, "priority": 1, "guaranteed": { "gpu": 8 } }],
+    })
+}
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -14,6 +14,7 @@
 use tiny_http::Method;
 
 use super::keys::{CommitRefusal, KeyChange, KeyValue, KeyValues};
+use super::texts::configuration;
 use super::worker::{FleetRun, FleetWorker, FleetWorkerBounds};
 use crate::http::{HttpServer, Reply, Service};
 
@@ -103,14 +104,15 @@
         self.store.addr()
     }
 
-    /// Writes a key as operators do.
-    pub fn put(&self, key: &str, value: &Value) {
-        self.lock().keys.put(key, value.to_string().into_bytes());
+    /// Puts a configuration with one workspace and these keys of it in force, as operators do.
+    pub fn configure(&self, version: u64, keys: &[&str]) {
+        let text = configuration(version, keys).to_string();
+        self.lock().keys.put("op/config", text.into_bytes());
     }
 
-    /// Writes bytes that nobody can read under a key.
-    pub fn put_rubbish(&self, key: &str) {
-        self.lock().keys.put(key, vec![0xff, 0x00, 0x7b]);
+    /// Registers a worker by bytes that nobody can read.
+    pub fn register_rubbish(&self) {
+        self.lock().keys.put("servers/i-rubbish", vec![0xff, 0x00, 0x7b]);
     }
 
     /// Turns calls to the store away, or serves them again.
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -1,7 +1,7 @@
 //! Daemons as processes, and an emulator of the platform in the test.
 
 use bulrushlink_fleet::Resources;
-use bulrushlink_standin::{Emulator, EmulatorOptions, FleetWorkerBounds};
+use bulrushlink_standin::{Emulator, EmulatorOptions, FleetWorkerBounds, state_text};
 use serde_json::{Value, json};
 use std::io::{BufRead, BufReader};
 use std::path::{Path, PathBuf};
@@ -159,18 +159,6 @@
     Some(Answer { status, body, retry_after })
 }
 
-/// Makes the text of a job; its tasks take `millis`.
-pub(crate) fn job(millis: u64, steps: &Value) -> String {
-    let gang = steps[0]["gang"].as_bool().unwrap_or(false);
-    let members = if gang { steps[0]["count"].as_u64().unwrap_or(0) } else { 0 };
-    json!({ "spec": format!("ms={millis} gang={members}"), "steps": steps }).to_string()
-}
-
-/// Makes a step.
-pub(crate) fn step(count: u32, gang: bool) -> Value {
-    json!({ "count": count, "cpu": 1000, "memMb": 1024, "gpu": 1, "estRuntimeMs": 300, "gang": gang })
-}
-
 impl Fleet {
     /// Starts daemons and workers, and puts a configuration in force.
     pub(crate) fn spawn(daemons: usize, workers: usize) -> Self {
@@ -180,8 +168,8 @@
             bounds: FleetWorkerBounds { lease_max: 6_000, stop: 50 },
         })
         .expect("the emulator starts");
-        emulator.put("op/config", &config(7, &["key-north"]));
-        emulator.put_rubbish("servers/i-rubbish");
+        emulator.configure(7, &["key-north"]);
+        emulator.register_rubbish();
         let store = emulator.store().to_string();
         let spawn = |n| DaemonProcess::spawn(format!("d{n}"), &store);
         let daemons = (0..daemons).map(spawn).collect();
@@ -206,7 +194,7 @@
     /// Waits for a state of a job.
     pub(crate) fn wait_state(&self, daemon: usize, id: &str, state: &str) {
         let path = format!("/replay/{id}");
-        let wanted = json!({ "state": state }).to_string();
+        let wanted = state_text(state);
         eventually(&format!("{id} is {state}"), || {
             let answer = call(&self.daemons[daemon].callers, "GET", &path, Some("key-north"), "")?;
             (answer.status == 200 && answer.body == wanted).then_some(())
@@ -222,21 +210,3 @@
         })
     }
 }
-
-/// Makes a configuration.
-pub(crate) fn config(version: u64, keys: &[&str]) -> Value {
-    json!({
-        "version": version,
-        "routes": [{
-            "name": "replay", "host": "jobs.example", "prefix": "/replay/", "type": "unsafe",
-            "timeoutMs": 3000, "targetDurationMs": 1000, "priority": 1, "service": "dispatch",
-            "attempts": 2, "stretch": 3.0, "allowAnonymous": false,
-        }],
-        "services": [{ "name": "dispatch" }],
-        "limits": {
-            "maxHeaderBytes": 4096, "maxBodyBytes": 65536, "headerTimeoutMs": 3000,
-            "idleTimeoutMs": 15000,
-        },
-        "tenants": [{ "name": "north", "apiKeys": keys, "priority": 1, "guaranteed": { "gpu": 8 } }],
-    })
-}
--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -1,8 +1,8 @@
 //! The whole path, and what it does with bad input, kills, outages and signals.
 
-use serde_json::json;
+use bulrushlink_standin::{JobText, pending_text};
 
-use crate::fleet::{Fleet, call, config, eventually, job, step};
+use crate::fleet::{Fleet, call, eventually};
 
 const KEY: Option<&str> = Some("key-north");
 
@@ -13,17 +13,15 @@
 #[test]
 fn jobs_run_once_whichever_daemon_takes_them() {
     let fleet = Fleet::spawn(3, 3);
-    let gang = job(300, &json!([step(12, true)]));
+    let gang = JobText::new(300).step(12, true).text();
     assert_eq!(fleet.submit(0, &id(1), &gang).status, 200);
     assert_eq!(fleet.submit(1, &id(1), &gang).status, 200);
-    let mut second = step(2, false);
-    second["after"] = json!([0]);
-    let steps = job(200, &json!([step(3, false), second]));
+    let steps = JobText::new(200).step(3, false).step(2, false).after(0).text();
     assert_eq!(fleet.submit(2, &id(2), &steps).status, 200);
     fleet.wait_state(0, &id(1), "completed");
     fleet.wait_state(1, &id(2), "completed");
     assert_eq!(fleet.submit(2, &id(1), &gang).status, 200);
-    let long = job(60_000, &json!([step(2, false)]));
+    let long = JobText::new(60_000).step(2, false).text();
     assert_eq!(fleet.submit(0, &id(3), &long).status, 200);
     fleet.wait_state(1, &id(3), "running");
     let path = format!("/replay/{}", id(3));
@@ -42,7 +40,7 @@
     let mut fleet = Fleet::spawn(3, 4);
     let placer = fleet.placer();
     let other = (placer + 1) % 3;
-    let gang = job(1_000, &json!([step(24, true)]));
+    let gang = JobText::new(1_000).step(24, true).text();
     for round in 0..3 {
         let id = id(100 + round);
         assert_eq!(fleet.submit(other, &id, &gang).status, 200);
@@ -57,16 +55,18 @@
 fn bad_input_gets_an_error_and_harms_nothing() {
     let fleet = Fleet::spawn(1, 1);
     let addr = &fleet.daemons[0].callers;
-    let good = job(50, &json!([step(1, false)]));
+    let good = JobText::new(50).step(1, false).text();
     let status = |method: &str, path: &str, key: Option<&str>, body: &str| {
         call(addr, method, path, key, body).map(|a| a.status)
     };
     let path = format!("/replay/{}", id(1));
     assert_eq!(status("POST", &path, KEY, "{"), Some(400));
-    assert_eq!(status("POST", &path, KEY, r#"{"spec":"x","steps":[]}"#), Some(400));
-    let after = r#"{"spec":"x","steps":[{"count":1,"after":[0]}]}"#;
-    assert_eq!(status("POST", &path, KEY, after), Some(400));
-    assert_eq!(status("POST", &path, KEY, r#"{"steps":[{"count":4000000000}]}"#), Some(400));
+    let empty = JobText::new(50).text();
+    assert_eq!(status("POST", &path, KEY, &empty), Some(400));
+    let circle = JobText::new(50).step(1, false).after(0).text();
+    assert_eq!(status("POST", &path, KEY, &circle), Some(400));
+    let endless = JobText::new(50).step(4_000_000_000, false).text();
+    assert_eq!(status("POST", &path, KEY, &endless), Some(400));
     assert_eq!(status("POST", "/replay/short", KEY, &good), Some(400));
     assert_eq!(status("POST", &path, None, &good), Some(401));
     assert_eq!(status("POST", &path, Some("key-west"), &good), Some(401));
@@ -78,16 +78,16 @@
     assert_eq!(status("POST", &path, KEY, &large), Some(413));
     assert_eq!(status("POST", &path, KEY, &good), Some(200));
     fleet.wait_state(0, &id(1), "completed");
-    let other = job(60, &json!([step(2, false)]));
+    let other = JobText::new(60).step(2, false).text();
     assert_eq!(status("POST", &path, KEY, &other), Some(409));
     let pending = call(addr, "GET", "/replay/", KEY, "").expect("an answer");
-    assert_eq!((pending.status, pending.body.as_str()), (200, r#"{"pending":0}"#));
+    assert_eq!((pending.status, pending.body.as_str()), (200, pending_text(0).as_str()));
 }
 
 #[test]
 fn an_outage_of_the_store_is_told_and_a_withdrawn_key_stops_working() {
     let fleet = Fleet::spawn(2, 1);
-    let good = job(50, &json!([step(1, false)]));
+    let good = JobText::new(50).step(1, false).text();
     fleet.emulator.set_down(true);
     let refused = fleet.submit(0, &id(1), &good);
     assert_eq!(refused.status, 503);
@@ -104,7 +104,7 @@
     });
     fleet.wait_state(1, &id(1), "completed");
     assert_eq!(fleet.emulator.starts().len(), 1);
-    fleet.emulator.put("op/config", &config(9, &["key-south"]));
+    fleet.emulator.configure(9, &["key-south"]);
     for daemon in &fleet.daemons {
         eventually("the key stops working", || {
             let path = format!("/replay/{}", id(1));
@@ -119,7 +119,7 @@
     let mut fleet = Fleet::spawn(2, 1);
     let placer = fleet.placer();
     fleet.daemons[placer].signal("HUP");
-    let good = job(50, &json!([step(1, false)]));
+    let good = JobText::new(50).step(1, false).text();
     assert_eq!(fleet.submit(placer, &id(1), &good).status, 200);
     assert!(fleet.daemons[placer].is_running());
     fleet.daemons[placer].signal("TERM");
