--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -136,8 +136,7 @@
 
     /// Refuses requests that waited for a fresh view, as there is none.
     pub(crate) fn view_lost(&mut self, scene: &mut Scene<'_>) {
-        self.requests
-            .retain_mut(|r| r.stage != Stage::Recheck || !r.refuse(scene, "no fresh view"));
+        self.requests.retain_mut(|r| r.stage != Stage::Recheck || r.refuse(scene, "no fresh view"));
     }
 
     /// Takes an answer of the store.
@@ -167,15 +166,15 @@
 impl Request {
     fn begin(&mut self, scene: &mut Scene<'_>) -> bool {
         if !scene.view.is_within(scene.clock.now, scene.bounds.view_max()) {
-            return !self.refuse(scene, "view of the configuration is too old");
+            return self.refuse(scene, "view of the configuration is too old");
         }
         let changes = !matches!(self.call.verb, CallerVerb::Look);
         if changes && scene.view.is_lost() {
             // A commit would most likely stay unanswered, and its outcome unknown.
-            return !self.refuse(scene, "the store can't be reached");
+            return self.refuse(scene, "the store can't be reached");
         }
         let Some(catalog) = scene.view.catalog() else {
-            return !self.refuse(scene, "no configuration yet");
+            return self.refuse(scene, "no configuration yet");
         };
         let key = self.call.key.as_deref();
         match catalog.grant(&self.call.host, &self.call.path, key) {
@@ -249,7 +248,7 @@
     fn call_store(&mut self, scene: &mut Scene<'_>, op: StoreOp) -> bool {
         let left = self.deadline.since(scene.clock.now);
         if left == Span::ZERO {
-            return !self.refuse(scene, "out of time");
+            return self.refuse(scene, "out of time");
         }
         self.ordinal += 1;
         self.retry = None;
@@ -295,7 +294,7 @@
             }
             (stage, other) => {
                 log::error!(event = "store_answer"; "unexpected answer in {stage:?}: {other:?}");
-                !self.refuse(scene, "unexpected answer of the store")
+                self.refuse(scene, "unexpected answer of the store")
             }
         }
     }
@@ -308,7 +307,7 @@
         self.faults += 1;
         log::debug!(event = "request_fault", request:% = self.id, cause:% = fault; "no answer of the store");
         if !self.unsure && self.faults >= FAULTS_MAX {
-            return !self.refuse(scene, "the store can't be reached");
+            return self.refuse(scene, "the store can't be reached");
         }
         self.ordinal += 1;
         self.retry = Some(scene.clock.now + RETRY_PAUSE);
@@ -432,19 +431,19 @@
         {
             return self.finish(scene, Answer::Unknown, "no answer of the store in time");
         }
-        !self.refuse(scene, "out of time")
+        self.refuse(scene, "out of time")
     }
 
-    /// Refuses the request if that is true, and says so; an unsure one goes on.
+    /// Refuses the request as not done. That isn't certain of an unsure one, which goes on until its
+    /// time is over.
     fn refuse(&mut self, scene: &mut Scene<'_>, why: &str) -> bool {
-        if self.unsure {
-            self.retry = Some(scene.clock.now + RETRY_PAUSE);
-            return scene.clock.now >= self.deadline && {
-                self.finish(scene, Answer::Unknown, why);
-                true
-            };
+        if !self.unsure {
+            return self.finish(scene, Answer::Unavailable(why.to_string(), STORE_BACK), why);
         }
-        self.finish(scene, Answer::Unavailable(why.to_string(), STORE_BACK), why);
+        if scene.clock.now >= self.deadline {
+            return self.finish(scene, Answer::Unknown, why);
+        }
+        self.retry = Some(scene.clock.now + RETRY_PAUSE);
         true
     }
 
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -90,6 +90,8 @@
     next: Moment,
     /// Start of the latest read that succeeded.
     fresh: Option<Moment>,
+    /// Entries of that read that name no worker.
+    unread: usize,
 }
 
 /// The watch of the inbox.
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -174,7 +174,11 @@
         self.reading.under_way = None;
         let now = scene.clock.now;
         match result {
-            Ok(StoreReply::Workers(entries, _)) => {
+            Ok(StoreReply::Workers(entries, unread)) => {
+                if unread != self.reading.unread {
+                    log::warn!(event = "entries_unread", entries = unread; "entries that name no worker");
+                    self.reading.unread = unread;
+                }
                 self.reading.next = began + WORKERS_EVERY;
                 self.reading.fresh = Some(began);
                 self.take_workers(scene, entries);
