Keep accepted jobs though their queue is removed

Cause: the placer looked a job's queue up in the configuration alone, so that a job whose queue was removed after its acceptance never ran, or failed with its first failed run. The job's record now holds the queue as it was. Test first: a_job_runs_though_its_queue_is_removed_meanwhile.

--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -1,12 +1,13 @@
 //! The operators' configuration: queues, workspaces and limits.
 
 use bulrushlink_core::{Span, WorkspaceId};
+use serde::{Deserialize, Serialize};
 use std::borrow::Cow;
 
 use crate::ids::Rev;
 
 /// A queue of jobs: where callers reach it and how its jobs are treated.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
     /// Unique name.
     pub name: String,
--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -235,7 +235,7 @@
                 }
                 let record = JobRecord {
                     spec: spec.clone(),
-                    queue: grant.queue.name.clone(),
+                    queue: grant.queue.clone(),
                     workspace: grant.workspace.map(|w| w.name.clone()),
                     accepted: wall,
                 };
@@ -489,7 +489,7 @@
     let mut writes =
         vec![(keys::job(id), encode(record)?, None), (keys::state(id), encode(&state)?, None)];
     if record.spec.schedule.is_none() {
-        writes.push((keys::marker(&record.queue, id), Vec::new(), None));
+        writes.push((keys::marker(&record.queue.name, id), Vec::new(), None));
     }
     let expect = vec![(Subject::Key(keys::job(id)), Rev::ABSENT)];
     Ok(Commit { expect, writes, removes: Vec::new() })
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -94,8 +94,7 @@
         let Some(catalog) = scene.catalog else { return Vec::new() };
         let mut left: Vec<(&WorkspaceId, u64)> =
             catalog.workspaces.iter().map(|w| (&w.name, w.guaranteed)).collect();
-        let urgent =
-            |j: &&Job| !j.is_over() && catalog.queue(&j.queue).is_some_and(|q| q.priority == 0);
+        let urgent = |j: &&Job| !j.is_over() && j.queue(scene.catalog).priority == 0;
         let mut jobs: Vec<&Job> = self.jobs.iter().filter(urgent).collect();
         jobs.sort_by_key(|j| (j.accepted, j.id));
         let mut kept = Vec::new();
@@ -117,9 +116,8 @@
     /// Lists everything that waits and may start.
     fn units(&self, scene: &Scene<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
         let mut units = Vec::new();
-        let Some(catalog) = scene.catalog else { return units };
         for job in self.jobs.iter().filter(|j| !j.is_over() && scene.clock.now >= j.rest) {
-            let Some(queue) = catalog.queue(&job.queue) else { continue };
+            let queue = job.queue(scene.catalog);
             let kept = guaranteed.binary_search(&job.id).is_ok();
             for round in &job.state.rounds {
                 for (number, record) in round.steps.iter().enumerate() {
@@ -309,9 +307,8 @@
         free: &[Resources],
         claimed: &[Resources],
     ) -> Vec<Room> {
-        let endpoint = self.job_at(unit.job).ok().and_then(|j| {
-            scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue)).map(|q| q.endpoint.as_str())
-        });
+        let job = self.job_at(unit.job).ok().map(|j| &self.jobs[j]);
+        let endpoint = job.map(|j| j.queue(scene.catalog).endpoint.as_str());
         let siblings = |w: &Worker| {
             let same = |s: &&Slot| {
                 let t = &s.task;
@@ -377,14 +374,11 @@
             return false;
         }
         let Ok(j) = self.job_at(slot.task.job) else { return false };
-        let queue = scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue));
-        let priority = queue.map_or(u32::MAX, |q| q.priority);
-        unit.guaranteed || unit.priority < priority
+        unit.guaranteed || unit.priority < self.jobs[j].queue(scene.catalog).priority
     }
 
     fn is_urgent(&self, scene: &Scene<'_>, id: JobId) -> bool {
-        let queue = self.job_at(id).ok().and_then(|j| scene.catalog?.queue(&self.jobs[j].queue));
-        queue.is_some_and(|q| q.priority == 0)
+        self.job_at(id).is_ok_and(|j| self.jobs[j].queue(scene.catalog).priority == 0)
     }
 
     /// Estimates the work that is lost if a run is stopped, in core-seconds.
@@ -435,7 +429,7 @@
         }
         let job = &self.jobs[j];
         log::info!(
-            event = "placed", job:% = any.job, queue:% = job.queue, round = any.round, step = any.step,
+            event = "placed", job:% = any.job, queue:% = job.accepted_queue.name, round = any.round, step = any.step,
             run = if step.gang { gang_run.0 } else { 0 }, waited_ms = now.since(job.accepted).millis(),
             epoch:% = self.epoch(), catalog = scene.catalog.map_or(0, |c| c.version),
             workers_age_ms = self.reading.fresh.map_or(0, |f| now.since(f).millis()), places:% = places.join(","); "{why}"
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -74,7 +74,7 @@
                 commit.expect.push((Subject::Key(keys::cancel(job.id)), Rev::ABSENT));
             }
             if job.marked && (job.state.begun || job.is_over()) {
-                commit.removes.push(keys::marker(&job.queue, job.id));
+                commit.removes.push(keys::marker(&job.accepted_queue.name, job.id));
             }
             jobs.push((job.id, job.version));
         }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -136,7 +136,7 @@
         let boot = worker.boot.clone();
         let mut needs = None;
         if let Ok(j) = self.job_at(end.task.job) {
-            let attempts = self.attempts(scene, end.task.job);
+            let attempts = self.jobs[j].queue(scene.catalog).attempts;
             let job = &mut self.jobs[j];
             let here = job.task(&end.task).is_some_and(|t| t.place.as_ref() == Some(&boot));
             let effect = if here {
@@ -186,20 +186,11 @@
         let job = &self.jobs[at];
         if job.is_over() {
             let took = scene.clock.now.since(job.accepted).millis();
-            log::info!(event = "job_completed", job:% = id, took_ms = took, queue:% = job.queue; "all tasks are done");
+            log::info!(event = "job_completed", job:% = id, took_ms = took, queue:% = job.accepted_queue.name; "all tasks are done");
             metrics::histogram!("bulrushlink_job_ms").record(took as f64);
         }
     }
 
-    /// Returns how often a task of a job may fail.
-    fn attempts(&self, scene: &Scene<'_>, id: JobId) -> u32 {
-        let queue = self.job_at(id).ok().and_then(|j| {
-            scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue)).map(|q| q.attempts)
-        });
-        // A queue that is no longer configured fails its jobs with the first failed run.
-        queue.unwrap_or(1)
-    }
-
     /// Takes a run that a worker lists.
     fn take_run(&mut self, scene: &mut Scene<'_>, at: usize, report: &RunReport) {
         let now = scene.clock.now;
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_core::{Moment, Span};
 
-use crate::catalog::Queue;
+use crate::catalog::{Catalog, Queue};
 use crate::edge::{Clock, EndCause};
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
 use crate::model::{JobSpec, Step};
@@ -13,7 +13,8 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: JobSpec,
-    pub(crate) queue: String,
+    /// The queue when the job was accepted.
+    pub(crate) accepted_queue: Queue,
     /// When this placer takes the job to have been accepted.
     pub(crate) accepted: Moment,
     pub(crate) state: StateRecord,
@@ -60,7 +61,7 @@
         Self {
             id,
             spec: record.spec,
-            queue: record.queue,
+            accepted_queue: record.queue,
             accepted,
             state,
             rev,
@@ -73,6 +74,12 @@
         }
     }
 
+    /// Returns the job's queue: as it is configured now, or as it was if it has been removed.
+    pub(crate) fn queue<'a>(&'a self, catalog: Option<&'a Catalog>) -> &'a Queue {
+        let present = catalog.and_then(|c| c.queue(&self.accepted_queue.name));
+        present.unwrap_or(&self.accepted_queue)
+    }
+
     pub(crate) fn is_over(&self) -> bool {
         self.state.outcome.is_some()
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -7,6 +7,7 @@
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 
+use crate::catalog::Queue;
 use crate::ids::{Boot, JobId, Rev, Run};
 use crate::model::JobSpec;
 
@@ -14,12 +15,12 @@
 const LAYOUT: u8 = 1;
 
 /// The accepted job.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub(crate) struct JobRecord {
     /// What the caller asked for.
     pub(crate) spec: JobSpec,
-    /// Name of the queue.
-    pub(crate) queue: String,
+    /// The queue as it was; the job is kept though the operators may remove the queue.
+    pub(crate) queue: Queue,
     /// Workspace whose key came with the job.
     pub(crate) workspace: Option<WorkspaceId>,
     /// When the job was accepted, in milliseconds since 1970.
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -173,6 +173,23 @@
     assert_eq!(lab.starts(), 4);
 }
 
+/// A job that was accepted is kept whatever becomes of its queue.
+#[test]
+fn a_job_runs_though_its_queue_is_removed_meanwhile() {
+    let mut lab = FleetLab::open(3, 2, 10);
+    lab.run(WARM_UP);
+    lab.submit(1_000, 0, JobId(1), "roster", job(vec![step(2, 8, 2_000, vec![])]));
+    lab.submit(1_100, 0, JobId(2), "batch", job(vec![step(2, 8, 1_000, vec![])]));
+    lab.run(1_000);
+    let mut removed = None;
+    lab.change_catalog(|c| removed = Some(c.queues.remove(0)));
+    lab.run(5_000);
+    assert!(lab.has_started(JobId(2)));
+    lab.change_catalog(|c| c.queues.insert(0, removed.take().expect("a queue")));
+    lab.run(5_000);
+    assert_kept(&mut lab);
+}
+
 #[test]
 fn a_run_that_hangs_goes_on_elsewhere() {
     let mut lab = FleetLab::open(3, 4, 9);
