--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -24,8 +24,6 @@
 mod job;
 mod load;
 mod starts;
-#[cfg(test)]
-mod tests;
 mod worker;
 
 /// Period of reading the registered workers: with the commit and the start that follow, well under
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -86,6 +86,21 @@
         metrics::counter!("bulrushlink_starts_total").increment(1);
     }
 
+    /// Finds the run that an order was for, unless the worker has booted again since: an order to an
+    /// earlier boot says nothing of this one.
+    fn ordered(
+        &self,
+        id: &WorkerId,
+        fence: u32,
+        task: &TaskId,
+        run: Run,
+    ) -> Option<(usize, usize)> {
+        let at = self.worker_at(id).ok()?;
+        let worker = &self.workers[at];
+        let slot = worker.slot(task, run).filter(|_| worker.fence == fence)?;
+        Some((at, slot))
+    }
+
     pub(super) fn start_answered(
         &mut self,
         scene: &mut Scene<'_>,
@@ -95,12 +110,7 @@
         result: Result<WorkerReply, Fault>,
     ) {
         let now = scene.clock.now;
-        let Ok(at) = self.worker_at(id) else { return };
-        // An order to an earlier boot says nothing of this one.
-        if self.workers[at].fence != fence {
-            return;
-        }
-        let Some(s) = self.workers[at].slot(task, run) else { return };
+        let Some((at, s)) = self.ordered(id, fence, task, run) else { return };
         let slot = &mut self.workers[at].slots[s];
         match result {
             Ok(WorkerReply::Refused(refusal)) => {
@@ -258,12 +268,7 @@
         result: Result<WorkerReply, Fault>,
     ) {
         let now = scene.clock.now;
-        let Ok(at) = self.worker_at(id) else { return };
-        // An order to an earlier boot says nothing of this one.
-        if self.workers[at].fence != fence {
-            return;
-        }
-        let Some(s) = self.workers[at].slot(task, run) else { return };
+        let Some((at, s)) = self.ordered(id, fence, task, run) else { return };
         let worker = &mut self.workers[at];
         let Phase::Closing { answered: None, .. } = worker.slots[s].phase else { return };
         let repeat = Phase::Closing { sent: None, answered: None, next: now + STOP_RETRY };
