--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -4,7 +4,7 @@
 
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::{Resources, Step};
-use crate::plan::{Eviction, Rank, Room, Victim, evict, place_gang, place_singles, rank};
+use crate::plan::{Eviction, Rank, Request, Room, Victim, evict, place_gang, place_singles, rank};
 
 use super::job::Job;
 use super::worker::{Phase, Slot, Worker};
@@ -12,6 +12,10 @@
 
 /// Accelerators are this many times as dear as cores when the loss of a stop is weighed.
 const ACCELERATOR_CORES: f64 = 8.0;
+/// How much dearer the loss of urgent work is, which has no time to be done over.
+const URGENT_LOSS: f64 = 10.0;
+/// Share of the accelerators that is kept free for urgent work, which can't wait for a stop.
+const RESERVE_SHARE: f64 = 0.08;
 /// Time for which room is kept for a gang beyond the longest stop.
 const CLAIM_SLACK: Span = Span(1_500);
 /// Time for which a task waits for its data's rack, as a share of the estimate.
@@ -73,11 +77,13 @@
         }
         let guaranteed = self.guaranteed_jobs(scene);
         let mut free: Vec<Resources> = self.workers.iter().map(Worker::free).collect();
-        self.use_claims(scene, &mut free);
+        let mut claimed = vec![Resources::default(); free.len()];
+        self.use_claims(scene, &mut free, &mut claimed);
         let mut units = self.units(scene, &guaranteed);
-        units.sort_by_key(|u| (u.rank, u.job, u.round, u.step));
+        let name = |u: &Unit| (u.job, u.round, u.step);
+        units.sort_by(|a, b| a.rank.order(&b.rank).then(name(a).cmp(&name(b))));
         for unit in units {
-            self.place_unit(scene, &unit, &guaranteed, &mut free);
+            self.place_unit(scene, &unit, &guaranteed, &mut free, &mut claimed);
         }
     }
 
@@ -128,8 +134,17 @@
                     if waiting.is_empty() || (step.gang && !whole) {
                         continue;
                     }
+                    let request = Request {
+                        guaranteed: kept,
+                        priority: queue.priority,
+                        due: job.due(round.round, scene.clock),
+                        allowed: job.allowed(queue),
+                        needed: job.chain_from(number),
+                        cost: step.estimate.secs_f64()
+                            * (waiting.len() as u64 * step.need.accelerators) as f64,
+                    };
                     units.push(Unit {
-                        rank: rank(kept, queue.priority, job.accepted),
+                        rank: rank(&request, scene.clock.now),
                         job: job.id,
                         round: round.round,
                         step: number as u16,
@@ -145,7 +160,12 @@
     }
 
     /// Starts gangs whose room has become free, and keeps the room of the others.
-    fn use_claims(&mut self, scene: &mut Scene<'_>, free: &mut [Resources]) {
+    fn use_claims(
+        &mut self,
+        scene: &mut Scene<'_>,
+        free: &mut [Resources],
+        claimed: &mut [Resources],
+    ) {
         for claim in std::mem::take(&mut self.claims) {
             let Some(choice) = self.claimed(scene, &claim) else { continue };
             let Ok(j) = self.job_at(claim.job) else { continue };
@@ -153,15 +173,18 @@
             let mut left = free.to_vec();
             let mut fits = true;
             for (_, at) in &choice {
-                fits &= left[*at].holds(&need);
+                fits &= left[*at].minus(&claimed[*at]).holds(&need);
                 left[*at] = left[*at].minus(&need);
             }
-            free.copy_from_slice(&left);
             if fits {
+                free.copy_from_slice(&left);
                 let task =
                     TaskId { job: claim.job, round: claim.round, step: claim.step, index: 0 };
                 self.commit_choice(scene, &task, &choice, "room made");
             } else {
+                for (_, at) in &choice {
+                    claimed[*at] = claimed[*at].plus(&need);
+                }
                 self.claims.push(claim);
             }
         }
@@ -196,6 +219,7 @@
         unit: &Unit,
         guaranteed: &[JobId],
         free: &mut [Resources],
+        claimed: &mut [Resources],
     ) {
         let same = |c: &Claim| (c.job, c.round, c.step) == (unit.job, unit.round, unit.step);
         if self.claims.iter().any(same) {
@@ -203,10 +227,19 @@
         }
         let Ok(j) = self.job_at(unit.job) else { return };
         let step = self.jobs[j].spec.steps[usize::from(unit.step)].clone();
-        let rooms = self.rooms(scene, unit, &step, free);
+        let mut unit = unit.clone();
+        if unit.priority > 0 {
+            let most = self.spare_tasks(&step, free, claimed);
+            if step.gang && most < unit.waiting.len() as u64 {
+                return;
+            }
+            unit.waiting.truncate(most as usize);
+        }
+        let unit = &unit;
+        let rooms = self.rooms(scene, unit, &step, free, claimed);
         let choice: Choice = if step.gang {
             let Some(placed) = place_gang(&rooms, &step, unit.waiting.len()) else {
-                self.make_room(scene, unit, &step, rooms, guaranteed, free);
+                self.make_room(scene, unit, &step, rooms, guaranteed, claimed);
                 return;
             };
             unit.waiting.iter().copied().zip(placed).collect()
@@ -225,6 +258,20 @@
         self.commit_choice(scene, &unit.task(0), &choice, "free room");
     }
 
+    /// Returns how many tasks that aren't urgent can start without touching the reserve.
+    fn spare_tasks(&self, step: &Step, free: &[Resources], claimed: &[Resources]) -> u64 {
+        let capacity = |w: &Worker| w.entry.as_ref().map_or(0, |e| e.capacity.accelerators);
+        let all: u64 = self.workers.iter().map(capacity).sum();
+        let open = |(f, c): (&Resources, &Resources)| f.minus(c).accelerators;
+        let left: u64 = free.iter().zip(claimed).map(open).sum();
+        let reserve = (all as f64 * RESERVE_SHARE) as u64;
+        // A gang that needs nearly everything could never start beside the reserve.
+        let whole = if step.gang { u64::from(step.tasks) * step.need.accelerators } else { 0 };
+        let reserve = if whole + reserve > all { 0 } else { reserve };
+        let spare = left.saturating_sub(reserve);
+        spare.checked_div(step.need.accelerators).unwrap_or(u64::MAX)
+    }
+
     /// Stops other work for a unit that may displace it.
     fn make_room(
         &mut self,
@@ -233,7 +280,7 @@
         step: &Step,
         mut rooms: Vec<Room>,
         guaranteed: &[JobId],
-        free: &mut [Resources],
+        claimed: &mut [Resources],
     ) {
         if !unit.guaranteed && unit.priority > 0 {
             return;
@@ -262,7 +309,7 @@
             }
         }
         for at in &placed {
-            free[*at] = free[*at].minus(&step.need);
+            claimed[*at] = claimed[*at].plus(&step.need);
         }
         let ids = placed.iter().map(|at| self.workers[*at].id().clone());
         let tasks = unit.waiting.iter().copied().zip(ids).collect();
@@ -275,7 +322,14 @@
     }
 
     /// Shows the workers as a unit sees them.
-    fn rooms(&self, scene: &Scene<'_>, unit: &Unit, step: &Step, free: &[Resources]) -> Vec<Room> {
+    fn rooms(
+        &self,
+        scene: &Scene<'_>,
+        unit: &Unit,
+        step: &Step,
+        free: &[Resources],
+        claimed: &[Resources],
+    ) -> Vec<Room> {
         let endpoint = self.job_at(unit.job).ok().and_then(|j| {
             scene.catalog.and_then(|c| c.queue(&self.jobs[j].queue)).map(|q| q.endpoint.as_str())
         });
@@ -296,6 +350,7 @@
             let trusted = !unit.failed || doubt == 0;
             Room {
                 free: free[at],
+                claimed: claimed[at],
                 capacity: entry.map_or(Resources::default(), |e| e.capacity),
                 rack: entry.and_then(|e| e.rack.clone()),
                 usable: mine && labelled && trusted && self.may_start(scene, at),
@@ -315,7 +370,6 @@
         rooms: &mut [Room],
         guaranteed: &[JobId],
     ) -> Vec<(TaskId, Run)> {
-        let now = scene.clock.now;
         let mut groups: Vec<(TaskId, Run)> = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for slot in &worker.slots {
@@ -331,7 +385,7 @@
                     groups.push(key);
                     groups.len() - 1
                 });
-                let cost = if leaving { 0.0 } else { self.loss(slot, whole, now) };
+                let cost = if leaving { 0.0 } else { self.loss(scene, slot, whole) };
                 rooms[at].victims.push(Victim { need: slot.need, group, cost });
             }
         }
@@ -349,13 +403,21 @@
         unit.guaranteed || unit.priority < priority
     }
 
+    fn is_urgent(&self, scene: &Scene<'_>, id: JobId) -> bool {
+        let queue = self.job_at(id).ok().and_then(|j| scene.catalog?.queue(&self.jobs[j].queue));
+        queue.is_some_and(|q| q.priority == 0)
+    }
+
     /// Estimates the work that is lost if a run is stopped, in core-seconds.
-    fn loss(&self, slot: &Slot, whole: bool, now: Moment) -> f64 {
+    fn loss(&self, scene: &Scene<'_>, slot: &Slot, whole: bool) -> f64 {
+        let now = scene.clock.now;
         let Ok(j) = self.job_at(slot.task.job) else { return 0.0 };
         let tasks = self.jobs[j].step(&slot.task).map_or(1, |s| if whole { s.tasks } else { 1 });
         let unsaved = now.since(slot.started.max(slot.saved_at)).secs_f64();
         let cores = slot.need.cpu as f64 / 1000.0;
         let weight = cores + slot.need.accelerators as f64 * ACCELERATOR_CORES;
+        let urgent = self.is_urgent(scene, slot.task.job);
+        let weight = if urgent { weight * URGENT_LOSS } else { weight };
         // A run that has just begun loses little work, but its stop and restart still cost time.
         (unsaved + 0.5) * weight * f64::from(tasks)
     }
@@ -393,7 +455,7 @@
         }
         let job = &self.jobs[j];
         log::info!(
-            event = "placed", job:% = any.job, round = any.round, step = any.step,
+            event = "placed", job:% = any.job, queue:% = job.queue, round = any.round, step = any.step,
             run = if step.gang { gang_run.0 } else { 0 }, waited_ms = now.since(job.accepted).millis(),
             epoch:% = self.epoch(), places:% = places.join(","); "{why}"
         );
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -1,8 +1,9 @@
 //! A job as the placer keeps it: what the store has, and what it is to have.
 
-use bulrushlink_core::Moment;
+use bulrushlink_core::{Moment, Span};
 
-use crate::edge::EndCause;
+use crate::catalog::Queue;
+use crate::edge::{Clock, EndCause};
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
 use crate::model::{JobSpec, Step};
 use crate::record::{JobRecord, Outcome, RoundRecord, StateRecord, StepRecord, TaskRecord};
@@ -131,6 +132,31 @@
         }
     }
 
+    /// Returns when a round was due, by the clock of this process.
+    pub(crate) fn due(&self, round: u32, clock: Clock) -> Moment {
+        match self.spec.schedule {
+            Some(schedule) => clock.now - Span(clock.wall.saturating_sub(schedule.due(round))),
+            None => self.accepted,
+        }
+    }
+
+    /// Estimates the longest chain of work that begins with a step.
+    pub(crate) fn chain_from(&self, step: usize) -> Span {
+        let steps = &self.spec.steps;
+        let follows = |s: &Step| s.after.iter().any(|a| usize::from(*a) == step);
+        let later = (step + 1..steps.len()).filter(|n| follows(&steps[*n]));
+        let rest = later.map(|n| self.chain_from(n)).max().unwrap_or(Span::ZERO);
+        steps[step].estimate + rest
+    }
+
+    /// Returns the time that the job is allowed under its queue.
+    pub(crate) fn allowed(&self, queue: &Queue) -> Span {
+        let free = |s: &usize| self.spec.steps[*s].after.is_empty();
+        let starts = (0..self.spec.steps.len()).filter(free);
+        let chain = starts.map(|s| self.chain_from(s)).max().unwrap_or(Span::ZERO);
+        Span((chain.millis() as f64 * queue.stretch) as u64) + queue.target
+    }
+
     /// Returns the run that follows all earlier runs of a gang's members.
     pub(crate) fn next_gang_run(&self, task: &TaskId) -> Run {
         let last = self.step_record(task).into_iter().flat_map(|s| &s.tasks).map(|t| t.run).max();
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -288,10 +288,9 @@
                 let Ok(j) = self.job_at(slot.task.job) else { continue };
                 let Some(step) = self.jobs[j].step(&slot.task) else { continue };
                 let share = Span((step.estimate.millis() as f64 * STALL_SHARE) as u64);
-                if !step.endless
-                    && now.since(slot.moved) > STALL_MAX.max(share)
-                    && worker.silent == 0
-                {
+                let still = now.since(slot.moved) > STALL_MAX.max(share) && worker.silent == 0;
+                // At 100% a member of a gang waits for slower ones.
+                if still && !step.endless && slot.percent < 100 {
                     stalled.push((at, slot.task, slot.run, slot.percent));
                 }
             }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -10,7 +10,7 @@
 mod tests;
 
 pub(crate) use evict::{Eviction, evict};
-pub(crate) use order::{Rank, rank};
+pub(crate) use order::{Rank, Request, rank};
 
 /// A run that could be stopped to make room.
 #[derive(Clone, Debug, PartialEq)]
@@ -26,8 +26,10 @@
 /// A worker as placement sees it.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Room {
-    /// What nothing uses or has claimed.
+    /// What nothing uses.
     pub(crate) free: Resources,
+    /// What gangs that wait for stops will take, which may be more than is free by now.
+    pub(crate) claimed: Resources,
     /// All that the worker has.
     pub(crate) capacity: Resources,
     /// Rack, if it is known.
@@ -43,6 +45,11 @@
 }
 
 impl Room {
+    /// Returns what is free and not claimed.
+    fn open(&self) -> Resources {
+        self.free.minus(&self.claimed)
+    }
+
     /// Returns how many tasks of a step go into the given free room.
     fn places(&self, step: &Step, free: &Resources) -> u64 {
         if !self.usable {
@@ -54,7 +61,7 @@
 
     /// Returns how many tasks of a step go into what is free.
     fn free_places(&self, step: &Step) -> u64 {
-        self.places(step, &self.free)
+        self.places(step, &self.open())
     }
 
     /// Returns how many tasks of a step would go into the empty worker.
@@ -69,7 +76,7 @@
     let mut order: Vec<usize> = among.to_vec();
     let key = |i: &usize| {
         let room = &rooms[*i];
-        let left = room.free.minus(&step.need);
+        let left = room.open().minus(&step.need);
         (room.doubt, left.accelerators, left.cpu, *i)
     };
     order.sort_by_key(key);
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -40,6 +40,8 @@
         for victim in place.victims.iter().filter(|v| gone(v.group)) {
             free = free.plus(&victim.need);
         }
+        // Claims are met out of the same stops, so that they come off last.
+        free = free.minus(&place.claimed);
         for _ in 0..self.used[room] {
             free = free.minus(&self.step.need);
         }
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -136,6 +136,56 @@
     assert_kept(&mut lab);
 }
 
+/// Found by `fleetbench hunt` on the second site, `hunt-dd30-43`: two gangs counted on the same room.
+#[test]
+fn guaranteed_jobs_that_come_together_all_begin_in_time() {
+    for seed in 0..10 {
+        let mut lab = FleetLab::open(3, 8, seed);
+        lab.run(WARM_UP);
+        let mut filler = step(64, 1, 30_000, vec![]);
+        filler.gang = false;
+        lab.submit(1_000, 0, JobId(1), "batch", job(vec![filler]));
+        lab.run(1_000);
+        let shapes = [(1, 8), (2, 2), (1, 4), (4, 1), (2, 2)];
+        for (n, (tasks, accelerators)) in (10..).zip(shapes) {
+            let gang = step(tasks, accelerators, 6_000, vec![]);
+            lab.submit(2_000 + (n - 10) * 20, 1, JobId(n), "roster", job(vec![gang]));
+        }
+        lab.run(80 + 3_400);
+        for n in 10..15 {
+            assert!(lab.has_started(JobId(n)), "seed {seed}: job {n} has not begun");
+        }
+        lab.run(60_000);
+        assert_kept(&mut lab);
+    }
+}
+
+/// Found by `fleetbench run` on the second site, `quiet-1`: whole gangs were stopped shortly before
+/// their end because their fast members had nothing more to do.
+#[test]
+fn a_gang_that_waits_for_a_slow_member_is_not_stalled() {
+    let mut lab = FleetLab::open(3, 4, 9);
+    lab.run(WARM_UP);
+    (1..4).for_each(|worker| lab.plan(900, Trouble::Slow(worker, 3)));
+    lab.submit(1_000, 0, JobId(1), "replay", job(vec![step(4, 8, 3_000, vec![])]));
+    lab.run(14_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_eq!(lab.starts(), 4);
+}
+
+#[test]
+fn a_run_that_hangs_goes_on_elsewhere() {
+    let mut lab = FleetLab::open(3, 4, 9);
+    lab.run(WARM_UP);
+    lab.submit(1_000, 0, JobId(1), "replay", job(vec![step(1, 8, 3_000, vec![])]));
+    lab.run(1_500);
+    let places = lab.places(JobId(1));
+    lab.plan(2_600, Trouble::Hanging(places[0], true));
+    lab.run(12_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_kept(&mut lab);
+}
+
 /// Plans troubles of every kind at random moments, and a stream of jobs meanwhile.
 fn storm(seed: u64) -> FleetLab {
     let (daemons, workers) = (4, 10);
