--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,6 +10,7 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use crate::message::{Request, Response};
@@ -17,12 +18,16 @@
 
 /// Priority of the connections in the poll loop.
 const POLL_PRIORITY: u32 = 5;
-/// Bytes read at a time.
-const READ_BYTES: usize = 64 * 1024;
+/// Bytes read at first: most responses are smaller, and each connection keeps twice as much.
+const READ_MIN: usize = 2 * 1024;
+/// Bytes read at a time once a response has turned out to be long.
+const READ_MAX: usize = 64 * 1024;
 /// Bounds on a response: a page of the store is up to 1 MB, a third more in base64.
 const RESPONSE: Bounds = Bounds { head: 16 * 1024, body: 8 * 1024 * 1024 };
 /// Idle time after which a connection is closed, below the usual limit of servers.
 const IDLE_MAX: Span = Span(10_000);
+/// Period of looking for connections that have been idle for long; all of them are looked at.
+const IDLE_EVERY: Span = Span(1_000);
 
 /// Why a call has no response.
 #[derive(Clone, Debug, Display, PartialEq, Eq)]
@@ -68,12 +73,21 @@
 pub struct Client<T> {
     /// Sorted by ordinal.
     links: Vec<Link<T>>,
+    /// Calls under way by the end of their time, with their connections.
+    deadlines: BTreeSet<(Moment, u64)>,
     opened: u64,
+    /// When idle connections were last looked for.
+    swept: Moment,
 }
 
 impl<T> Default for Client<T> {
     fn default() -> Self {
-        Self { links: Vec::new(), opened: 0 }
+        Self {
+            links: Vec::new(),
+            deadlines: BTreeSet::new(),
+            opened: 0,
+            swept: Moment::default(),
+        }
     }
 }
 
@@ -102,6 +116,7 @@
             },
         };
         let link = &mut self.links[at];
+        self.deadlines.insert((deadline, link.id));
         link.pending = Some(Pending { token, deadline });
         link.stream.out.extend_from_slice(&request.encode());
         if link.connected && link.stream.flush().is_err() {
@@ -151,9 +166,10 @@
     }
 
     fn read(&mut self, at: usize, now: Moment) -> Option<Finished<T>> {
+        let mut bytes = READ_MIN;
         let ended = loop {
-            match self.links[at].stream.read(READ_BYTES) {
-                ReadStatus::NewData => {}
+            match self.links[at].stream.read(bytes) {
+                ReadStatus::NewData => bytes = (bytes * 2).min(READ_MAX),
                 ReadStatus::WouldBlock => break false,
                 ReadStatus::EndOfStream => break true,
                 ReadStatus::Error(error) => return self.fail(at, &error.to_string()),
@@ -173,7 +189,8 @@
                 link.stream.rd += length;
                 let closes = |v: &str| v.eq_ignore_ascii_case("close");
                 let close = ended || response.header("connection").is_some_and(closes);
-                let Pending { token, .. } = link.pending.take()?;
+                let Pending { token, deadline } = link.pending.take()?;
+                self.deadlines.remove(&(deadline, link.id));
                 link.carried += 1;
                 link.idle = now;
                 if close {
@@ -189,7 +206,8 @@
 
     fn fail(&mut self, at: usize, why: &str) -> Option<Finished<T>> {
         let link = self.links.remove(at);
-        let Pending { token, .. } = link.pending?;
+        let Pending { token, deadline } = link.pending?;
+        self.deadlines.remove(&(deadline, link.id));
         let silent = link.stream.rd == link.stream.wr;
         let result = if link.connected {
             Err(Failure::Unknown(why.to_string()))
@@ -201,37 +219,35 @@
 
     /// Ends the calls that are out of time, and closes connections that have been idle for long.
     pub fn expire(&mut self, now: Moment) -> Vec<Finished<T>> {
-        let late = |l: &Link<T>| l.pending.as_ref().is_some_and(|p| p.deadline <= now);
-        let silent: Vec<SocketAddr> =
-            self.links.iter().filter(|l| late(l)).map(|l| l.peer).collect();
         let mut finished = Vec::new();
-        let mut kept = Vec::new();
-        for mut link in self.links.drain(..) {
-            match link.pending.take() {
-                Some(pending) if pending.deadline <= now => {
-                    let why = "no answer in time".to_string();
-                    let result = Err(if link.connected {
-                        Failure::Unknown(why)
-                    } else {
-                        Failure::NotSent(why)
-                    });
-                    finished.push(Finished { token: pending.token, result, stale: false });
-                }
-                Some(pending) => {
-                    link.pending = Some(pending);
-                    kept.push(link);
-                }
-                None if silent.contains(&link.peer) || now.since(link.idle) > IDLE_MAX => {}
-                None => kept.push(link),
-            }
+        let mut silent = Vec::new();
+        while let Some((deadline, id)) = self.deadlines.first().copied()
+            && deadline <= now
+        {
+            self.deadlines.pop_first();
+            let Ok(at) = self.links.binary_search_by_key(&id, |l| l.id) else { continue };
+            let link = self.links.remove(at);
+            silent.push(link.peer);
+            let Some(Pending { token, .. }) = link.pending else { continue };
+            let why = "no answer in time".to_string();
+            let result = Err(if link.connected {
+                Failure::Unknown(why)
+            } else {
+                Failure::NotSent(why)
+            });
+            finished.push(Finished { token, result, stale: false });
+        }
+        if !silent.is_empty() || now.since(self.swept) >= IDLE_EVERY {
+            self.swept = now;
+            let old = |l: &Link<T>| silent.contains(&l.peer) || now.since(l.idle) > IDLE_MAX;
+            self.links.retain(|l| l.pending.is_some() || !old(l));
         }
-        self.links = kept;
         finished
     }
 
     /// Returns when the next call runs out of time.
     pub fn due(&self) -> Option<Moment> {
-        self.links.iter().filter_map(|l| l.pending.as_ref().map(|p| p.deadline)).min()
+        self.deadlines.first().map(|(deadline, _)| *deadline)
     }
 
     /// Returns the number of open connections.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -15,7 +15,7 @@
 /// Priority of the listener and its connections in the poll loop.
 const POLL_PRIORITY: u32 = 6;
 /// Bytes read at a time.
-const READ_BYTES: usize = 16 * 1024;
+const READ_BYTES: usize = 4 * 1024;
 
 /// A connection of a listener.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -8,6 +8,7 @@
 };
 use bulrushlink_standin::FleetWorker;
 use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
 
 use super::record::{Breach, JobTrack, Record, Told};
 use super::store::SimStore;
@@ -160,6 +161,8 @@
     record: Record,
     bounds: Bounds,
     quiet: bool,
+    /// Real time that the nodes have taken.
+    busy: Duration,
 }
 
 fn bounds() -> Bounds {
@@ -217,7 +220,7 @@
         id: format!("i-{number:04}").parse::<WorkerId>().expect("a valid name"),
         born: WALL_ORIGIN,
         endpoint: "dispatch".to_string(),
-        addr: ([10, 128, 0, number as u8], 8080).into(),
+        addr: ([10, 128, (number >> 8) as u8, number as u8], 8080).into(),
         domain: ["east", "west"][number % 2].parse::<DomainId>().expect("a valid name"),
         state: WorkerState::Ready,
         capacity: Resources { cpu: 32_000, memory: 131_072, accelerators: 8 },
@@ -248,6 +251,7 @@
             record: Record::default(),
             bounds: bounds(),
             quiet: true,
+            busy: Duration::ZERO,
             random: random.fork(),
         };
         for number in 0..workers {
@@ -351,6 +355,11 @@
         self.record.starts
     }
 
+    /// Returns the real time that the nodes have taken so far.
+    pub fn busy(&self) -> Duration {
+        self.busy
+    }
+
     /// Returns how many members of gangs waited for the others in vain.
     pub fn alone(&self) -> u64 {
         self.record.alone
@@ -438,7 +447,10 @@
         }
         let clock = Clock { now: Moment(now), wall: WALL_ORIGIN + now };
         let incarnation = s.incarnation;
-        for output in s.node.take(clock, input) {
+        let began = Instant::now();
+        let outputs = s.node.take(clock, input);
+        self.busy += began.elapsed();
+        for output in outputs {
             self.carry_out(seat, incarnation, output);
         }
     }
