Start no task while a stray run of it is being stopped; group racks once

Tasks with such a run now wait for its end. Racks are grouped when the list of workers changes, not for each unit.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -134,6 +134,7 @@
     /// Lists everything that waits and may start.
     fn units(&self, scene: &Scene<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
         let mut units = Vec::new();
+        let strays = self.strays();
         for job in self.jobs.iter().filter(|j| !j.is_over() && scene.clock.now >= j.rest) {
             let queue = job.queue(scene.catalog);
             let kept = guaranteed.binary_search(&job.id).is_ok();
@@ -144,9 +145,14 @@
                     if !step.after.iter().all(after) {
                         continue;
                     }
-                    let waits = |t: &crate::record::TaskRecord| !t.done && t.place.is_none();
-                    let waiting: Vec<u32> =
-                        (0..step.tasks).filter(|i| waits(&record.tasks[*i as usize])).collect();
+                    let any =
+                        TaskId { job: job.id, round: round.round, step: number as u16, index: 0 };
+                    let stray = |index| strays.binary_search(&TaskId { index, ..any }).is_ok();
+                    let waits = |index: &u32| {
+                        let task = &record.tasks[*index as usize];
+                        !task.done && task.place.is_none() && !stray(*index)
+                    };
+                    let waiting: Vec<u32> = (0..step.tasks).filter(waits).collect();
                     let whole = waiting.len() == step.tasks as usize;
                     if waiting.is_empty() || (step.gang && !whole) {
                         continue;
@@ -176,6 +182,23 @@
         units
     }
 
+    /// Lists the tasks of which a worker still has a run that no record accounts for, sorted. Such a
+    /// run has to be gone before the next one starts.
+    fn strays(&self) -> Vec<TaskId> {
+        let mut strays = Vec::new();
+        for worker in &self.workers {
+            for slot in worker.slots.iter().filter(|s| matches!(s.phase, Phase::Closing { .. })) {
+                let job = self.job_at(slot.task.job).ok().map(|j| &self.jobs[j]);
+                let task = job.and_then(|j| j.task(&slot.task));
+                if task.is_some_and(|t| t.place.is_none()) {
+                    strays.push(slot.task);
+                }
+            }
+        }
+        strays.sort_unstable();
+        strays
+    }
+
     /// Starts gangs whose room has become free, and keeps the room of the others; tells whether any
     /// has been started.
     fn use_claims(&mut self, scene: &mut Scene<'_>, field: &mut Field) -> bool {
@@ -262,11 +285,11 @@
 
     /// Chooses workers with free room; for a gang all of them or none.
     fn find_room(&self, unit: &Unit, shape: &Shape, field: &mut Field) -> Vec<usize> {
-        let rooms = field.rooms_for(shape, |at| self.fits(at, shape));
+        let (rooms, racks) = field.rooms_for(shape, |at| self.fits(at, shape));
         self.count_siblings(unit, &shape.step, rooms);
         let count = unit.waiting.len();
         if shape.step.gang {
-            place_gang(rooms, &shape.step, count).unwrap_or_default()
+            place_gang(rooms, racks, &shape.step, count).unwrap_or_default()
         } else {
             place_singles(rooms, &shape.step, count, shape.anywhere)
         }
@@ -303,10 +326,10 @@
             let groups = self.groups(scene, guaranteed);
             field.set_groups(groups);
         }
-        let rooms = field.rooms_to_make(shape, claimant, |at| self.fits(at, shape));
+        let (rooms, racks) = field.rooms_to_make(shape, claimant, |at| self.fits(at, shape));
         self.count_siblings(unit, &shape.step, rooms);
         let Some(Eviction { placed, groups: chosen, cost }) =
-            evict(rooms, &shape.step, unit.waiting.len())
+            evict(rooms, racks, &shape.step, unit.waiting.len())
         else {
             field.note_fixed(shape, claimant);
             return;
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -7,7 +7,7 @@
 
 use crate::ids::{Run, TaskId};
 use crate::model::{Resources, Step};
-use crate::plan::{Room, Victim};
+use crate::plan::{Racks, Room, Victim};
 
 /// What decides whether there is room for a unit of work.
 #[derive(Clone, Debug, PartialEq)]
@@ -123,6 +123,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Field {
     rooms: Vec<Room>,
+    racks: Racks,
     /// Which of them may get work.
     open: Vec<bool>,
     /// What could be stopped, sorted by task and run, once it has been asked for.
@@ -138,10 +139,11 @@
         self.full.clear();
         self.fixed.clear();
         self.open.clear();
-        let mut count = 0;
+        let (mut count, mut moved) = (0, false);
         for place in places {
             if self.rooms.len() == count {
                 self.rooms.push(Room::default());
+                moved = true;
             }
             let room = &mut self.rooms[count];
             room.free = place.free;
@@ -149,12 +151,16 @@
             room.capacity = place.capacity;
             if room.rack.as_ref() != place.rack {
                 room.rack = place.rack.cloned();
+                moved = true;
             }
             room.doubt = place.doubt;
             self.open.push(place.open);
             count += 1;
         }
-        self.rooms.truncate(count);
+        if moved || self.rooms.len() > count {
+            self.rooms.truncate(count);
+            self.racks = Racks::of(&self.rooms);
+        }
     }
 
     /// Tells whether a choice fits into room that nobody has claimed.
@@ -221,14 +227,18 @@
 
     /// Shows the workers with those marked that a shape may use; `fits` tells whether a worker has
     /// the endpoint and the label that it wants.
-    pub(super) fn rooms_for(&mut self, shape: &Shape, fits: impl Fn(usize) -> bool) -> &mut [Room] {
+    pub(super) fn rooms_for(
+        &mut self,
+        shape: &Shape,
+        fits: impl Fn(usize) -> bool,
+    ) -> (&mut [Room], &Racks) {
         for (at, room) in self.rooms.iter_mut().enumerate() {
             let trusted = !shape.trusted || room.doubt == 0;
             room.usable = self.open[at] && trusted && fits(at);
             room.siblings = 0;
             room.victims.clear();
         }
-        &mut self.rooms
+        (&mut self.rooms, &self.racks)
     }
 
     /// Shows the workers with what may be stopped there for a shape.
@@ -237,7 +247,7 @@
         shape: &Shape,
         claimant: Claimant,
         fits: impl Fn(usize) -> bool,
-    ) -> &mut [Room] {
+    ) -> (&mut [Room], &Racks) {
         self.rooms_for(shape, fits);
         for (number, group) in self.groups.iter().flatten().enumerate() {
             let yields = group.standing.yields(claimant);
@@ -249,6 +259,6 @@
                 }
             }
         }
-        &mut self.rooms
+        (&mut self.rooms, &self.racks)
     }
 }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -31,22 +31,27 @@
 
 impl Placer {
     pub(super) fn send_holds(&mut self, scene: &mut Scene<'_>) {
-        let mut turns: Vec<(Moment, usize)> =
-            self.workers.iter().enumerate().map(|(at, w)| (w.hold_next, at)).collect();
-        // Those that have waited longest go first where not all can go.
-        turns.sort_unstable();
         let mut first = FIRST_MAX.saturating_sub(self.holds_under_way(Acquaintance::New));
         let mut silent = SILENT_MAX.saturating_sub(self.holds_under_way(Acquaintance::Silent));
+        let mut turns = Vec::new();
+        for at in 0..self.workers.len() {
+            match self.workers[at].acquaintance() {
+                Acquaintance::Known => {
+                    self.send_hold(scene, at);
+                }
+                Acquaintance::New | Acquaintance::Silent => {
+                    turns.push((self.workers[at].hold_next, at));
+                }
+            }
+        }
+        // Those that have waited longest go first, as not all can go at once.
+        turns.sort_unstable();
         for (_, at) in turns {
             let left = match self.workers[at].acquaintance() {
-                Acquaintance::Known => None,
-                Acquaintance::New => Some(&mut first),
-                Acquaintance::Silent => Some(&mut silent),
+                Acquaintance::Silent => &mut silent,
+                Acquaintance::New | Acquaintance::Known => &mut first,
             };
-            if left.as_deref() == Some(&0) || !self.send_hold(scene, at) {
-                continue;
-            }
-            if let Some(left) = left {
+            if *left > 0 && self.send_hold(scene, at) {
                 *left -= 1;
             }
         }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -97,47 +97,65 @@
     placed
 }
 
-/// Groups the workers by rack; workers without one are left out.
-fn racks(rooms: &[Room]) -> Vec<(RackId, Vec<usize>)> {
-    let mut racks: Vec<(RackId, Vec<usize>)> = Vec::new();
-    for (i, room) in rooms.iter().enumerate() {
-        let Some(rack) = &room.rack else { continue };
-        match racks.binary_search_by(|(id, _)| id.cmp(rack)) {
-            Ok(at) => racks[at].1.push(i),
-            Err(at) => racks.insert(at, (rack.clone(), vec![i])),
+/// The workers by rack.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub(crate) struct Racks {
+    /// Sorted by rack; workers without one are left out.
+    racks: Vec<(RackId, Vec<usize>)>,
+    /// Every worker.
+    all: Vec<usize>,
+}
+
+impl Racks {
+    /// Groups the workers.
+    pub(crate) fn of(rooms: &[Room]) -> Self {
+        let mut racks: Vec<(RackId, Vec<usize>)> = Vec::new();
+        for (i, room) in rooms.iter().enumerate() {
+            let Some(rack) = &room.rack else { continue };
+            match racks.binary_search_by(|(id, _)| id.cmp(rack)) {
+                Ok(at) => racks[at].1.push(i),
+                Err(at) => racks.insert(at, (rack.clone(), vec![i])),
+            }
         }
+        Self { racks, all: (0..rooms.len()).collect() }
     }
-    racks
-}
 
-/// Returns the racks on which all of `count` tasks run at full speed, were they empty.
-fn good_racks(rooms: &[Room], step: &Step, count: usize) -> Vec<(RackId, Vec<usize>)> {
-    if step.near.is_none() && !step.one_rack {
-        return Vec::new();
+    fn workers(&self, rack: &RackId) -> &[usize] {
+        match self.racks.binary_search_by(|(id, _)| id.cmp(rack)) {
+            Ok(at) => &self.racks[at].1,
+            Err(_) => &[],
+        }
     }
-    let mut racks = racks(rooms);
-    if let Some(near) = &step.near {
-        racks.retain(|(id, _)| id == near);
+
+    /// Returns the racks on which all of `count` tasks run at full speed, were they empty.
+    fn good(&self, rooms: &[Room], step: &Step, count: usize) -> Vec<&[usize]> {
+        let mut racks: Vec<&[usize]> = match &step.near {
+            Some(near) => vec![self.workers(near)],
+            None if step.one_rack => self.racks.iter().map(|(_, w)| w.as_slice()).collect(),
+            None => Vec::new(),
+        };
+        let size =
+            |workers: &[usize]| workers.iter().map(|i| rooms[*i].all_places(step)).sum::<u64>();
+        racks.retain(|workers| size(workers) >= count as u64);
+        racks
     }
-    let size = |workers: &[usize]| workers.iter().map(|i| rooms[*i].all_places(step)).sum::<u64>();
-    racks.retain(|(_, workers)| size(workers) >= count as u64);
-    racks
-}
 
-/// Where the members of a gang may go, best first: single racks where that matters, and the whole
-/// fleet where it doesn't, or where no rack is large enough.
-pub(crate) fn regions(rooms: &[Room], step: &Step, count: usize) -> Vec<Vec<usize>> {
-    let mut good = good_racks(rooms, step, count);
-    if good.is_empty() {
-        return vec![(0..rooms.len()).collect()];
+    /// Where the members of a gang may go, best first: single racks where that matters, and the
+    /// whole fleet where it doesn't, or where no rack is large enough.
+    fn regions(&self, rooms: &[Room], step: &Step, count: usize) -> Vec<&[usize]> {
+        let mut good = self.good(rooms, step, count);
+        if good.is_empty() {
+            return vec![&self.all];
+        }
+        let free =
+            |workers: &[usize]| workers.iter().map(|i| rooms[*i].free_places(step)).sum::<u64>();
+        // The rack with the least room to spare goes first; those that are too full come last.
+        good.sort_by_cached_key(|workers| {
+            let places = free(workers);
+            (places < count as u64, places)
+        });
+        good
     }
-    let free = |workers: &[usize]| workers.iter().map(|i| rooms[*i].free_places(step)).sum::<u64>();
-    // The rack with the least room to spare goes first; those that are too full come last.
-    good.sort_by_key(|(_, workers)| {
-        let places = free(workers);
-        (places < count as u64, places)
-    });
-    good.into_iter().map(|(_, workers)| workers).collect()
 }
 
 /// Tells whether there are places for so many tasks, wherever they are.
@@ -150,15 +168,20 @@
 }
 
 /// Places a whole gang into free room, or nothing.
-pub(crate) fn place_gang(rooms: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
+pub(crate) fn place_gang(
+    rooms: &[Room],
+    racks: &Racks,
+    step: &Step,
+    count: usize,
+) -> Option<Vec<usize>> {
     if !is_enough(rooms, count, |room| room.free_places(step)) {
         return None;
     }
-    let whole = |among: Vec<usize>| {
-        let placed = fill(rooms, step, count, &among);
+    let whole = |among: &[usize]| {
+        let placed = fill(rooms, step, count, among);
         (placed.len() == count).then_some(placed)
     };
-    regions(rooms, step, count).into_iter().find_map(whole)
+    racks.regions(rooms, step, count).into_iter().find_map(whole)
 }
 
 /// Places as many of `count` single tasks as there is free room for.
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -2,7 +2,7 @@
 
 use crate::model::{Resources, Step};
 
-use super::{Room, Victim, is_enough, regions};
+use super::{Racks, Room, Victim, is_enough};
 
 /// Where a gang goes once the chosen runs have been stopped.
 #[derive(Clone, Debug, PartialEq)]
@@ -112,7 +112,7 @@
 }
 
 /// Finds the cheapest way to place a whole gang, stopping runs where that is allowed.
-pub(crate) fn evict(rooms: &[Room], step: &Step, count: usize) -> Option<Eviction> {
+pub(crate) fn evict(rooms: &[Room], racks: &Racks, step: &Step, count: usize) -> Option<Eviction> {
     // All that may be stopped might not be enough.
     let places = |room: &Room| {
         let all = room.victims.iter().fold(room.free, |sum, v| sum.plus(&v.need));
@@ -122,8 +122,8 @@
         return None;
     }
     let mut best: Option<Eviction> = None;
-    for among in regions(rooms, step, count) {
-        let Some(found) = evict_among(rooms, step, count, &among) else { continue };
+    for among in racks.regions(rooms, step, count) {
+        let Some(found) = evict_among(rooms, step, count, among) else { continue };
         if best.as_ref().is_none_or(|b| found.cost < b.cost) {
             best = Some(found);
         }
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_core::{Moment, RackId, Span};
 
-use super::{Request, Room, Victim, evict, place_gang, place_singles, rank};
+use super::{Eviction, Racks, Request, Room, Victim, place_singles, rank};
 use crate::model::{Resources, Step};
 
 fn need(accelerators: u64) -> Resources {
@@ -49,6 +49,14 @@
     free.iter().enumerate().map(|(number, free)| room(number, *free)).collect()
 }
 
+fn place_gang(rooms: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
+    super::place_gang(rooms, &Racks::of(rooms), step, count)
+}
+
+fn evict(rooms: &[Room], step: &Step, count: usize) -> Option<Eviction> {
+    super::evict(rooms, &Racks::of(rooms), step, count)
+}
+
 fn victim(accelerators: u64, group: usize, cost: f64) -> Victim {
     Victim { need: need(accelerators), group, cost }
 }
