Hand placing over to a strong host that asks for it

A strong host that finds the key held by a weak one writes a request, and the weak one gives the key up within a second.

--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -29,6 +29,12 @@
 /// Time for which a weak host leaves the key to stronger ones: they need three answers of the store
 /// to claim it, 4 ms each on a calm day and 60 ms when it is slow.
 const WEAK_WAIT: Span = Span(250);
+/// Period in which a weak placer looks whether a strong host asks for its place.
+const HANDOVER_EVERY: Span = Span(1_000);
+/// Time after a handover in which a weak host doesn't stand again: a strong one needs a fraction.
+const HANDOVER_REST: Span = Span(1_000);
+/// Ends the key's value when a weak host holds it.
+const WEAK_MARK: &[u8] = b"/weak";
 /// Time after the last renewal for which a placer that can't reach the store keeps the runs of its
 /// workers alive. A successor waits as long before it gives up a worker that it can't reach.
 pub(crate) const HOLD_ON: Span = Span(8_000);
@@ -44,8 +50,12 @@
     Open(u64),
     /// Claims the key.
     Claim(u64),
+    /// Asks a weak host for the key.
+    Ask(u64),
     /// Renews the lease.
     Renew(u64),
+    /// Looks whether a strong host asks for the key.
+    Handover,
     /// Ends the lease.
     End,
 }
@@ -90,12 +100,19 @@
     weak: bool,
     /// When the key was first seen to be free; none while somebody holds it.
     free_since: Option<Moment>,
+    /// The epoch of a weak host that has been asked for the key.
+    asked: Option<Rev>,
+    /// When to look next whether the key is asked for.
+    handover: Moment,
     random: fastrand::Rng,
 }
 
 impl Lead {
     pub(crate) fn open(daemon: &DaemonId, incarnation: u64, weak: bool) -> Self {
-        let name = format!("{daemon}/{incarnation}").into_bytes();
+        let mut name = format!("{daemon}/{incarnation}").into_bytes();
+        if weak {
+            name.extend_from_slice(WEAK_MARK);
+        }
         Self {
             name,
             phase: Phase::Rest(Moment::default()),
@@ -103,6 +120,8 @@
             lease: None,
             weak,
             free_since: None,
+            asked: None,
+            handover: Moment::default(),
             random: fastrand::Rng::with_seed(incarnation),
         }
     }
@@ -127,6 +146,11 @@
     }
 
     pub(crate) fn tick(&mut self, now: Moment, out: &mut Vec<Output>) -> Option<Turn> {
+        if self.weak && matches!(self.phase, Phase::Leading { .. }) && now >= self.handover {
+            self.handover = now + HANDOVER_EVERY;
+            let op = StoreOp::Get(keys::HANDOVER.to_string());
+            out.push(Output::Store(Tag::Lead(LeadTag::Handover), op, STEP_TIMEOUT));
+        }
         match self.phase {
             Phase::Rest(until) if now >= until => {
                 let op = StoreOp::Get(keys::LEADER.to_string());
@@ -160,9 +184,16 @@
         if let LeadTag::Renew(ordinal) = tag {
             return self.renewed(now, ordinal, result);
         }
+        if tag == LeadTag::Handover {
+            return self.hand_over(now, result, out);
+        }
         let current = match tag {
-            LeadTag::Look(n) | LeadTag::Watch(n) | LeadTag::Open(n) | LeadTag::Claim(n) => n,
-            LeadTag::Renew(_) | LeadTag::End => return None,
+            LeadTag::Look(n)
+            | LeadTag::Watch(n)
+            | LeadTag::Open(n)
+            | LeadTag::Claim(n)
+            | LeadTag::Ask(n) => n,
+            LeadTag::Renew(_) | LeadTag::Handover | LeadTag::End => return None,
         };
         if self.phase != Phase::Step(current) {
             return None;
@@ -180,6 +211,8 @@
                 self.claim(lease, out);
             }
             (LeadTag::Claim(_), Ok(StoreReply::Committed(rev))) => return self.elected(now, rev),
+            // The look that follows finds the key free, or waits for that.
+            (LeadTag::Ask(_), Ok(_)) => self.phase = Phase::Rest(now),
             (_, Ok(_)) => self.rest(now),
             (_, Err(fault)) => {
                 log::debug!(event = "election_fault", cause:% = fault; "election step failed");
@@ -236,15 +269,56 @@
         match holder {
             // An unanswered claim of this process was carried out.
             Some((value, rev)) if value == self.name => return self.elected(now, rev),
-            Some(_) => {
+            Some((value, rev)) => {
                 self.free_since = None;
-                self.watch(as_of, out);
+                let weak = value.ends_with(WEAK_MARK);
+                if weak && !self.weak && self.asked != Some(rev) {
+                    self.ask(rev, out);
+                } else {
+                    self.watch(as_of, out);
+                }
             }
             None => self.stand(now, out),
         }
         None
     }
 
+    /// Asks the weak host that leads under an epoch to hand the key over.
+    fn ask(&mut self, epoch: Rev, out: &mut Vec<Output>) {
+        self.asked = Some(epoch);
+        let commit = Commit {
+            expect: vec![(Subject::Key(keys::LEADER.to_string()), epoch)],
+            writes: vec![(keys::HANDOVER.to_string(), self.name.clone(), None)],
+            removes: Vec::new(),
+        };
+        self.step(StoreOp::Commit(commit), STEP_TIMEOUT, LeadTag::Ask, out);
+    }
+
+    /// Gives the key up if it has been asked for under the present epoch.
+    fn hand_over(
+        &mut self,
+        now: Moment,
+        result: Result<StoreReply, Fault>,
+        out: &mut Vec<Output>,
+    ) -> Option<Turn> {
+        let Phase::Leading { lease, epoch, .. } = self.phase else { return None };
+        match result {
+            Ok(StoreReply::Item(Some(item), _)) if item.rev.0 > epoch.0 => {
+                let name = String::from_utf8_lossy(&item.value).into_owned();
+                log::info!(event = "leader_resigned", epoch:% = epoch, asked_by = name; "a stronger host takes over");
+                let op = StoreOp::EndLease(lease);
+                out.push(Output::Store(Tag::Lead(LeadTag::End), op, STEP_TIMEOUT));
+                self.phase = Phase::Rest(now + HANDOVER_REST);
+                Some(Turn::Deposed)
+            }
+            Ok(_) => None,
+            Err(fault) => {
+                log::debug!(event = "election_fault", cause:% = fault; "no look at the handover");
+                None
+            }
+        }
+    }
+
     /// Goes for the free key, after the stronger hosts.
     fn stand(&mut self, now: Moment, out: &mut Vec<Output>) {
         let since = *self.free_since.get_or_insert(now);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -141,6 +141,8 @@
 
     /// The placer's leased key.
     pub(crate) const LEADER: &str = "bulrushlink/leader";
+    /// Written by a strong host to ask a weak one to hand placing over.
+    pub(crate) const HANDOVER: &str = "bulrushlink/handover";
     /// Prefix of all that callers send in: jobs and cancellations.
     pub(crate) const INBOX: &str = "bulrushlink/in/";
     /// Prefix of the accepted jobs.
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -142,6 +142,25 @@
     }
 }
 
+/// A strong host that was cut off takes over again, and no run suffers.
+#[test]
+fn a_weak_placer_hands_over_to_a_strong_host() {
+    let mut lab = FleetLab::open(3, 4, 7);
+    (0..2).for_each(|seat| lab.weaken(seat));
+    lab.run(WARM_UP);
+    lab.submit(1_000, 0, JobId(1), "batch", job(vec![step(4, 4, 9_000, vec![])]));
+    lab.plan(2_000, Trouble::CutStore(2, 4_000));
+    lab.run(4_000);
+    let weak = lab.placer();
+    assert!(weak == Some(0) || weak == Some(1), "{weak:?}");
+    lab.run(8_000);
+    assert_eq!(lab.placer(), Some(2));
+    lab.run(4_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_eq!(lab.starts(), 4);
+    assert_kept(&mut lab);
+}
+
 #[test]
 fn a_placer_killed_in_the_middle_of_a_gangs_start_leaves_no_part_of_it() {
     for delay in 0..14 {
