Add a soak of the real processes under faults from outside

Four daemons, six workers and a store, with loopback proxies between them, and six callers that keep their connections open; kills, stops, freezes, reloads, slow, reset, cut and silent connections, reboots of workers with other clocks, outages, lost leases and a lost history of the store, drawn from a seed and overlapping. It checks from what callers and workers see: no accepted job unknown or unfinished, none that was refused started, no task run twice or again after its end was acknowledged.

--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -305,7 +305,7 @@
         match result {
             Ok(StoreReply::Item(Some(item), _)) if item.rev.0 > epoch.0 => {
                 let name = String::from_utf8_lossy(&item.value).into_owned();
-                log::info!(event = "leader_resigned", epoch:% = epoch, asked_by = name; "a stronger host takes over");
+                log::info!(event = "leader_resigned", epoch:% = epoch, asked_by:% = name; "a stronger host takes over");
                 let op = StoreOp::EndLease(lease);
                 out.push(Output::Store(Tag::Lead(LeadTag::End), op, STEP_TIMEOUT));
                 self.phase = Phase::Rest(now + HANDOVER_REST);
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -46,9 +46,13 @@
     finished: Vec<(TaskId, Run)>,
     /// Every start that was carried out.
     starts: Vec<(TaskId, Run)>,
+    /// Tasks of which a good end was acknowledged, sorted.
+    noted: Vec<TaskId>,
     breaches: Vec<String>,
     /// Calls to the store are turned away.
     down: bool,
+    /// The time up to which everything has gone on.
+    now: u64,
 }
 
 type Shared = Arc<Mutex<World>>;
@@ -80,8 +84,10 @@
             bounds: options.bounds,
             finished: Vec::new(),
             starts: Vec::new(),
+            noted: Vec::new(),
             breaches: Vec::new(),
             down: false,
+            now: 0,
         };
         let world = Arc::new(Mutex::new(world));
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
@@ -120,6 +126,41 @@
         self.lock().down = down;
     }
 
+    /// Lets others reach a worker at another address than its own, such as a proxy's.
+    pub fn announce(&self, worker: usize, addr: SocketAddr) {
+        let mut world = self.lock();
+        world.workers[worker].entry.addr = addr;
+        world.publish();
+    }
+
+    /// Returns the address of a worker itself.
+    pub fn worker(&self, worker: usize) -> SocketAddr {
+        self.workers[worker].addr()
+    }
+
+    /// Crashes a worker, and starts it again under the same identifier.
+    pub fn reboot(&self, worker: usize) {
+        let mut world = self.lock();
+        let now = world.now;
+        world.workers[worker].reboot(now);
+        world.publish();
+    }
+
+    /// Lets a worker's clock run at so many thousandths of its usual speed from its next boot on.
+    pub fn set_pace(&self, worker: usize, pace: u64) {
+        self.lock().workers[worker].pace = pace;
+    }
+
+    /// Ends all leases of the store at once.
+    pub fn lapse_leases(&self) {
+        self.lock().keys.lapse_all();
+    }
+
+    /// Drops the store's history, so that watches have to begin again.
+    pub fn compact(&self) {
+        self.lock().keys.compact();
+    }
+
     /// Returns every start that was carried out, in order.
     pub fn starts(&self) -> Vec<(TaskId, Run)> {
         self.lock().starts.clone()
@@ -182,6 +223,7 @@
 
     /// Lets the runs go on until `now`.
     fn advance(&mut self, now: u64) {
+        self.now = self.now.max(now);
         self.keys.expire(now);
         for at in 0..self.workers.len() {
             if self.workers[at].clock(now) > self.workers[at].lease_end {
@@ -241,12 +283,22 @@
             let worked = u64::from(gang);
             FleetRun { task, run, need, began: now, worked, length, gang: gang > 0, stops: None }
         };
+        let listed = self.workers[at].ends.clone();
         let (reply, started) = self.workers[at].call(now, FencingToken(token), op, make, &bounds);
+        let kept = &self.workers[at].ends;
+        for end in listed.iter().filter(|e| e.cause == EndCause::Done && !kept.contains(e)) {
+            if let Err(at) = self.noted.binary_search(&end.task) {
+                self.noted.insert(at, end.task);
+            }
+        }
         if let Some((task, run)) = started {
             let elsewhere = |w: &FleetWorker| w.runs.iter().filter(|r| r.task == task).count();
             if self.workers.iter().map(elsewhere).sum::<usize>() > 1 {
                 self.breaches.push(format!("{task} runs twice"));
             }
+            if self.noted.binary_search(&task).is_ok() {
+                self.breaches.push(format!("{task} runs though it is known to be done"));
+            }
             self.starts.push((task, run));
         }
         (self.workers[at].clock(now), reply)
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -50,7 +50,7 @@
 }
 
 impl DaemonProcess {
-    fn spawn(name: String, store: &str) -> Self {
+    pub(crate) fn spawn(name: String, store: &str) -> Self {
         let any = "127.0.0.1:0";
         let text = json!({
             "daemon": name, "domain": "east", "log": "info", "callers": any, "ready": any,
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -2,3 +2,4 @@
 
 mod fleet;
 mod path;
+mod soak;
