Learn the workers' speeds from the progress of equal tasks, and give gangs workers alike

Cause: members of a gang are as fast as the slowest worker among theirs; with speeds of 0.8, 1 and 1.25 nearly every gang of five ran at 0.8, and urgent jobs have 1.5 times their work.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -25,6 +25,7 @@
 mod inbox;
 mod job;
 mod load;
+mod pace;
 mod starts;
 mod worker;
 
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -4,10 +4,11 @@
 
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::{Resources, Step};
-use crate::plan::{Eviction, Rank, Request, Room, evict, place_gang, place_singles, rank};
+use crate::plan::{Eviction, Haste, Rank, Request, Room, evict, place_gang, place_singles, rank};
 
 use super::field::{Claimant, Field, Group, Place, Shape, Standing};
 use super::job::Job;
+use super::pace::WorkerPace;
 use super::worker::{Phase, Slot};
 use super::{Placer, Scene};
 
@@ -93,7 +94,8 @@
             return 0;
         }
         let mut field = std::mem::take(&mut self.field);
-        field.begin((0..self.workers.len()).map(|at| self.place(scene, at)));
+        let usual = WorkerPace::usual(self.workers.iter().map(|w| &w.pace));
+        field.begin((0..self.workers.len()).map(|at| self.place(scene, at, usual)));
         if self.use_claims(scene, &mut field) {
             units = self.units(scene, &guaranteed);
         }
@@ -288,10 +290,12 @@
         let (rooms, racks) = field.rooms_for(shape, |at| self.fits(at, shape));
         self.count_siblings(unit, &shape.step, rooms);
         let count = unit.waiting.len();
+        let urgent = unit.guaranteed || unit.priority == 0;
+        let haste = if urgent { Haste::Urgent } else { Haste::Patient };
         if shape.step.gang {
-            place_gang(rooms, racks, &shape.step, count).unwrap_or_default()
+            place_gang(rooms, racks, &shape.step, count, haste).unwrap_or_default()
         } else {
-            place_singles(rooms, &shape.step, count, shape.anywhere)
+            place_singles(rooms, &shape.step, count, shape.anywhere, haste)
         }
     }
 
@@ -359,7 +363,7 @@
     }
 
     /// Shows a worker as it is before anything is decided.
-    fn place(&self, scene: &Scene<'_>, at: usize) -> Place<'_> {
+    fn place(&self, scene: &Scene<'_>, at: usize, usual: f64) -> Place<'_> {
         let worker = &self.workers[at];
         let entry = worker.entry.as_ref();
         Place {
@@ -367,6 +371,7 @@
             capacity: entry.map_or(Resources::default(), |e| e.capacity),
             rack: entry.and_then(|e| e.rack.as_ref()),
             doubt: worker.doubt(scene.clock.now),
+            band: worker.pace.band(usual),
             open: self.may_start(scene, at),
         }
     }
@@ -451,6 +456,8 @@
             let worker = &mut self.workers[*at];
             // Nothing later looks at the room again, so that a wrong plan must end here.
             assert!(worker.free().holds(&step.need), "{} has no room for {task}", worker.boot);
+            // The percentage of a run that goes on from saved progress tells nothing of its rate.
+            let fresh = self.jobs[j].task(&task).is_some_and(|t| t.saved.is_empty());
             self.jobs[j].plan(&task, run, worker.boot.clone());
             worker.add(Slot {
                 task,
@@ -463,6 +470,7 @@
                 saved: String::new(),
                 percent: 0,
                 moved: now,
+                telling: fresh,
             });
             places.push(format!("{index}:{}", worker.id()));
         }
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -115,6 +115,8 @@
     pub(super) rack: Option<&'a RackId>,
     /// Recent faults.
     pub(super) doubt: u32,
+    /// Band of its learned speed.
+    pub(super) band: i8,
     /// It may get work.
     pub(super) open: bool,
 }
@@ -154,6 +156,7 @@
                 moved = true;
             }
             room.doubt = place.doubt;
+            room.band = place.band;
             self.open.push(place.open);
             count += 1;
         }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -8,6 +8,7 @@
 use crate::model::Resources;
 
 use super::job::Effect;
+use super::pace;
 use super::worker::{Acquaintance, HeardEnd, HoldCall, Phase, Slot, Worker};
 use super::{Placer, PlacerTag, Scene};
 
@@ -262,11 +263,27 @@
                     slot.started = now - worked;
                 }
                 slot.take(report, now);
+                self.learn_pace(at, s, report, now);
             }
             None => self.stop_stray(scene, at, report),
         }
     }
 
+    /// Learns from a run how fast its worker is.
+    fn learn_pace(&mut self, at: usize, s: usize, report: &RunReport, now: Moment) {
+        let worker = &mut self.workers[at];
+        let slot = &mut worker.slots[s];
+        if !slot.telling || slot.phase != Phase::Running {
+            return;
+        }
+        let elapsed = now.since(slot.started).secs_f64();
+        let Some(rate) = pace::rate(report.percent, elapsed) else { return };
+        let Ok(j) = self.jobs.binary_search_by_key(&report.task.job, |j| j.id) else { return };
+        let Some(step) = self.jobs[j].paces.get_mut(usize::from(report.task.step)) else { return };
+        slot.telling = false;
+        step.learn(&mut worker.pace, rate);
+    }
+
     /// Estimates how long a run has worked that an earlier placer started.
     fn worked(&self, report: &RunReport) -> Span {
         let job = self.job_at(report.task.job).ok().map(|j| &self.jobs[j]);
@@ -296,6 +313,7 @@
             saved: String::new(),
             percent: report.percent,
             moved: now,
+            telling: false,
         });
     }
 
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -8,6 +8,8 @@
 use crate::model::{JobSpec, Step};
 use crate::record::{JobRecord, Outcome, RoundRecord, StateRecord, StepRecord, TaskRecord};
 
+use super::pace::StepPace;
+
 /// A job.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -32,6 +34,8 @@
     pub(crate) starts: bool,
     /// Nothing of the job is started before.
     pub(crate) rest: Moment,
+    /// Rates of the steps' tasks, in order.
+    pub(super) paces: Vec<StepPace>,
 }
 
 /// What the end of a run means for its job.
@@ -60,6 +64,7 @@
         accepted: Moment,
     ) -> Self {
         let marked = !state.begun && record.spec.schedule.is_none();
+        let paces = vec![StepPace::default(); record.spec.steps.len()];
         Self {
             id,
             spec: record.spec,
@@ -73,6 +78,7 @@
             marked,
             starts: false,
             rest: Moment::default(),
+            paces,
         }
     }
 
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -277,5 +277,6 @@
         saved: String::new(),
         percent: 0,
         moved: now,
+        telling: false,
     }
 }
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -8,6 +8,8 @@
 use crate::lead::HOLD_ON;
 use crate::model::Resources;
 
+use super::pace::WorkerPace;
+
 /// How much slower than ours a worker's clock may run.
 const CLOCK_DRIFT: f64 = 0.02;
 /// Added to the end of a lease before it counts as lapsed.
@@ -52,6 +54,8 @@
     pub(crate) percent: u32,
     /// When the percentage last changed.
     pub(crate) moved: Moment,
+    /// The run began from the start under this placer, and nothing has been learned from it yet.
+    pub(crate) telling: bool,
 }
 
 /// An end that the worker keeps until it is recorded.
@@ -123,6 +127,8 @@
     pub(crate) shunned: Moment,
     /// Calls without an answer since the latest hold that was answered.
     pub(crate) silent: u32,
+    /// Its speed against the others.
+    pub(super) pace: WorkerPace,
 }
 
 impl Slot {
@@ -163,6 +169,7 @@
             faults: Vec::new(),
             shunned: Moment::default(),
             silent: 0,
+            pace: WorkerPace::default(),
         }
     }
 
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -40,6 +40,8 @@
     pub(crate) siblings: u32,
     /// Reasons to avoid the worker; fewer are better.
     pub(crate) doubt: u32,
+    /// Band of its learned speed; 0 is usual or unknown, and more is faster.
+    pub(crate) band: i8,
     /// Runs that may be stopped for the step at hand.
     pub(crate) victims: Vec<Victim>,
 }
@@ -70,23 +72,67 @@
     }
 }
 
+/// Which workers a unit prefers by their speed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Haste {
+    /// The fastest, as there is little time.
+    Urgent,
+    /// Those that urgent work doesn't want.
+    Patient,
+}
+
+impl Haste {
+    /// Returns the ranges of bands in which a gang is tried, best first. Its members are only as fast
+    /// as the slowest of them, so that all should be alike.
+    fn ranges(self, rooms: &[Room], step: &Step) -> Vec<std::ops::RangeInclusive<i8>> {
+        let places = |r: &&Room| r.free_places(step) > 0;
+        let mut bands: Vec<i8> = rooms.iter().filter(places).map(|r| r.band).collect();
+        bands.sort_unstable();
+        bands.dedup();
+        let (Some(least), Some(most)) = (bands.first().copied(), bands.last().copied()) else {
+            return Vec::new();
+        };
+        if self == Self::Urgent {
+            return bands.into_iter().rev().map(|band| band..=most).collect();
+        }
+        // Usual workers first, then the slow ones, and the fast ones last.
+        bands.sort_by_key(|band| (*band > 0, band.abs()));
+        bands.into_iter().map(|band| band..=band).chain([least..=most]).collect()
+    }
+
+    /// Orders the workers for tasks that don't depend on each other.
+    fn rank(self, band: i8) -> i8 {
+        match self {
+            Self::Urgent => -band,
+            Self::Patient => band,
+        }
+    }
+}
+
 /// Order in which workers are filled: trusted ones first, then those with the least left over, so
 /// that whole workers stay free for tasks that need one.
-fn fill_order(rooms: &[Room], step: &Step, among: &[usize]) -> Vec<usize> {
+fn fill_order(rooms: &[Room], step: &Step, haste: Option<Haste>, among: &[usize]) -> Vec<usize> {
     let mut order: Vec<usize> = among.to_vec();
     let key = |i: &usize| {
         let room = &rooms[*i];
         let left = room.open().minus(&step.need);
-        (room.doubt, left.accelerators, left.cpu, *i)
+        let speed = haste.map_or(0, |h| h.rank(room.band));
+        (room.doubt, speed, left.accelerators, left.cpu, *i)
     };
     order.sort_by_key(key);
     order
 }
 
 /// Puts up to `count` tasks on the given workers and returns a worker for each.
-fn fill(rooms: &[Room], step: &Step, count: usize, among: &[usize]) -> Vec<usize> {
+fn fill(
+    rooms: &[Room],
+    step: &Step,
+    count: usize,
+    haste: Option<Haste>,
+    among: &[usize],
+) -> Vec<usize> {
     let mut placed = Vec::new();
-    for i in fill_order(rooms, step, among) {
+    for i in fill_order(rooms, step, haste, among) {
         let places = rooms[i].free_places(step) as usize;
         let take = places.min(count - placed.len());
         placed.extend(std::iter::repeat_n(i, take));
@@ -173,15 +219,19 @@
     racks: &Racks,
     step: &Step,
     count: usize,
+    haste: Haste,
 ) -> Option<Vec<usize>> {
     if !is_enough(rooms, count, |room| room.free_places(step)) {
         return None;
     }
-    let whole = |among: &[usize]| {
-        let placed = fill(rooms, step, count, among);
-        (placed.len() == count).then_some(placed)
-    };
-    racks.regions(rooms, step, count).into_iter().find_map(whole)
+    let regions = racks.regions(rooms, step, count);
+    haste.ranges(rooms, step).into_iter().find_map(|bands| {
+        regions.iter().find_map(|region| {
+            let alike = region.iter().copied().filter(|i| bands.contains(&rooms[*i].band));
+            let placed = fill(rooms, step, count, None, &alike.collect::<Vec<usize>>());
+            (placed.len() == count).then_some(placed)
+        })
+    })
 }
 
 /// Places as many of `count` single tasks as there is free room for.
@@ -192,15 +242,17 @@
     step: &Step,
     count: usize,
     anywhere: bool,
+    haste: Haste,
 ) -> Vec<usize> {
     let all: Vec<usize> = (0..rooms.len()).collect();
-    let Some(near) = &step.near else { return fill(rooms, step, count, &all) };
+    let haste = Some(haste);
+    let Some(near) = &step.near else { return fill(rooms, step, count, haste, &all) };
     let (home, away): (Vec<usize>, Vec<usize>) =
         all.into_iter().partition(|i| rooms[*i].rack.as_ref() == Some(near));
-    let mut placed = fill(rooms, step, count, &home);
+    let mut placed = fill(rooms, step, count, haste, &home);
     let exists = home.iter().any(|i| rooms[*i].all_places(step) > 0);
     if placed.len() < count && (anywhere || !exists) {
-        placed.extend(fill(rooms, step, count - placed.len(), &away));
+        placed.extend(fill(rooms, step, count - placed.len(), haste, &away));
     }
     placed
 }
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -2,7 +2,7 @@
 
 use bulrushlink_core::{Moment, RackId, Span};
 
-use super::{Eviction, Racks, Request, Room, Victim, place_singles, rank};
+use super::{Eviction, Haste, Racks, Request, Room, Victim, rank};
 use crate::model::{Resources, Step};
 
 fn need(accelerators: u64) -> Resources {
@@ -41,6 +41,7 @@
         usable: true,
         siblings: 0,
         doubt: 0,
+        band: 0,
         victims: Vec::new(),
     }
 }
@@ -50,7 +51,11 @@
 }
 
 fn place_gang(rooms: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
-    super::place_gang(rooms, &Racks::of(rooms), step, count)
+    super::place_gang(rooms, &Racks::of(rooms), step, count, Haste::Urgent)
+}
+
+fn place_singles(rooms: &[Room], step: &Step, count: usize, anywhere: bool) -> Vec<usize> {
+    super::place_singles(rooms, step, count, anywhere, Haste::Patient)
 }
 
 fn evict(rooms: &[Room], step: &Step, count: usize) -> Option<Eviction> {
@@ -111,6 +116,24 @@
     assert_eq!(place_gang(&rooms, &step(1, 8), 1), Some(vec![2]));
 }
 
+/// Load pattern: workers of different speeds, and gangs that are as slow as their slowest member.
+#[test]
+fn members_of_a_gang_get_workers_alike_and_urgent_ones_the_fastest() {
+    let mut rooms = rooms(&[8, 8, 8, 8, 8, 8]);
+    for (room, band) in rooms.iter_mut().zip([-1, 1, 0, 1, 0, -1]) {
+        room.band = band;
+    }
+    let racks = Racks::of(&rooms);
+    let place = |count, haste| super::place_gang(&rooms, &racks, &step(8, 8), count, haste);
+    assert_eq!(place(2, Haste::Urgent), Some(vec![1, 3]));
+    assert_eq!(place(2, Haste::Patient), Some(vec![2, 4]));
+    // Four don't fit onto the fast ones; the slow ones stay out.
+    assert_eq!(place(4, Haste::Urgent), Some(vec![1, 2, 3, 4]));
+    assert_eq!(place(6, Haste::Patient), Some(vec![0, 1, 2, 3, 4, 5]));
+    let singles = super::place_singles(&rooms, &step(3, 8), 3, true, Haste::Patient);
+    assert_eq!(singles, vec![0, 5, 2]);
+}
+
 #[test]
 fn one_large_victim_goes_before_many_that_lose_more() {
     let mut rooms = rooms(&[0, 0]);
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -106,6 +106,8 @@
             match self.call("POST", id, &text) {
                 Some((200, _)) => return Told::Accepted,
                 Some((503 | 429, _)) => {}
+                // The daemon can't tell either whether the job was stored.
+                Some((504, _)) => told = Told::Unknown,
                 Some((status, body)) => {
                     self.breach(format!("{id:x} was answered with {status} {body}"));
                     return Told::Unknown;
