--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -4,6 +4,9 @@
 
 use super::{Racks, Room, Victim, is_enough};
 
+/// The slowest bands that are tried, one after the other.
+const BAND_MINS: [i8; 2] = [0, i8::MIN];
+
 /// Where a gang goes once the chosen runs have been stopped.
 #[derive(Clone, Debug, PartialEq)]
 pub(crate) struct Eviction {
@@ -27,6 +30,8 @@
 struct Search<'a> {
     rooms: &'a [Room],
     step: &'a Step,
+    /// Slower workers are left out.
+    band_min: i8,
     /// Sorted.
     gone: Vec<usize>,
     /// Tasks placed on each worker so far.
@@ -57,7 +62,10 @@
     fn offer(&self, room: usize) -> Option<Offer> {
         let place = &self.rooms[room];
         let most = self.step.per_worker.map_or(u64::MAX, u64::from);
-        if !place.usable || self.used[room] + u64::from(place.siblings) >= most {
+        if !place.usable
+            || place.band < self.band_min
+            || self.used[room] + u64::from(place.siblings) >= most
+        {
             return None;
         }
         let wanted = self.wanted(room);
@@ -111,29 +119,44 @@
     offer
 }
 
-/// Finds the cheapest way to place a whole gang, stopping runs where that is allowed.
+/// Finds the cheapest way to place a whole gang, stopping runs where that is allowed; on workers that
+/// aren't slow if it can be, since the gang is as fast as the slowest of them.
 pub(crate) fn evict(rooms: &[Room], racks: &Racks, step: &Step, count: usize) -> Option<Eviction> {
+    BAND_MINS.into_iter().find_map(|band_min| evict_from(rooms, racks, step, count, band_min))
+}
+
+fn evict_from(
+    rooms: &[Room],
+    racks: &Racks,
+    step: &Step,
+    count: usize,
+    band_min: i8,
+) -> Option<Eviction> {
     // All that may be stopped might not be enough.
     let places = |room: &Room| {
+        if room.band < band_min {
+            return 0;
+        }
         let all = room.victims.iter().fold(room.free, |sum, v| sum.plus(&v.need));
         room.places(step, &all.minus(&room.claimed))
     };
     if !is_enough(rooms, count, places) {
         return None;
     }
-    let mut best: Option<Eviction> = None;
-    for among in racks.regions(rooms, step, count) {
-        let Some(found) = evict_among(rooms, step, count, among) else { continue };
-        if best.as_ref().is_none_or(|b| found.cost < b.cost) {
-            best = Some(found);
-        }
-    }
-    best
+    let regions = racks.regions(rooms, step, count);
+    let found = regions.iter().filter_map(|among| evict_among(rooms, step, count, among, band_min));
+    found.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-fn evict_among(rooms: &[Room], step: &Step, count: usize, among: &[usize]) -> Option<Eviction> {
+fn evict_among(
+    rooms: &[Room],
+    step: &Step,
+    count: usize,
+    among: &[usize],
+    band_min: i8,
+) -> Option<Eviction> {
     let used = vec![0; rooms.len()];
-    let mut search = Search { rooms, step, gone: Vec::new(), used, cost: 0.0 };
+    let mut search = Search { rooms, step, band_min, gone: Vec::new(), used, cost: 0.0 };
     let mut offers: Vec<Option<Offer>> = among.iter().map(|room| search.offer(*room)).collect();
     let key = |o: &Offer| (o.cost, rooms[o.room].doubt, rooms[o.room].free.accelerators);
     let mut placed = Vec::new();
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -143,6 +143,16 @@
     assert_eq!((found.placed, found.groups, found.cost), (vec![1], vec![8], 10.0));
 }
 
+#[test]
+fn room_is_made_on_slow_workers_only_if_it_must_be() {
+    let mut rooms = rooms(&[0, 0]);
+    rooms[0].victims = vec![victim(8, 0, 1.0)];
+    rooms[1].victims = vec![victim(8, 1, 9.0)];
+    rooms[0].band = -1;
+    assert_eq!(evict(&rooms, &step(1, 8), 1).map(|e| e.placed), Some(vec![1]));
+    assert_eq!(evict(&rooms, &step(2, 8), 2).map(|e| e.placed), Some(vec![0, 1]));
+}
+
 #[test]
 fn victims_that_are_not_needed_after_all_stay() {
     let mut rooms = rooms(&[0]);
