Wait for runs that are about to end instead of stopping others

Cause: room for urgent gangs was made by stops that take up to 0.9 s and throw work away, while much the same room became free by itself in that time. A run whose progress tells that it ends within 0.5 s now counts as leaving.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -18,6 +18,8 @@
 const URGENT_LOSS: f64 = 10.0;
 /// Work that any stop costs, in seconds: the stop itself, the wait and the restart.
 const RESTART_LOSS_S: f64 = 0.5;
+/// A run that is expected to end within this time isn't stopped: a stop takes about as long.
+const ENDING_MAX: Span = Span(500);
 /// Time for which room is kept for a gang, as a part of the time within which a guaranteed one must
 /// begin, so that there is time for another try.
 const CLAIM_PART: u64 = 2;
@@ -344,7 +346,7 @@
             "other work is stopped"
         );
         for group in chosen {
-            let (task, run) = field.give_up(group);
+            let Some((task, run)) = field.give_up(group) else { continue };
             if self.is_gang(&task) {
                 self.close_gang(scene, &task, run, "room is made for more urgent work");
             } else {
@@ -386,6 +388,7 @@
 
     /// Lists the runs that could be stopped, those of a gang together.
     fn groups(&self, scene: &Scene<'_>, guaranteed: &[JobId]) -> Vec<Group> {
+        let now = scene.clock.now;
         let mut groups: Vec<Group> = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for slot in &worker.slots {
@@ -406,7 +409,8 @@
                         &mut groups[group]
                     }
                 };
-                group.add(at, slot.need, leaving);
+                let ending = slot.remaining(now).is_some_and(|left| left <= ENDING_MAX);
+                group.add(at, slot.need, leaving, ending);
             }
         }
         groups
@@ -470,6 +474,7 @@
                 saved: String::new(),
                 percent: 0,
                 moved: now,
+                fresh,
                 telling: fresh,
             });
             places.push(format!("{index}:{}", worker.id()));
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -90,20 +90,24 @@
     standing: Standing,
     /// Work that would be lost, in core-seconds.
     cost: f64,
-    /// Workers with what the end frees there, and whether it is ending already.
+    /// All of it will surely have ended by itself about as soon as if it were stopped.
+    ending: bool,
+    /// Workers with what the end frees there, and whether it is being stopped already.
     members: Vec<(usize, Resources, bool)>,
 }
 
 impl Group {
     pub(super) fn new(key: (TaskId, Run), standing: Standing, cost: f64) -> Self {
-        Self { key, standing, cost, members: Vec::new() }
+        Self { key, standing, cost, ending: true, members: Vec::new() }
     }
 
     pub(super) fn key(&self) -> (TaskId, Run) {
         self.key
     }
 
-    pub(super) fn add(&mut self, worker: usize, need: Resources, leaving: bool) {
+    /// Adds a member; `ending` tells whether it is about to end by itself.
+    pub(super) fn add(&mut self, worker: usize, need: Resources, leaving: bool, ending: bool) {
+        self.ending &= ending;
         self.members.push((worker, need, leaving));
     }
 }
@@ -219,13 +223,17 @@
         self.groups = Some(groups);
     }
 
-    /// Gives a group up, and tells what it is. It goes on taking room until it has ended.
-    pub(super) fn give_up(&mut self, group: usize) -> (TaskId, Run) {
-        let groups = self.groups.get_or_insert_default();
-        for member in &mut groups[group].members {
+    /// Gives a group up, and tells what has to be stopped, if anything. It goes on taking room until
+    /// it has ended.
+    pub(super) fn give_up(&mut self, group: usize) -> Option<(TaskId, Run)> {
+        let group = &mut self.groups.get_or_insert_default()[group];
+        if group.ending {
+            return None;
+        }
+        for member in &mut group.members {
             member.2 = true;
         }
-        groups[group].key
+        Some(group.key)
     }
 
     /// Shows the workers with those marked that a shape may use; `fits` tells whether a worker has
@@ -255,8 +263,9 @@
         for (number, group) in self.groups.iter().flatten().enumerate() {
             let yields = group.standing.yields(claimant);
             for (worker, need, leaving) in &group.members {
-                let cost = if *leaving { 0.0 } else { group.cost };
-                if yields || *leaving {
+                let leaving = *leaving || group.ending;
+                let cost = if leaving { 0.0 } else { group.cost };
+                if yields || leaving {
                     let victim = Victim { need: *need, group: number, cost };
                     self.rooms[*worker].victims.push(victim);
                 }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -313,6 +313,7 @@
             saved: String::new(),
             percent: report.percent,
             moved: now,
+            fresh: false,
             telling: false,
         });
     }
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -277,6 +277,7 @@
         saved: String::new(),
         percent: 0,
         moved: now,
+        fresh: false,
         telling: false,
     }
 }
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -16,6 +16,8 @@
 const LAPSE_SLACK: Span = Span(200);
 /// Time for which a worker's entry may be missing after an outage of the store.
 const MISSING_MAX: Span = Span(2_500);
+/// Progress from which on the end of a run can be told.
+const PERCENT_MIN: u32 = 30;
 /// Time for which a fault counts against a worker.
 const FAULT_LIFE: Span = Span(10_000);
 /// Faults with different jobs after which a worker gets nothing for a while.
@@ -54,7 +56,9 @@
     pub(crate) percent: u32,
     /// When the percentage last changed.
     pub(crate) moved: Moment,
-    /// The run began from the start under this placer, and nothing has been learned from it yet.
+    /// The run was started by this placer and not from saved progress.
+    pub(crate) fresh: bool,
+    /// Nothing has been learned from it yet.
     pub(crate) telling: bool,
 }
 
@@ -132,6 +136,16 @@
 }
 
 impl Slot {
+    /// Estimates from its progress how long the run still takes, if it began from nothing.
+    pub(crate) fn remaining(&self, now: Moment) -> Option<Span> {
+        if !self.fresh || self.phase != Phase::Running || self.percent < PERCENT_MIN {
+            return None;
+        }
+        let worked = self.moved.since(self.started).millis();
+        let end = self.started + Span(worked * 100 / u64::from(self.percent));
+        Some(end.since(now))
+    }
+
     /// Takes what the worker tells of the run.
     pub(crate) fn take(&mut self, report: &RunReport, now: Moment) {
         if matches!(self.phase, Phase::Starting | Phase::Unheard) {
