--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -161,6 +161,20 @@
     assert_kept(&mut lab);
 }
 
+/// Load pattern: urgent work comes while what takes its room is about to end.
+#[test]
+fn a_run_that_is_about_to_end_is_not_stopped_for_urgent_work() {
+    let mut lab = FleetLab::open(3, 1, 11);
+    lab.run(WARM_UP);
+    lab.submit(1_000, 0, JobId(1), "batch", job(vec![step(1, 8, 5_000, vec![])]));
+    lab.submit(5_530, 1, JobId(2), "roster", job(vec![step(1, 8, 1_000, vec![])]));
+    lab.run(8_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_eq!(lab.state(JobId(2)), Some(ShownState::Completed));
+    assert_eq!(lab.starts(), 2);
+    assert_kept(&mut lab);
+}
+
 #[test]
 fn a_placer_killed_in_the_middle_of_a_gangs_start_leaves_no_part_of_it() {
     for delay in 0..14 {
