--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -255,9 +255,7 @@
         guaranteed: &[JobId],
         field: &mut Field,
     ) {
-        if self.claims.iter().any(|c| c.is_for(&unit.task(0))) {
-            return;
-        }
+        let claim = self.claims.iter().position(|c| c.is_for(&unit.task(0)));
         let Ok(j) = self.job_at(unit.job) else { return };
         let job = &self.jobs[j];
         let step = job.spec.steps[usize::from(unit.step)].clone();
@@ -276,17 +274,27 @@
                 field.note_full(&shape);
             }
             if !placed.is_empty() {
+                if let Some(claim) = claim {
+                    self.drop_claim(claim, &shape.step.need, field);
+                }
                 let choice: Choice = unit.waiting.iter().copied().zip(placed).collect();
                 field.use_room(&choice, &shape.step.need);
                 self.commit_choice(scene, &unit.task(0), &choice, "free room");
                 return;
             }
         }
-        if shape.step.gang {
+        if shape.step.gang && claim.is_none() {
             self.make_room(scene, unit, &shape, guaranteed, field);
         }
     }
 
+    /// Gives up the room that is being made for a gang which has found other room meanwhile.
+    fn drop_claim(&mut self, claim: usize, need: &Resources, field: &mut Field) {
+        let claim = self.claims.remove(claim);
+        let workers = claim.tasks.iter().filter_map(|(_, id)| self.worker_at(id).ok());
+        field.release(workers, need);
+    }
+
     /// Chooses workers with free room; for a gang all of them or none.
     fn find_room(&self, unit: &Unit, shape: &Shape, field: &mut Field) -> Vec<usize> {
         let (rooms, racks) = field.rooms_for(shape, |at| self.fits(at, shape));
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -193,6 +193,16 @@
         }
     }
 
+    /// Takes a claim back.
+    pub(super) fn release(&mut self, workers: impl Iterator<Item = usize>, need: &Resources) {
+        for at in workers {
+            self.rooms[at].claimed = self.rooms[at].claimed.minus(need);
+        }
+        // There may be room again.
+        self.full.clear();
+        self.fixed.clear();
+    }
+
     /// Tells whether there surely is no free room for a shape.
     pub(super) fn is_full(&self, shape: &Shape) -> bool {
         self.full.iter().any(|f| f.is_easier(shape))
