--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -12,10 +12,10 @@
 };
 use crate::ids::{Epoch, JobId, Rev, Run, TaskId};
 use crate::settings::Bounds;
-use decide::Claim;
 use field::Field;
 use flush::Flight;
 use job::Job;
+use reclaim::Claim;
 use worker::{Target, Worker};
 
 mod decide;
@@ -26,7 +26,9 @@
 mod job;
 mod load;
 mod pace;
+mod reclaim;
 mod starts;
+mod units;
 mod worker;
 
 /// Period of reading the registered workers: with the commit and the start that follow, well under
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -92,8 +92,17 @@
     cost: f64,
     /// All of it will surely have ended by itself about as soon as if it were stopped.
     ending: bool,
-    /// Workers with what the end frees there, and whether it is being stopped already.
-    members: Vec<(usize, Resources, bool)>,
+    members: Vec<Member>,
+}
+
+/// A run of a group.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Member {
+    worker: usize,
+    /// What its end frees there.
+    need: Resources,
+    /// It is being stopped already.
+    leaving: bool,
 }
 
 impl Group {
@@ -108,7 +117,7 @@
     /// Adds a member; `ending` tells whether it is about to end by itself.
     pub(super) fn add(&mut self, worker: usize, need: Resources, leaving: bool, ending: bool) {
         self.ending &= ending;
-        self.members.push((worker, need, leaving));
+        self.members.push(Member { worker, need, leaving });
     }
 }
 
@@ -240,9 +249,7 @@
         if group.ending {
             return None;
         }
-        for member in &mut group.members {
-            member.2 = true;
-        }
+        group.members.iter_mut().for_each(|m| m.leaving = true);
         Some(group.key)
     }
 
@@ -272,12 +279,12 @@
         self.rooms_for(shape, fits);
         for (number, group) in self.groups.iter().flatten().enumerate() {
             let yields = group.standing.yields(claimant);
-            for (worker, need, leaving) in &group.members {
-                let leaving = *leaving || group.ending;
+            for member in &group.members {
+                let leaving = member.leaving || group.ending;
                 let cost = if leaving { 0.0 } else { group.cost };
                 if yields || leaving {
-                    let victim = Victim { need: *need, group: number, cost };
-                    self.rooms[*worker].victims.push(victim);
+                    let victim = Victim { need: member.need, group: number, cost };
+                    self.rooms[member.worker].victims.push(victim);
                 }
             }
         }
