--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -50,8 +50,9 @@
     /// has been started.
     pub(super) fn use_claims(&mut self, scene: &mut Scene<'_>, field: &mut Field) -> bool {
         let mut started = false;
+        let strays = if self.claims.is_empty() { Vec::new() } else { self.strays() };
         for claim in std::mem::take(&mut self.claims) {
-            let Some(choice) = self.claimed(scene, &claim) else { continue };
+            let Some(choice) = self.claimed(scene, &claim, &strays) else { continue };
             let Ok(j) = self.job_at(claim.job) else { continue };
             let need = self.jobs[j].spec.steps[usize::from(claim.step)].need;
             if field.has_room(&choice, &need) {
@@ -69,7 +70,7 @@
     }
 
     /// Returns the workers of a claim if it can still be used.
-    fn claimed(&self, scene: &Scene<'_>, claim: &Claim) -> Option<Choice> {
+    fn claimed(&self, scene: &Scene<'_>, claim: &Claim, strays: &[TaskId]) -> Option<Choice> {
         let job = &self.jobs[self.job_at(claim.job).ok()?];
         let round = job.round(claim.round)?;
         let record = round.steps.get(usize::from(claim.step))?;
@@ -77,7 +78,9 @@
         for (index, id) in &claim.tasks {
             let task = record.tasks.get(*index as usize)?;
             let at = self.worker_at(id).ok()?;
-            if task.done || task.place.is_some() || !self.may_start(scene, at) {
+            let (job, round, step) = (claim.job, claim.round, claim.step);
+            let stray = strays.binary_search(&TaskId { job, round, step, index: *index }).is_ok();
+            if task.done || task.place.is_some() || stray || !self.may_start(scene, at) {
                 return None;
             }
             choice.push((*index, at));
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -4,6 +4,7 @@
 
 use crate::ids::{JobId, TaskId};
 use crate::plan::{Rank, Request, rank};
+use crate::record::RoundRecord;
 
 use super::job::Job;
 use super::worker::Phase;
@@ -61,47 +62,10 @@
         let mut units = Vec::new();
         let strays = self.strays();
         for job in self.jobs.iter().filter(|j| !j.is_over() && scene.clock.now >= j.rest) {
-            let queue = job.queue(scene.catalog);
             let kept = guaranteed.binary_search(&job.id).is_ok();
             for round in &job.state.rounds {
-                for (number, record) in round.steps.iter().enumerate() {
-                    let step = &job.spec.steps[number];
-                    let after = |s: &u16| round.steps[usize::from(*s)].is_done();
-                    if !step.after.iter().all(after) {
-                        continue;
-                    }
-                    let any =
-                        TaskId { job: job.id, round: round.round, step: number as u16, index: 0 };
-                    let stray = |index| strays.binary_search(&TaskId { index, ..any }).is_ok();
-                    let waits = |index: &u32| {
-                        let task = &record.tasks[*index as usize];
-                        !task.done && task.place.is_none() && !stray(*index)
-                    };
-                    let waiting: Vec<u32> = (0..step.tasks).filter(waits).collect();
-                    let whole = waiting.len() == step.tasks as usize;
-                    if waiting.is_empty() || (step.gang && !whole) {
-                        continue;
-                    }
-                    let request = Request {
-                        guaranteed: kept,
-                        priority: queue.priority,
-                        due: job.due(round.round, scene.clock),
-                        allowed: job.allowed(queue),
-                        needed: job.chain_from(number),
-                        cost: step.estimate.secs_f64()
-                            * (waiting.len() as u64 * step.need.accelerators) as f64,
-                    };
-                    units.push(Unit {
-                        rank: rank(&request, scene.clock.now),
-                        job: job.id,
-                        round: round.round,
-                        step: number as u16,
-                        waiting,
-                        guaranteed: kept,
-                        priority: queue.priority,
-                        failed: record.failures > 0 || record.tasks.iter().any(|t| t.failures > 0),
-                    });
-                }
+                let steps = 0..round.steps.len();
+                units.extend(steps.filter_map(|n| unit(scene, job, round, n, kept, &strays)));
             }
         }
         units
@@ -109,7 +73,7 @@
 
     /// Lists the tasks of which a worker still has a run that no record accounts for, sorted. Such a
     /// run has to be gone before the next one starts.
-    fn strays(&self) -> Vec<TaskId> {
+    pub(super) fn strays(&self) -> Vec<TaskId> {
         let mut strays = Vec::new();
         for worker in &self.workers {
             for slot in worker.slots.iter().filter(|s| matches!(s.phase, Phase::Closing { .. })) {
@@ -125,6 +89,51 @@
     }
 }
 
+/// Returns what waits of a step, if it may start.
+fn unit(
+    scene: &Scene<'_>,
+    job: &Job,
+    round: &RoundRecord,
+    number: usize,
+    kept: bool,
+    strays: &[TaskId],
+) -> Option<Unit> {
+    let (step, record) = (&job.spec.steps[number], &round.steps[number]);
+    if !step.after.iter().all(|s| round.steps[usize::from(*s)].is_done()) {
+        return None;
+    }
+    let any = TaskId { job: job.id, round: round.round, step: number as u16, index: 0 };
+    let waits = |index: &u32| {
+        let task = &record.tasks[*index as usize];
+        let stray = || strays.binary_search(&TaskId { index: *index, ..any }).is_ok();
+        !task.done && task.place.is_none() && !stray()
+    };
+    let waiting: Vec<u32> = (0..step.tasks).filter(waits).collect();
+    let whole = waiting.len() == step.tasks as usize;
+    if waiting.is_empty() || (step.gang && !whole) {
+        return None;
+    }
+    let queue = job.queue(scene.catalog);
+    let request = Request {
+        guaranteed: kept,
+        priority: queue.priority,
+        due: job.due(round.round, scene.clock),
+        allowed: job.allowed(queue),
+        needed: job.chain_from(number),
+        cost: step.estimate.secs_f64() * (waiting.len() as u64 * step.need.accelerators) as f64,
+    };
+    Some(Unit {
+        rank: rank(&request, scene.clock.now),
+        job: job.id,
+        round: round.round,
+        step: number as u16,
+        waiting,
+        guaranteed: kept,
+        priority: queue.priority,
+        failed: record.failures > 0 || record.tasks.iter().any(|t| t.failures > 0),
+    })
+}
+
 /// Returns the accelerators that a job takes at most.
 fn accelerators(job: &Job) -> u64 {
     job.spec.steps.iter().map(|s| u64::from(s.tasks) * s.need.accelerators).sum()
