--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -351,3 +351,6 @@
         self.touch();
     }
 }
+
+#[cfg(test)]
+mod tests;
