--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -25,7 +25,7 @@
 const WORKERS: usize = 6;
 /// Callers of a soak.
 const CALLERS: u64 = 6;
-/// Seeds that are always played: two of every day, and each that ever failed.
+/// Seeds that are always played; each that ever failed by a fault of the product joins them.
 const SEEDS: [u64; 2] = [1, 2];
 /// Length of the faults of a seed in milliseconds, unless `SOAK_MS` tells another.
 const LENGTH_MS: u64 = 5_000;
--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -39,6 +39,9 @@
     KillAll,
 }
 
+/// A fault that goes on, and when it ends, in milliseconds from the start.
+pub(crate) type Ongoing = (u64, Trouble);
+
 fn mood(random: &mut fastrand::Rng) -> Mood {
     match random.u8(..4) {
         0 => Mood::Slow(random.u64(5..400)),
@@ -68,9 +71,6 @@
     }
 }
 
-/// A fault that goes on, and when it ends, in milliseconds from the start.
-pub(crate) type Ongoing = (u64, Trouble);
-
 /// Plays faults until `end`, in milliseconds from the start, and ends them all then.
 pub(crate) fn play(deployment: &mut Deployment, random: &mut fastrand::Rng, end: u64) {
     let mut ongoing: Vec<Ongoing> = Vec::new();
