Give each silent default its reason, and log a start whose task is missing

A planned start without a record of its task would have gone out with an empty checkpoint; it is now logged and taken back. No case of it has been seen.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -106,6 +106,7 @@
         let urgent = unit.guaranteed || unit.priority == 0;
         let haste = if urgent { Haste::Urgent } else { Haste::Patient };
         if shape.step.gang {
+            // No choice of workers is no room, which the caller sees by its length.
             place_gang(rooms, racks, &shape.step, count, haste).unwrap_or_default()
         } else {
             place_singles(rooms, &shape.step, count, shape.anywhere, haste)
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -68,7 +68,10 @@
     fn send_start(&mut self, scene: &mut Scene<'_>, at: usize, task: &TaskId, run: Run) {
         let now = scene.clock.now;
         let Ok(j) = self.job_at(task.job) else { return };
-        let saved = self.jobs[j].task(task).map(|t| t.saved.clone()).unwrap_or_default();
+        let Some(saved) = self.jobs[j].task(task).map(|t| t.saved.clone()) else {
+            log::error!(event = "start_without_task", task:% = task, run = run.0; "no record of it");
+            return self.unplan(at, task, run);
+        };
         let text = self.jobs[j].spec.text.clone();
         let worker = &mut self.workers[at];
         let Some(clock) = worker.clock_now(now) else { return };
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -350,6 +350,7 @@
     }
 
     fn range(world: &World, path: &str) -> Reply {
+        // Without a prefix everything is listed.
         let prefix = param(path, "prefix").unwrap_or_default();
         let after = param(path, "after");
         let (items, more) = world.keys.list(&prefix, after.as_deref(), PAGE_ITEMS);
@@ -384,6 +385,7 @@
     }
 
     fn commit(world: &mut World, body: &Value) -> Reply {
+        // A transaction may leave out any of its lists.
         let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
         let expect: Vec<(String, u64)> = rows("expect")
             .iter()
--- a/crates/telemetry/src/json_log.rs
+++ b/crates/telemetry/src/json_log.rs
@@ -128,6 +128,7 @@
 }
 
 fn line(record: &Record<'_>, daemon: &DaemonId, dropped: u64) -> serde_json::Value {
+    // A time of day before 1970 is as good as none.
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     let mut ids = Ids(Map::new());
     ids.0.insert("daemon".to_string(), json!(daemon));
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -43,6 +43,7 @@
 
 impl Drop for DaemonProcess {
     fn drop(&mut self) {
+        // The process may have ended already, and the test's verdict doesn't depend on the file.
         let _ = self.child.kill();
         let _ = self.child.wait();
         let _ = std::fs::remove_file(&self.settings);
