--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -13,11 +13,13 @@
 use crate::ids::{Epoch, JobId, Rev, Run, TaskId};
 use crate::settings::Bounds;
 use decide::Claim;
+use field::Field;
 use flush::Flight;
 use job::Job;
 use worker::{Target, Worker};
 
 mod decide;
+mod field;
 mod flush;
 mod holds;
 mod inbox;
@@ -33,6 +35,12 @@
 const STORE_TIMEOUT: Span = Span(900);
 /// Pause after a call to the store that failed.
 const STORE_RETRY: Span = Span(120);
+/// Shortest time between two passes over all workers: below the time that the store takes to record a
+/// start.
+const PASS_EVERY: Span = Span(3);
+/// Units that wait for each millisecond more between two passes of placement: on the weakest hosts
+/// (0.12 of a core) a unit takes about 10 us.
+const UNITS_PER_MS: u64 = 20;
 /// Time between two looks at everything that depends on time alone.
 const REVIEW_EVERY: Span = Span(100);
 
@@ -115,6 +123,8 @@
     /// Cancellations that were read before their jobs.
     cancels: Vec<JobId>,
     claims: Vec<Claim>,
+    /// What the latest pass of placement saw.
+    field: Field,
     flights: Vec<Flight>,
     reading: Reading,
     watching: Watching,
@@ -126,6 +136,11 @@
     listing: u64,
     /// Something has changed that placement depends on.
     stale: bool,
+    /// Something has happened since the latest pass.
+    touched: bool,
+    passed: Moment,
+    /// No earlier pass of placement is due.
+    decide_next: Moment,
     reviewed: Moment,
     flush_next: Moment,
     swept: Moment,
@@ -143,6 +158,7 @@
             workers: Vec::new(),
             cancels: Vec::new(),
             claims: Vec::new(),
+            field: Field::default(),
             flights: Vec::new(),
             reading: Reading { next: now, ..Reading::default() },
             watching: Watching::default(),
@@ -150,6 +166,9 @@
             ordinal: 0,
             listing: 0,
             stale: true,
+            touched: true,
+            passed: Moment::default(),
+            decide_next: Moment::default(),
             reviewed: now,
             flush_next: now,
             swept: now,
@@ -178,11 +197,22 @@
             self.review(scene);
             self.stale = true;
         }
+        if scene.clock.now.since(self.passed) >= PASS_EVERY {
+            self.pass(scene);
+        }
+    }
+
+    /// Looks at all workers for what is to be done now.
+    fn pass(&mut self, scene: &mut Scene<'_>) {
+        let now = scene.clock.now;
+        self.passed = now;
+        self.touched = false;
         self.settle();
         self.send_stops(scene);
-        if self.stale {
+        if self.stale && now >= self.decide_next {
             self.stale = false;
-            self.decide(scene);
+            let units = self.decide(scene) as u64;
+            self.decide_next = now + Span(units / UNITS_PER_MS);
         }
         self.flush(scene);
         self.send_holds(scene);
@@ -191,7 +221,14 @@
 
     /// Returns when the next tick is needed at the latest.
     pub(crate) fn due(&self) -> Moment {
-        self.reviewed + REVIEW_EVERY
+        let review = self.reviewed + REVIEW_EVERY;
+        let pass = self.passed + PASS_EVERY;
+        match () {
+            () if self.stage != Stage::Active => review,
+            () if self.touched => review.min(pass),
+            () if self.stale => review.min(pass.max(self.decide_next)),
+            () => review,
+        }
     }
 
     pub(crate) fn store_answered(
@@ -200,6 +237,7 @@
         tag: PlacerTag,
         result: Result<StoreReply, Fault>,
     ) {
+        self.touched = true;
         match tag {
             PlacerTag::LoadInbox(n) if n == self.listing => self.inbox_page(scene, result),
             PlacerTag::LoadStates(n) if n == self.listing => self.states_page(scene, result),
@@ -222,6 +260,7 @@
         clock: Option<u64>,
         result: Result<WorkerReply, Fault>,
     ) {
+        self.touched = true;
         match tag {
             PlacerTag::Start(worker, fence, task, run) => {
                 self.start_answered(scene, (&worker, fence), &task, run, result);
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -4,10 +4,11 @@
 
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::{Resources, Step};
-use crate::plan::{Eviction, Rank, Request, Room, Victim, evict, place_gang, place_singles, rank};
+use crate::plan::{Eviction, Rank, Request, Room, evict, place_gang, place_singles, rank};
 
+use super::field::{Claimant, Field, Group, Place, Shape, Standing};
 use super::job::Job;
-use super::worker::{Phase, Slot, Worker};
+use super::worker::{Phase, Slot};
 use super::{Placer, Scene};
 
 /// Accelerators are this many times as dear as cores when the loss of a stop is weighed.
@@ -33,6 +34,13 @@
     made: Moment,
 }
 
+impl Claim {
+    /// Tells whether the claim is for the step of a task.
+    pub(super) fn is_for(&self, task: &TaskId) -> bool {
+        (self.job, self.round, self.step) == (task.job, task.round, task.step)
+    }
+}
+
 /// Tasks of a step that wait to be placed.
 #[derive(Clone, Debug)]
 struct Unit {
@@ -68,24 +76,34 @@
         seen && served && scene.current && worker.is_open(now)
     }
 
-    /// Places what can be placed.
-    pub(super) fn decide(&mut self, scene: &mut Scene<'_>) {
+    /// Places what can be placed; returns how many units waited.
+    ///
+    /// Load pattern: thousands of tasks wait that there is no room for. Each pass looks at the workers
+    /// once, and doesn't try again what a like unit has found no room for.
+    pub(super) fn decide(&mut self, scene: &mut Scene<'_>) -> usize {
         if !scene.sure || scene.catalog.is_none() {
-            return;
+            return 0;
         }
         for job in self.jobs.iter_mut().filter(|j| !j.is_over()) {
             job.open_rounds(scene.clock.wall);
         }
         let guaranteed = self.guaranteed_jobs(scene);
-        let mut free: Vec<Resources> = self.workers.iter().map(Worker::free).collect();
-        let mut claimed = vec![Resources::default(); free.len()];
-        self.use_claims(scene, &mut free, &mut claimed);
         let mut units = self.units(scene, &guaranteed);
+        if units.is_empty() && self.claims.is_empty() {
+            return 0;
+        }
+        let mut field = std::mem::take(&mut self.field);
+        field.begin((0..self.workers.len()).map(|at| self.place(scene, at)));
+        if self.use_claims(scene, &mut field) {
+            units = self.units(scene, &guaranteed);
+        }
         let name = |u: &Unit| (u.job, u.round, u.step);
         units.sort_by(|a, b| a.rank.order(&b.rank).then(name(a).cmp(&name(b))));
-        for unit in units {
-            self.place_unit(scene, &unit, &guaranteed, &mut free, &mut claimed);
+        for unit in &units {
+            self.place_unit(scene, unit, &guaranteed, &mut field);
         }
+        self.field = field;
+        units.len()
     }
 
     /// Returns the jobs inside their workspaces' guarantees, sorted: the oldest ones of priority 0
@@ -158,35 +176,26 @@
         units
     }
 
-    /// Starts gangs whose room has become free, and keeps the room of the others.
-    fn use_claims(
-        &mut self,
-        scene: &mut Scene<'_>,
-        free: &mut [Resources],
-        claimed: &mut [Resources],
-    ) {
+    /// Starts gangs whose room has become free, and keeps the room of the others; tells whether any
+    /// has been started.
+    fn use_claims(&mut self, scene: &mut Scene<'_>, field: &mut Field) -> bool {
+        let mut started = false;
         for claim in std::mem::take(&mut self.claims) {
             let Some(choice) = self.claimed(scene, &claim) else { continue };
             let Ok(j) = self.job_at(claim.job) else { continue };
             let need = self.jobs[j].spec.steps[usize::from(claim.step)].need;
-            let mut left = free.to_vec();
-            let mut fits = true;
-            for (_, at) in &choice {
-                fits &= left[*at].minus(&claimed[*at]).holds(&need);
-                left[*at] = left[*at].minus(&need);
-            }
-            if fits {
-                free.copy_from_slice(&left);
+            if field.has_room(&choice, &need) {
+                field.use_room(&choice, &need);
                 let task =
                     TaskId { job: claim.job, round: claim.round, step: claim.step, index: 0 };
                 self.commit_choice(scene, &task, &choice, "room made");
+                started = true;
             } else {
-                for (_, at) in &choice {
-                    claimed[*at] = claimed[*at].plus(&need);
-                }
+                field.claim(choice.iter().map(|(_, at)| *at), &need);
                 self.claims.push(claim);
             }
         }
+        started
     }
 
     /// Returns the workers of a claim if it can still be used.
@@ -217,36 +226,64 @@
         scene: &mut Scene<'_>,
         unit: &Unit,
         guaranteed: &[JobId],
-        free: &mut [Resources],
-        claimed: &mut [Resources],
+        field: &mut Field,
     ) {
-        let same = |c: &Claim| (c.job, c.round, c.step) == (unit.job, unit.round, unit.step);
-        if self.claims.iter().any(same) {
+        if self.claims.iter().any(|c| c.is_for(&unit.task(0))) {
             return;
         }
         let Ok(j) = self.job_at(unit.job) else { return };
-        let step = self.jobs[j].spec.steps[usize::from(unit.step)].clone();
-        let rooms = self.rooms(scene, unit, &step, free, claimed);
-        let choice: Choice = if step.gang {
-            let Some(placed) = place_gang(&rooms, &step, unit.waiting.len()) else {
-                self.make_room(scene, unit, &step, rooms, guaranteed, claimed);
+        let job = &self.jobs[j];
+        let step = job.spec.steps[usize::from(unit.step)].clone();
+        let waited = scene.clock.now.since(job.accepted).millis() as f64;
+        let lost = step.estimate.millis() as f64 * (scene.bounds.remote_factor - 1.0);
+        let shape = Shape {
+            endpoint: job.queue(scene.catalog).endpoint.clone(),
+            trusted: unit.failed,
+            anywhere: waited > lost * RACK_PATIENCE,
+            count: if step.gang { unit.waiting.len() } else { 1 },
+            step,
+        };
+        if !field.is_full(&shape) {
+            let placed = self.find_room(unit, &shape, field);
+            if placed.len() < unit.waiting.len() {
+                field.note_full(&shape);
+            }
+            if !placed.is_empty() {
+                let choice: Choice = unit.waiting.iter().copied().zip(placed).collect();
+                field.use_room(&choice, &shape.step.need);
+                self.commit_choice(scene, &unit.task(0), &choice, "free room");
                 return;
-            };
-            unit.waiting.iter().copied().zip(placed).collect()
+            }
+        }
+        if shape.step.gang {
+            self.make_room(scene, unit, &shape, guaranteed, field);
+        }
+    }
+
+    /// Chooses workers with free room; for a gang all of them or none.
+    fn find_room(&self, unit: &Unit, shape: &Shape, field: &mut Field) -> Vec<usize> {
+        let rooms = field.rooms_for(shape, |at| self.fits(at, shape));
+        self.count_siblings(unit, &shape.step, rooms);
+        let count = unit.waiting.len();
+        if shape.step.gang {
+            place_gang(rooms, &shape.step, count).unwrap_or_default()
         } else {
-            let waited = scene.clock.now.since(self.jobs[j].accepted).millis() as f64;
-            let lost = step.estimate.millis() as f64 * (scene.bounds.remote_factor - 1.0);
-            let anywhere = waited > lost * RACK_PATIENCE;
-            let placed = place_singles(&rooms, &step, unit.waiting.len(), anywhere);
-            unit.waiting.iter().copied().zip(placed).collect()
-        };
-        if choice.is_empty() {
+            place_singles(rooms, &shape.step, count, shape.anywhere)
+        }
+    }
+
+    /// Counts the tasks of the same step on each worker, where the step limits them.
+    fn count_siblings(&self, unit: &Unit, step: &Step, rooms: &mut [Room]) {
+        if step.per_worker.is_none() {
             return;
         }
-        for (_, at) in &choice {
-            free[*at] = free[*at].minus(&step.need);
+        let same = |s: &&Slot| {
+            let t = &s.task;
+            (t.job, t.round, t.step) == (unit.job, unit.round, unit.step)
+        };
+        for (room, worker) in rooms.iter_mut().zip(&self.workers) {
+            room.siblings = worker.slots.iter().filter(same).count() as u32;
         }
-        self.commit_choice(scene, &unit.task(0), &choice, "free room");
     }
 
     /// Stops other work for a unit that may displace it.
@@ -254,18 +291,24 @@
         &mut self,
         scene: &mut Scene<'_>,
         unit: &Unit,
-        step: &Step,
-        mut rooms: Vec<Room>,
+        shape: &Shape,
         guaranteed: &[JobId],
-        claimed: &mut [Resources],
+        field: &mut Field,
     ) {
-        if !unit.guaranteed && unit.priority > 0 {
+        let claimant = Claimant { guaranteed: unit.guaranteed, priority: unit.priority };
+        if !claimant.may_displace() || field.is_fixed(shape, claimant) {
             return;
         }
-        let groups = self.add_victims(scene, unit, &mut rooms, guaranteed);
+        if !field.has_groups() {
+            let groups = self.groups(scene, guaranteed);
+            field.set_groups(groups);
+        }
+        let rooms = field.rooms_to_make(shape, claimant, |at| self.fits(at, shape));
+        self.count_siblings(unit, &shape.step, rooms);
         let Some(Eviction { placed, groups: chosen, cost }) =
-            evict(&rooms, step, unit.waiting.len())
+            evict(rooms, &shape.step, unit.waiting.len())
         else {
+            field.note_fixed(shape, claimant);
             return;
         };
         log::info!(
@@ -274,8 +317,8 @@
             "other work is stopped"
         );
         for group in chosen {
-            let (task, run) = groups[group];
-            if self.is_whole(&task) {
+            let (task, run) = field.give_up(group);
+            if self.is_gang(&task) {
                 self.close_gang(scene, &task, run, "room is made for more urgent work");
             } else {
                 self.close(
@@ -285,96 +328,69 @@
                 );
             }
         }
-        for at in &placed {
-            claimed[*at] = claimed[*at].plus(&step.need);
-        }
+        field.claim(placed.iter().copied(), &shape.step.need);
         let ids = placed.iter().map(|at| self.workers[*at].id().clone());
         let tasks = unit.waiting.iter().copied().zip(ids).collect();
         let (job, round, step) = (unit.job, unit.round, unit.step);
         self.claims.push(Claim { job, round, step, tasks, made: scene.clock.now });
     }
 
-    fn is_whole(&self, task: &TaskId) -> bool {
-        self.job_at(task.job).is_ok_and(|j| self.jobs[j].step(task).is_some_and(|s| s.gang))
+    /// Shows a worker as it is before anything is decided.
+    fn place(&self, scene: &Scene<'_>, at: usize) -> Place<'_> {
+        let worker = &self.workers[at];
+        let entry = worker.entry.as_ref();
+        Place {
+            free: worker.free(),
+            capacity: entry.map_or(Resources::default(), |e| e.capacity),
+            rack: entry.and_then(|e| e.rack.as_ref()),
+            doubt: worker.doubt(scene.clock.now),
+            open: self.may_start(scene, at),
+        }
     }
 
-    /// Shows the workers as a unit sees them.
-    fn rooms(
-        &self,
-        scene: &Scene<'_>,
-        unit: &Unit,
-        step: &Step,
-        free: &[Resources],
-        claimed: &[Resources],
-    ) -> Vec<Room> {
-        let job = self.job_at(unit.job).ok().map(|j| &self.jobs[j]);
-        let endpoint = job.map(|j| j.queue(scene.catalog).endpoint.as_str());
-        let siblings = |w: &Worker| {
-            let same = |s: &&Slot| {
-                let t = &s.task;
-                (t.job, t.round, t.step) == (unit.job, unit.round, unit.step)
-            };
-            w.slots.iter().filter(same).count() as u32
-        };
-        let room = |(at, worker): (usize, &Worker)| {
-            let entry = worker.entry.as_ref();
-            let mine = entry.is_some_and(|e| Some(e.endpoint.as_str()) == endpoint);
-            let labelled = step.label.as_ref().is_none_or(|wanted| {
-                entry.is_some_and(|e| e.labels.iter().any(|label| label == wanted))
-            });
-            let doubt = worker.doubt(scene.clock.now);
-            let trusted = !unit.failed || doubt == 0;
-            Room {
-                free: free[at],
-                claimed: claimed[at],
-                capacity: entry.map_or(Resources::default(), |e| e.capacity),
-                rack: entry.and_then(|e| e.rack.clone()),
-                usable: mine && labelled && trusted && self.may_start(scene, at),
-                siblings: if step.per_worker.is_some() { siblings(worker) } else { 0 },
-                doubt,
-                victims: Vec::new(),
-            }
-        };
-        self.workers.iter().enumerate().map(room).collect()
+    /// Tells whether a worker has the endpoint and the label that a shape wants.
+    fn fits(&self, at: usize, shape: &Shape) -> bool {
+        self.workers[at].entry.as_ref().is_some_and(|entry| {
+            let labelled = shape.step.label.as_ref().is_none_or(|l| entry.labels.contains(l));
+            entry.endpoint == shape.endpoint && labelled
+        })
     }
 
-    /// Adds the runs that may be stopped for a unit; returns what each group stands for.
-    fn add_victims(
-        &self,
-        scene: &Scene<'_>,
-        unit: &Unit,
-        rooms: &mut [Room],
-        guaranteed: &[JobId],
-    ) -> Vec<(TaskId, Run)> {
-        let mut groups: Vec<(TaskId, Run)> = Vec::new();
+    /// Lists the runs that could be stopped, those of a gang together.
+    fn groups(&self, scene: &Scene<'_>, guaranteed: &[JobId]) -> Vec<Group> {
+        let mut groups: Vec<Group> = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for slot in &worker.slots {
-                let whole = self.is_whole(&slot.task);
-                let leaving = matches!(slot.phase, Phase::Closing { .. });
-                let fixed = matches!(slot.phase, Phase::Planned(_));
-                if fixed || (!leaving && !self.yields(scene, unit, slot, guaranteed)) {
+                if matches!(slot.phase, Phase::Planned(_)) {
                     continue;
                 }
+                let whole = self.is_gang(&slot.task);
                 let index = if whole { 0 } else { slot.task.index };
                 let key = (TaskId { index, ..slot.task }, slot.run);
-                let group = groups.iter().position(|g| *g == key).unwrap_or_else(|| {
-                    groups.push(key);
-                    groups.len() - 1
-                });
-                let cost = if leaving { 0.0 } else { self.loss(scene, slot, whole) };
-                rooms[at].victims.push(Victim { need: slot.need, group, cost });
+                let leaving = matches!(slot.phase, Phase::Closing { .. });
+                let found = groups.binary_search_by_key(&key, Group::key);
+                let group = match found {
+                    Ok(group) => &mut groups[group],
+                    Err(group) => {
+                        let standing = self.standing(scene, slot, guaranteed);
+                        let cost = self.loss(scene, slot, whole);
+                        groups.insert(group, Group::new(key, standing, cost));
+                        &mut groups[group]
+                    }
+                };
+                group.add(at, slot.need, leaving);
             }
         }
         groups
     }
 
-    /// Tells whether a run gives way to a unit.
-    fn yields(&self, scene: &Scene<'_>, unit: &Unit, slot: &Slot, guaranteed: &[JobId]) -> bool {
-        if guaranteed.binary_search(&slot.task.job).is_ok() {
-            return false;
+    /// Tells to whom a run gives way.
+    fn standing(&self, scene: &Scene<'_>, slot: &Slot, guaranteed: &[JobId]) -> Standing {
+        match self.job_at(slot.task.job) {
+            Ok(_) if guaranteed.binary_search(&slot.task.job).is_ok() => Standing::Kept,
+            Ok(j) => Standing::Queue(self.jobs[j].queue(scene.catalog).priority),
+            Err(_) => Standing::Kept,
         }
-        let Ok(j) = self.job_at(slot.task.job) else { return false };
-        unit.guaranteed || unit.priority < self.jobs[j].queue(scene.catalog).priority
     }
 
     fn is_urgent(&self, scene: &Scene<'_>, id: JobId) -> bool {
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -122,7 +122,6 @@
             }
             self.send_starts(scene, *id, *version);
         }
-        self.settle();
     }
 
     /// Learns from a commit that was refused what the store has.
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -4,11 +4,11 @@
 use bulrushlink_core::{Moment, Span, WorkerId};
 
 use crate::edge::{EndCause, EndReport, Fault, RunReport, WorkerOp, WorkerReply};
-use crate::ids::JobId;
+use crate::ids::{JobId, TaskId};
 use crate::model::Resources;
 
 use super::job::Effect;
-use super::worker::{HeardEnd, HoldCall, Phase, Slot, Worker};
+use super::worker::{Acquaintance, HeardEnd, HoldCall, Phase, Slot, Worker};
 use super::{Placer, PlacerTag, Scene};
 
 /// Longest wait of a hold for an end, the most that workers allow.
@@ -21,27 +21,58 @@
 const HOLD_OVERDUE: Span = Span(1_200);
 /// Pause between holds that wait for a stopped run to be gone.
 const CLOSING_PAUSE: Span = Span(150);
+/// First holds of an epoch under way at a time: a new placer on a weak host (0.12 of a core) can't take
+/// in the answers of hundreds of workers within their time.
+const FIRST_MAX: usize = 48;
+/// Holds to silent workers under way at a time, so that they don't keep the others waiting.
+const SILENT_MAX: usize = 48;
 /// Ends in one list at which it may be cut short.
 const LIST_MAX: usize = 500;
 
 impl Placer {
     pub(super) fn send_holds(&mut self, scene: &mut Scene<'_>) {
-        for at in 0..self.workers.len() {
-            let ordinal = self.ordinal + 1;
-            let worker = &mut self.workers[at];
-            let Some(op) = next_hold(worker, scene.clock.now, scene.bounds.lease_max_ms) else {
-                continue;
+        let mut turns: Vec<(Moment, usize)> =
+            self.workers.iter().enumerate().map(|(at, w)| (w.hold_next, at)).collect();
+        // Those that have waited longest go first where not all can go.
+        turns.sort_unstable();
+        let mut first = FIRST_MAX.saturating_sub(self.holds_under_way(Acquaintance::New));
+        let mut silent = SILENT_MAX.saturating_sub(self.holds_under_way(Acquaintance::Silent));
+        for (_, at) in turns {
+            let left = match self.workers[at].acquaintance() {
+                Acquaintance::Known => None,
+                Acquaintance::New => Some(&mut first),
+                Acquaintance::Silent => Some(&mut silent),
             };
-            let WorkerOp::Hold { wait, acked, lease_end } = op else { continue };
-            worker.promised = worker.promised.max(lease_end.unwrap_or(0));
-            worker.hold = Some(HoldCall { ordinal, sent: scene.clock.now, acked });
-            self.ordinal = ordinal;
-            let Some(target) = self.workers[at].target() else { continue };
-            let tag = PlacerTag::Hold(target.worker.clone(), ordinal);
-            self.ask_worker(scene, target, tag, op, wait + HOLD_SLACK);
+            if left.as_deref() == Some(&0) || !self.send_hold(scene, at) {
+                continue;
+            }
+            if let Some(left) = left {
+                *left -= 1;
+            }
         }
     }
 
+    fn holds_under_way(&self, of: Acquaintance) -> usize {
+        self.workers.iter().filter(|w| w.hold.is_some() && w.acquaintance() == of).count()
+    }
+
+    /// Sends a hold to a worker if it needs one now.
+    fn send_hold(&mut self, scene: &mut Scene<'_>, at: usize) -> bool {
+        let ordinal = self.ordinal + 1;
+        let worker = &mut self.workers[at];
+        let Some(op) = next_hold(worker, scene.clock.now, scene.bounds.lease_max_ms) else {
+            return false;
+        };
+        let WorkerOp::Hold { wait, acked, lease_end } = op else { return false };
+        worker.promised = worker.promised.max(lease_end.unwrap_or(0));
+        worker.hold = Some(HoldCall { ordinal, sent: scene.clock.now, acked });
+        self.ordinal = ordinal;
+        let Some(target) = self.workers[at].target() else { return false };
+        let tag = PlacerTag::Hold(target.worker.clone(), ordinal);
+        self.ask_worker(scene, target, tag, op, wait + HOLD_SLACK);
+        true
+    }
+
     pub(super) fn hold_answered(
         &mut self,
         scene: &mut Scene<'_>,
@@ -143,7 +174,7 @@
                 job.save(&end.task, end.run, &end.saved);
                 job.end(&end.task, end.run, end.cause, attempts, scene.clock.wall)
             } else {
-                Effect::Stale
+                job.late_end(&end.task, end.run, end.cause, attempts, scene.clock.wall)
             };
             needs = Some((job.id, job.version));
             let ran = slot.as_ref().map_or(-1, |s| now.since(s.started).millis() as i64);
@@ -177,10 +208,26 @@
                 self.close_job(scene, end.task.job);
             }
             Effect::Done => self.report_done(scene, end.task.job),
+            Effect::DoneLate => {
+                self.close_replaced(scene, &end.task);
+                self.report_done(scene, end.task.job);
+            }
             Effect::Stale | Effect::Again => {}
         }
     }
 
+    /// Ends the later runs of a task, or of its whole gang.
+    fn close_replaced(&mut self, scene: &mut Scene<'_>, task: &TaskId) {
+        let gang = self.is_gang(task);
+        let same = |s: &Slot| {
+            let t = &s.task;
+            let step = (t.job, t.round, t.step) == (task.job, task.round, task.step);
+            step && (gang || t.index == task.index)
+        };
+        self.claims.retain(|c| !c.is_for(task));
+        self.close(scene, same, "an earlier run has done the work");
+    }
+
     fn report_done(&self, scene: &Scene<'_>, id: JobId) {
         let Ok(at) = self.job_at(id) else { return };
         let job = &self.jobs[at];
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -43,6 +43,8 @@
     GangOver,
     /// The task, or the whole gang, is done.
     Done,
+    /// The same by a run that had been given up; a later one isn't needed.
+    DoneLate,
     /// The task waits again.
     Again,
     /// The job has failed for good.
@@ -214,7 +216,7 @@
         }
     }
 
-    /// Takes the end of a run.
+    /// Takes the end of a run that is on record at the worker that tells of it.
     pub(crate) fn end(
         &mut self,
         task: &TaskId,
@@ -249,6 +251,51 @@
         }
     }
 
+    /// Takes the end of a run that had been given up, since its worker couldn't be heard.
+    ///
+    /// What it has done is done all the same, and what it has failed counts as an attempt.
+    pub(crate) fn late_end(
+        &mut self,
+        task: &TaskId,
+        run: Run,
+        cause: EndCause,
+        attempts: u32,
+        wall: u64,
+    ) -> Effect {
+        let Some(step) = self.step(task).cloned() else { return Effect::Stale };
+        let known = |t: &TaskRecord| !t.done && run <= t.run;
+        if self.is_over() || step.endless || !self.task(task).is_some_and(known) {
+            return Effect::Stale;
+        }
+        match cause {
+            EndCause::Done => {
+                self.touch();
+                self.done_late(task, step.gang);
+                self.close_round(task.round, wall);
+                Effect::DoneLate
+            }
+            EndCause::Failed => {
+                self.touch();
+                if self.failed(task, step.gang, run) < attempts {
+                    return Effect::Stale;
+                }
+                self.finish(Outcome::Failed, wall);
+                Effect::JobFailed
+            }
+            _ => Effect::Stale,
+        }
+    }
+
+    fn done_late(&mut self, task: &TaskId, gang: bool) {
+        let Some(step) = self.step_mut(task) else { return };
+        let ended = |t: &mut TaskRecord| (t.done, t.place) = (true, None);
+        if gang {
+            step.tasks.iter_mut().for_each(ended);
+        } else if let Some(record) = step.tasks.get_mut(task.index as usize) {
+            ended(record);
+        }
+    }
+
     fn done(&mut self, task: &TaskId, gang: bool, run: Run) {
         let Some(step) = self.step_mut(task) else { return };
         if gang {
@@ -258,7 +305,7 @@
         }
     }
 
-    /// Counts a failure and returns how many there are; a run of a gang fails once.
+    /// Counts a failure and returns how many there are; a run fails once, that of a gang too.
     fn failed(&mut self, task: &TaskId, gang: bool, run: Run) -> u32 {
         let Some(step) = self.step_mut(task) else { return 0 };
         if gang {
@@ -269,7 +316,10 @@
             return step.failures;
         }
         let Some(record) = step.tasks.get_mut(task.index as usize) else { return 0 };
-        record.failures += 1;
+        if record.failed_run < run {
+            record.failed_run = run;
+            record.failures += 1;
+        }
         record.failures
     }
 
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -176,7 +176,7 @@
         }
     }
 
-    fn is_gang(&self, task: &TaskId) -> bool {
+    pub(super) fn is_gang(&self, task: &TaskId) -> bool {
         self.job_at(task.job).is_ok_and(|j| self.jobs[j].step(task).is_some_and(|s| s.gang))
     }
 
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -78,6 +78,17 @@
     pub(crate) acked: u64,
 }
 
+/// What the present epoch has heard of a worker.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Acquaintance {
+    /// It answers.
+    Known,
+    /// It hasn't been asked, or hasn't answered yet.
+    New,
+    /// Its latest call has no answer.
+    Silent,
+}
+
 /// A worker.
 #[derive(Clone, Debug)]
 pub(crate) struct Worker {
@@ -165,6 +176,14 @@
         &self.boot.worker
     }
 
+    pub(crate) fn acquaintance(&self) -> Acquaintance {
+        match () {
+            () if self.silent > 0 => Acquaintance::Silent,
+            () if self.fenced => Acquaintance::Known,
+            () => Acquaintance::New,
+        }
+    }
+
     /// Returns the position of a run.
     pub(crate) fn slot(&self, task: &TaskId, run: Run) -> Option<usize> {
         self.slots.binary_search_by_key(&(*task, run), |s| (s.task, s.run)).ok()
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -24,7 +24,7 @@
 }
 
 /// A worker as placement sees it.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Room {
     /// What nothing uses.
     pub(crate) free: Resources,
@@ -112,11 +112,12 @@
 
 /// Returns the racks on which all of `count` tasks run at full speed, were they empty.
 fn good_racks(rooms: &[Room], step: &Step, count: usize) -> Vec<(RackId, Vec<usize>)> {
+    if step.near.is_none() && !step.one_rack {
+        return Vec::new();
+    }
     let mut racks = racks(rooms);
     if let Some(near) = &step.near {
         racks.retain(|(id, _)| id == near);
-    } else if !step.one_rack {
-        return Vec::new();
     }
     let size = |workers: &[usize]| workers.iter().map(|i| rooms[*i].all_places(step)).sum::<u64>();
     racks.retain(|(_, workers)| size(workers) >= count as u64);
@@ -139,8 +140,20 @@
     good.into_iter().map(|(_, workers)| workers).collect()
 }
 
+/// Tells whether there are places for so many tasks, wherever they are.
+fn is_enough(rooms: &[Room], count: usize, places: impl Fn(&Room) -> u64) -> bool {
+    let mut left = count as u64;
+    rooms.iter().any(|room| {
+        left = left.saturating_sub(places(room));
+        left == 0
+    })
+}
+
 /// Places a whole gang into free room, or nothing.
 pub(crate) fn place_gang(rooms: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
+    if !is_enough(rooms, count, |room| room.free_places(step)) {
+        return None;
+    }
     let whole = |among: Vec<usize>| {
         let placed = fill(rooms, step, count, &among);
         (placed.len() == count).then_some(placed)
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -2,7 +2,7 @@
 
 use crate::model::{Resources, Step};
 
-use super::{Room, regions};
+use super::{Room, Victim, is_enough, regions};
 
 /// Where a gang goes once the chosen runs have been stopped.
 #[derive(Clone, Debug, PartialEq)]
@@ -16,6 +16,7 @@
 }
 
 /// A worker with the groups that have to go for the next task to fit.
+#[derive(Clone, Debug)]
 struct Offer {
     room: usize,
     groups: Vec<usize>,
@@ -26,26 +27,30 @@
 struct Search<'a> {
     rooms: &'a [Room],
     step: &'a Step,
+    /// Sorted.
     gone: Vec<usize>,
+    /// Tasks placed on each worker so far.
     used: Vec<u64>,
     cost: f64,
 }
 
 impl Search<'_> {
-    /// Returns what is free on a worker without the given groups and the tasks placed so far.
-    fn free(&self, room: usize, more: &[usize]) -> Resources {
+    /// Returns what the worker needs free for one more task.
+    fn wanted(&self, room: usize) -> Resources {
+        // Claims are met out of the same stops.
+        let tasks = self.used[room] + 1;
+        (0..tasks).fold(self.rooms[room].claimed, |sum, _| sum.plus(&self.step.need))
+    }
+
+    /// Returns what is free on a worker without the groups that are gone already.
+    fn freed(&self, room: usize) -> Resources {
         let place = &self.rooms[room];
-        let gone = |g: usize| self.gone.binary_search(&g).is_ok() || more.contains(&g);
-        let mut free = place.free;
-        for victim in place.victims.iter().filter(|v| gone(v.group)) {
-            free = free.plus(&victim.need);
-        }
-        // Claims are met out of the same stops, so that they come off last.
-        free = free.minus(&place.claimed);
-        for _ in 0..self.used[room] {
-            free = free.minus(&self.step.need);
-        }
-        free
+        let gone = place.victims.iter().filter(|v| self.is_gone(v.group));
+        gone.fold(place.free, |sum, v| sum.plus(&v.need))
+    }
+
+    fn is_gone(&self, group: usize) -> bool {
+        self.gone.binary_search(&group).is_ok()
     }
 
     /// Returns the cheapest way to fit one more task on a worker.
@@ -55,55 +60,67 @@
         if !place.usable || self.used[room] + u64::from(place.siblings) >= most {
             return None;
         }
-        let mut groups = Vec::new();
-        let mut cost = 0.0;
-        let mut order: Vec<usize> = (0..place.victims.len()).collect();
-        order.sort_by(|a, b| place.victims[*a].cost.total_cmp(&place.victims[*b].cost));
-        for at in order {
-            if self.free(room, &groups).holds(&self.step.need) {
-                break;
-            }
-            let victim = &place.victims[at];
-            if self.gone.binary_search(&victim.group).is_err() && !groups.contains(&victim.group) {
-                groups.push(victim.group);
-                cost += victim.cost;
+        let wanted = self.wanted(room);
+        let mut free = self.freed(room);
+        let mut taken: Vec<&Victim> = Vec::new();
+        if !free.holds(&wanted) {
+            let mut left: Vec<&Victim> =
+                place.victims.iter().filter(|v| !self.is_gone(v.group)).collect();
+            left.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.group.cmp(&b.group)));
+            for victim in left {
+                if free.holds(&wanted) {
+                    break;
+                }
+                free = free.plus(&victim.need);
+                taken.push(victim);
             }
         }
-        if !self.free(room, &groups).holds(&self.step.need) {
+        if !free.holds(&wanted) {
             return None;
         }
-        self.prune(room, &mut groups, &mut cost);
-        Some(Offer { room, groups, cost })
+        Some(prune(room, taken, free, &wanted))
     }
 
-    /// Drops groups that needn't go after all, the dearest first.
-    fn prune(&self, room: usize, groups: &mut Vec<usize>, cost: &mut f64) {
-        let mut at = groups.len();
-        while at > 0 {
-            at -= 1;
-            let group = groups.remove(at);
-            if self.free(room, groups).holds(&self.step.need) {
-                let victims = &self.rooms[room].victims;
-                *cost -= victims.iter().find(|v| v.group == group).map_or(0.0, |v| v.cost);
-            } else {
-                groups.insert(at, group);
+    /// Takes an offer; returns the groups that go with it and stayed until now.
+    fn take(&mut self, offer: &Offer) {
+        for group in &offer.groups {
+            if let Err(at) = self.gone.binary_search(group) {
+                self.gone.insert(at, *group);
             }
         }
+        self.used[offer.room] += 1;
+        self.cost += offer.cost;
     }
+}
 
-    fn take(&mut self, offer: Offer) {
-        for group in offer.groups {
-            if let Err(at) = self.gone.binary_search(&group) {
-                self.gone.insert(at, group);
-            }
+/// Drops victims that needn't go after all, the dearest first, and makes the offer.
+fn prune(room: usize, taken: Vec<&Victim>, mut free: Resources, wanted: &Resources) -> Offer {
+    let mut offer = Offer { room, groups: Vec::new(), cost: 0.0 };
+    // The members of a gang on this worker come one after the other, as their cost is the same.
+    let members = taken.chunk_by(|a, b| a.group == b.group).rev();
+    for group in members {
+        let part = group.iter().fold(Resources::default(), |sum, v| sum.plus(&v.need));
+        let rest = free.minus(&part);
+        if rest.holds(wanted) {
+            free = rest;
+        } else {
+            offer.groups.push(group[0].group);
+            offer.cost += group[0].cost;
         }
-        self.used[offer.room] += 1;
-        self.cost += offer.cost;
     }
+    offer
 }
 
 /// Finds the cheapest way to place a whole gang, stopping runs where that is allowed.
 pub(crate) fn evict(rooms: &[Room], step: &Step, count: usize) -> Option<Eviction> {
+    // All that may be stopped might not be enough.
+    let places = |room: &Room| {
+        let all = room.victims.iter().fold(room.free, |sum, v| sum.plus(&v.need));
+        room.places(step, &all.minus(&room.claimed))
+    };
+    if !is_enough(rooms, count, places) {
+        return None;
+    }
     let mut best: Option<Eviction> = None;
     for among in regions(rooms, step, count) {
         let Some(found) = evict_among(rooms, step, count, &among) else { continue };
@@ -117,16 +134,24 @@
 fn evict_among(rooms: &[Room], step: &Step, count: usize, among: &[usize]) -> Option<Eviction> {
     let used = vec![0; rooms.len()];
     let mut search = Search { rooms, step, gone: Vec::new(), used, cost: 0.0 };
+    let mut offers: Vec<Option<Offer>> = among.iter().map(|room| search.offer(*room)).collect();
+    let key = |o: &Offer| (o.cost, rooms[o.room].doubt, rooms[o.room].free.accelerators);
     let mut placed = Vec::new();
     while placed.len() < count {
-        let offers = among.iter().filter_map(|i| search.offer(*i));
-        let key = |o: &Offer| (o.cost, rooms[o.room].doubt, rooms[o.room].free.accelerators);
-        let cheapest = offers.min_by(|a, b| {
+        let cheapest = offers.iter().flatten().min_by(|a, b| {
             let (a, b) = (key(a), key(b));
             a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2))
         })?;
-        placed.push(cheapest.room);
-        search.take(cheapest);
+        let chosen = cheapest.clone();
+        search.take(&chosen);
+        placed.push(chosen.room);
+        // Only the chosen worker and those where the same gangs run have changed.
+        for (offer, room) in offers.iter_mut().zip(among) {
+            let shares = |v: &Victim| chosen.groups.contains(&v.group);
+            if *room == chosen.room || rooms[*room].victims.iter().any(shares) {
+                *offer = search.offer(*room);
+            }
+        }
     }
     Some(Eviction { placed, groups: search.gone, cost: search.cost })
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -47,6 +47,8 @@
     pub(crate) done: bool,
     /// Runs that ended with a failure.
     pub(crate) failures: u32,
+    /// The latest run that ended with a failure; not used for the members of gangs.
+    pub(crate) failed_run: Run,
     /// The latest saved progress; empty without any.
     pub(crate) saved: String,
     /// The worker of the latest run while that run isn't known to have ended.
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -82,12 +82,7 @@
 
 impl<T> Default for Client<T> {
     fn default() -> Self {
-        Self {
-            links: Vec::new(),
-            deadlines: BTreeSet::new(),
-            opened: 0,
-            swept: Moment::default(),
-        }
+        Self { links: Vec::new(), deadlines: BTreeSet::new(), opened: 0, swept: Moment::default() }
     }
 }
 
@@ -230,11 +225,8 @@
             silent.push(link.peer);
             let Some(Pending { token, .. }) = link.pending else { continue };
             let why = "no answer in time".to_string();
-            let result = Err(if link.connected {
-                Failure::Unknown(why)
-            } else {
-                Failure::NotSent(why)
-            });
+            let result =
+                Err(if link.connected { Failure::Unknown(why) } else { Failure::NotSent(why) });
             finished.push(Finished { token, result, stale: false });
         }
         if !silent.is_empty() || now.since(self.swept) >= IDLE_EVERY {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -90,6 +90,43 @@
     assert_kept(&mut lab);
 }
 
+/// Found by `fleetbench run` on the second grown site, day `scale-1`: a run had ended well before its
+/// lease was over, and its worker couldn't be heard until after that.
+#[test]
+fn an_end_that_is_heard_after_the_lease_still_counts() {
+    for gang in [true, false] {
+        let mut lab = FleetLab::open(3, 1, 4);
+        lab.run(WARM_UP);
+        let steps = vec![Step { gang, ..step(2, 4, 5_000, vec![]) }];
+        lab.submit(1_000, 0, JobId(1), "batch", job(steps));
+        lab.plan(2_000, Trouble::CutWorker(0, 12_000));
+        lab.run(20_000);
+        assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed), "gang {gang}");
+        assert_eq!(lab.starts(), 2, "gang {gang}");
+        assert_kept(&mut lab);
+    }
+}
+
+/// The same with a later run on another worker, which isn't needed any more.
+#[test]
+fn a_late_end_stops_the_run_that_replaced_it() {
+    for gang in [true, false] {
+        let mut lab = FleetLab::open(3, 2, 4);
+        lab.run(WARM_UP);
+        let steps = vec![Step { gang, ..step(1, 8, 5_000, vec![]) }];
+        lab.submit(1_000, 0, JobId(1), "batch", job(steps));
+        lab.run(1_000);
+        let places = lab.places(JobId(1));
+        lab.plan(2_100, Trouble::CutWorker(places[0], 9_500));
+        lab.plan(2_100, Trouble::Slow(1 - places[0], 10));
+        lab.run(12_500);
+        assert_eq!(lab.starts(), 2, "gang {gang}");
+        assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed), "gang {gang}");
+        assert_eq!(lab.places(JobId(1)), Vec::<usize>::new(), "gang {gang}");
+        assert_kept(&mut lab);
+    }
+}
+
 #[test]
 fn a_placer_killed_in_the_middle_of_a_gangs_start_leaves_no_part_of_it() {
     for delay in 0..14 {
