Find idle connections by peer

Each call searched all connections of the process for an idle one to its peer, and each closed connection moved the others in memory; a placer of 1,100 workers holds up to 5,000 connections. They are now kept by number, and the idle ones also by peer.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -10,7 +10,7 @@
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::TcpStream;
 use stakker_mio::{MioPoll, ReadStatus, Ready, TcpStreamBuf};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
 use crate::message::{Request, Response};
@@ -59,7 +59,6 @@
 }
 
 struct Connection<T> {
-    id: u64,
     peer: SocketAddr,
     stream: TcpStreamBuf,
     connected: bool,
@@ -72,11 +71,14 @@
 
 /// HTTP client of a process: the pooled connections to all peers.
 pub struct Client<T> {
-    /// Sorted by `id`.
-    connections: Vec<Connection<T>>,
-    /// Deadlines of the pending calls with the `id` of their connection.
+    /// By number, which rises with each connection.
+    connections: BTreeMap<u64, Connection<T>>,
+    /// The connections without a call, by peer. With thousands of connections, a search through all
+    /// of them would cost more than the call itself.
+    idle: BTreeSet<(SocketAddr, u64)>,
+    /// Deadlines of the pending calls with the numbers of their connections.
     deadlines: BTreeSet<(Moment, u64)>,
-    /// `id` of the latest connection.
+    /// Number of the latest connection.
     last_id: u64,
     /// Time of the latest sweep for idle connections.
     last_sweep: Moment,
@@ -85,7 +87,8 @@
 impl<T> Default for Client<T> {
     fn default() -> Self {
         Self {
-            connections: Vec::new(),
+            connections: BTreeMap::new(),
+            idle: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             last_id: 0,
             last_sweep: Moment::default(),
@@ -107,23 +110,25 @@
         pending: (T, Moment),
     ) -> Option<Finished<T>> {
         let (token, deadline) = pending;
-        let idle = self.connections.iter().rposition(|c| c.peer == peer && c.pending.is_none());
-        let at = match idle {
-            Some(at) => at,
+        // The newest idle connection is the least likely to have gone silent.
+        let newest = self.idle.range((peer, 0)..=(peer, u64::MAX)).next_back().map(|(_, id)| *id);
+        let id = match newest {
+            Some(id) => id,
             None => match self.open(poll, ready, peer) {
-                Ok(at) => at,
+                Ok(id) => id,
                 Err(error) => {
                     let result = Err(Failure::NotSent(error.to_string()));
                     return Some(Finished { token, result, stale: false });
                 }
             },
         };
-        let conn = &mut self.connections[at];
-        self.deadlines.insert((deadline, conn.id));
+        self.idle.remove(&(peer, id));
+        let conn = self.connections.get_mut(&id)?;
+        self.deadlines.insert((deadline, id));
         conn.pending = Some(Pending { token, deadline });
         conn.stream.out.extend_from_slice(&request.encode());
         if conn.connected && conn.stream.flush().is_err() {
-            return self.fail(at, "the connection is broken");
+            return self.fail(id, "the connection is broken");
         }
         None
     }
@@ -133,7 +138,7 @@
         poll: &MioPoll,
         ready: impl FnOnce(u64) -> Fwd<Ready>,
         peer: SocketAddr,
-    ) -> std::io::Result<usize> {
+    ) -> std::io::Result<u64> {
         self.last_id += 1;
         let id = self.last_id;
         let stream = TcpStream::connect(peer)?;
@@ -145,54 +150,47 @@
         metrics::counter!("bulrushlink_connections_opened_total").increment(1);
         let idle_since = Moment::default();
         let pending = None;
-        self.connections.push(Connection {
-            id,
-            peer,
-            stream,
-            connected: false,
-            completed_calls: 0,
-            pending,
-            idle_since,
-        });
-        Ok(self.connections.len() - 1)
+        let connection =
+            Connection { peer, stream, connected: false, completed_calls: 0, pending, idle_since };
+        self.connections.insert(id, connection);
+        Ok(id)
     }
 
     /// Handles a readiness event of a connection; returns the outcome of its call if the
     /// event ended it.
     pub fn ready(&mut self, id: u64, ready: Ready, now: Moment) -> Option<Finished<T>> {
-        let at = self.connections.binary_search_by_key(&id, |c| c.id).ok()?;
-        let conn = &mut self.connections[at];
+        let conn = self.connections.get_mut(&id)?;
         if ready.is_error() && !conn.connected {
-            return self.fail(at, "the connection can't be opened");
+            return self.fail(id, "the connection can't be opened");
         }
         if ready.is_writable() {
             conn.connected = true;
             if conn.stream.flush().is_err() {
-                return self.fail(at, "the connection is broken");
+                return self.fail(id, "the connection is broken");
             }
         }
         if ready.is_readable() || ready.is_read_closed() || ready.is_error() {
-            return self.read(at, now);
+            return self.read(id, now);
         }
         None
     }
 
-    fn read(&mut self, at: usize, now: Moment) -> Option<Finished<T>> {
+    fn read(&mut self, id: u64, now: Moment) -> Option<Finished<T>> {
+        let conn = self.connections.get_mut(&id)?;
         let mut bytes = READ_MIN_BYTES;
         let eof = loop {
-            match self.connections[at].stream.read(bytes) {
+            match conn.stream.read(bytes) {
                 ReadStatus::NewData => bytes = (bytes * 2).min(READ_MAX_BYTES),
                 ReadStatus::WouldBlock => break false,
                 ReadStatus::EndOfStream => break true,
-                ReadStatus::Error(error) => return self.fail(at, &error.to_string()),
+                ReadStatus::Error(error) => return self.fail(id, &error.to_string()),
             }
         };
-        let conn = &mut self.connections[at];
         let unread = &conn.stream.inp[conn.stream.rd..conn.stream.wr];
         if conn.pending.is_none() {
             // An idle connection may only be closed by the peer; unsolicited bytes close it too.
             if eof || !unread.is_empty() {
-                self.connections.remove(at);
+                self.remove(id);
             }
             return None;
         }
@@ -202,24 +200,32 @@
                 let closes = |v: &str| v.eq_ignore_ascii_case("close");
                 let close = eof || response.header("connection").is_some_and(closes);
                 let Pending { token, deadline } = conn.pending.take()?;
-                self.deadlines.remove(&(deadline, conn.id));
                 conn.completed_calls += 1;
                 conn.idle_since = now;
+                self.idle.insert((conn.peer, id));
+                self.deadlines.remove(&(deadline, id));
                 if close {
-                    self.connections.remove(at);
+                    self.remove(id);
                 }
                 Some(Finished { token, result: Ok(response), stale: false })
             }
-            Ok(None) if eof => self.fail(at, "the connection has ended"),
+            Ok(None) if eof => self.fail(id, "the connection has ended"),
             Ok(None) => None,
-            Err(error) => self.fail(at, &error.to_string()),
+            Err(error) => self.fail(id, &error.to_string()),
         }
     }
 
-    fn fail(&mut self, at: usize, reason: &str) -> Option<Finished<T>> {
-        let conn = self.connections.remove(at);
+    /// Closes a connection.
+    fn remove(&mut self, id: u64) -> Option<Connection<T>> {
+        let conn = self.connections.remove(&id)?;
+        self.idle.remove(&(conn.peer, id));
+        Some(conn)
+    }
+
+    fn fail(&mut self, id: u64, reason: &str) -> Option<Finished<T>> {
+        let conn = self.remove(id)?;
         let Pending { token, deadline } = conn.pending?;
-        self.deadlines.remove(&(deadline, conn.id));
+        self.deadlines.remove(&(deadline, id));
         let no_bytes = conn.stream.rd == conn.stream.wr;
         let result = if conn.connected {
             Err(Failure::Unknown(reason.to_string()))
@@ -237,8 +243,7 @@
             && deadline <= now
         {
             self.deadlines.pop_first();
-            let Ok(at) = self.connections.binary_search_by_key(&id, |c| c.id) else { continue };
-            let conn = self.connections.remove(at);
+            let Some(conn) = self.remove(id) else { continue };
             timed_out_peers.push(conn.peer);
             let Some(Pending { token, .. }) = conn.pending else { continue };
             let reason = "no answer in time".to_string();
@@ -249,12 +254,19 @@
             });
             finished.push(Finished { token, result, stale: false });
         }
-        if !timed_out_peers.is_empty() || now.since(self.last_sweep) >= IDLE_SWEEP_PERIOD {
+        for peer in timed_out_peers {
+            let silent: Vec<u64> =
+                self.idle.range((peer, 0)..=(peer, u64::MAX)).map(|(_, id)| *id).collect();
+            silent.into_iter().for_each(|id| drop(self.remove(id)));
+        }
+        if now.since(self.last_sweep) >= IDLE_SWEEP_PERIOD {
             self.last_sweep = now;
-            let expired = |c: &Connection<T>| {
-                timed_out_peers.contains(&c.peer) || now.since(c.idle_since) > IDLE_TIMEOUT
+            let expired = |id: &u64| {
+                let conn = self.connections.get(id);
+                conn.is_some_and(|c| now.since(c.idle_since) > IDLE_TIMEOUT)
             };
-            self.connections.retain(|c| c.pending.is_some() || !expired(c));
+            let expired: Vec<u64> = self.idle.iter().map(|(_, id)| *id).filter(expired).collect();
+            expired.into_iter().for_each(|id| drop(self.remove(id)));
         }
         finished
     }
