--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -3,8 +3,8 @@
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId, WorkspaceId};
 use bulrushlink_fleet::{
     Bounds, Catalog, Clock, Fault, HostShare, Input, JobId, JobSpec, Limits, Node, NodeSettings,
-    Queue, RequestId, Resources, Rev, ShownState, StoreOp, Tag, WorkerCall, WorkerEntry,
-    WorkerReply, WorkerState, Workspace,
+    Queue, RequestId, Resources, Rev, Run, ShownState, StoreOp, Tag, TaskId, WorkerCall,
+    WorkerEntry, WorkerReply, WorkerState, Workspace,
 };
 use bulrushlink_standin::FleetWorker;
 use std::collections::BTreeMap;
@@ -141,6 +141,22 @@
     tag: Tag,
 }
 
+/// A run of a gang, with the workers that have or had members of it.
+#[derive(Default)]
+struct Gang {
+    /// Number of members of a complete gang.
+    size: u32,
+    /// Sorted; may include workers whose members have ended.
+    workers: Vec<usize>,
+}
+
+/// Identifies the run of a gang: any member's task with index 0, and the number of the run.
+type GangKey = (TaskId, Run);
+
+fn gang_key(task: TaskId, run: Run) -> GangKey {
+    (TaskId { index: 0, ..task }, run)
+}
+
 /// A simulated fleet of daemons and workers with their store.
 pub struct FleetLab {
     now: u64,
@@ -148,7 +164,9 @@
     /// Daemons on hosts with a tenth of a core.
     weak: Vec<usize>,
     store: SimStore,
+    /// Sorted by identifier.
     workers: Vec<FleetWorker>,
+    gangs: BTreeMap<GangKey, Gang>,
     /// Time at which each worker can be reached again.
     cut_until: Vec<u64>,
     /// Time at which each worker last reached the store.
@@ -253,6 +271,7 @@
             weak: Vec::new(),
             store: SimStore::new(test_catalog()),
             workers: Vec::new(),
+            gangs: BTreeMap::new(),
             cut_until: vec![0; workers],
             last_contact: vec![0; workers],
             events: BTreeMap::new(),
--- a/crates/lab/src/fleet/lab/calls.rs
+++ b/crates/lab/src/fleet/lab/calls.rs
@@ -89,7 +89,8 @@
         lost: bool,
     ) {
         let now = self.now;
-        let Some(index) = self.workers.iter().position(|w| w.entry.id == request.worker) else {
+        let by_id = self.workers.binary_search_by(|w| w.entry.id.cmp(&request.worker));
+        let Ok(index) = by_id else {
             return;
         };
         if now < self.cut_until[index] || !self.workers[index].up {
@@ -130,6 +131,7 @@
                 );
             }
             self.record.record_start(now, (task, run, index), CANCEL_GRACE_MS);
+            self.register_gang_member(index, task, run);
             let fails = self.random.f64() < self.noise.run_fails;
             if fails || self.workers[index].failing {
                 let last = self.workers[index].runs.len() - 1;
--- a/crates/lab/src/fleet/lab/work.rs
+++ b/crates/lab/src/fleet/lab/work.rs
@@ -3,7 +3,7 @@
 use bulrushlink_fleet::{EndCause, Run, TaskId};
 use bulrushlink_standin::FleetRun;
 
-use super::{ENTRY_TTL_MS, FleetLab};
+use super::{ENTRY_TTL_MS, FleetLab, gang_key};
 
 impl FleetLab {
     pub(super) fn end_run(&mut self, index: usize, run: usize, cause: EndCause) {
@@ -14,11 +14,29 @@
         }
     }
 
+    /// Registers the worker of a run that has started, if the run belongs to a gang.
+    pub(super) fn register_gang_member(&mut self, index: usize, task: TaskId, run: Run) {
+        let job = self.record.jobs.iter().find(|j| j.id == task.job);
+        let Some(step) = job.map(|j| &j.spec.steps[usize::from(task.step)]) else { return };
+        if !step.gang {
+            return;
+        }
+        let gang = self.gangs.entry(gang_key(task, run)).or_default();
+        gang.size = step.tasks;
+        if let Err(at) = gang.workers.binary_search(&index) {
+            gang.workers.insert(at, index);
+        }
+    }
+
+    /// Returns the workers that may have members of a gang's run, sorted.
+    fn gang_workers(&self, task: TaskId, run: Run) -> &[usize] {
+        self.gangs.get(&gang_key(task, run)).map_or(&[], |g| &g.workers)
+    }
+
     pub(super) fn break_gang(&mut self, task: TaskId, run: Run) {
-        let same = |r: &FleetRun| {
-            (r.task.job, r.task.round, r.task.step, r.run) == (task.job, task.round, task.step, run)
-        };
-        for index in 0..self.workers.len() {
+        let key = gang_key(task, run);
+        for index in self.gang_workers(task, run).to_vec() {
+            let same = |r: &FleetRun| gang_key(r.task, r.run) == key;
             while let Some(found) = self.workers[index].runs.iter().position(same) {
                 let ended = self.workers[index].end(found, EndCause::Broken);
                 let run = (ended.task, ended.run, index);
@@ -27,12 +45,11 @@
         }
     }
 
-    /// Returns the number of members of a gang's run that are live.
-    pub(super) fn count_present(&self, task: TaskId, run: Run) -> u32 {
-        let same = |r: &&FleetRun| {
-            (r.task.job, r.task.round, r.task.step, r.run) == (task.job, task.round, task.step, run)
-        };
-        self.workers.iter().map(|w| w.runs.iter().filter(same).count() as u32).sum()
+    /// Returns the live members of a gang's run.
+    fn gang_members(&self, task: TaskId, run: Run) -> impl Iterator<Item = &FleetRun> {
+        let key = gang_key(task, run);
+        let runs = self.gang_workers(task, run).iter().flat_map(|w| &self.workers[*w].runs);
+        runs.filter(move |r| gang_key(r.task, r.run) == key)
     }
 
     /// Advances all workers by a millisecond: ends runs whose lease has expired and lets the others
@@ -69,14 +86,13 @@
             return Some(EndCause::Stopped);
         }
         if live.gang {
-            let job = self.record.jobs.iter().find(|j| j.id == live.task.job);
-            let all = job.map_or(1, |j| j.spec.steps[usize::from(live.task.step)].tasks);
-            let step = (TaskId { index: 0, ..live.task }, live.run);
-            let member_done = self.record.finished.contains(&step);
+            let key = gang_key(live.task, live.run);
+            let all = self.gangs.get(&key).map_or(1, |g| g.size as usize);
+            let member_done = self.record.finished.contains(&key);
             if member_done {
                 return Some(EndCause::Done);
             }
-            if self.count_present(live.task, live.run) < all {
+            if self.gang_members(live.task, live.run).count() < all {
                 let waited = self.now - live.started;
                 return (live.worked == 0 && waited > self.bounds.gang_ms)
                     .then_some(EndCause::Alone);
@@ -93,9 +109,7 @@
 
     /// Returns true if all members of a gang's run have done their work.
     pub(super) fn all_members_worked(&self, run: &FleetRun) -> bool {
-        let step = |t: &TaskId| (t.job, t.round, t.step);
-        let same = |r: &&FleetRun| step(&r.task) == step(&run.task) && r.run == run.run;
-        self.workers.iter().flat_map(|w| &w.runs).filter(same).all(|r| r.worked >= r.length)
+        self.gang_members(run.task, run.run).all(|r| r.worked >= r.length)
     }
 
     /// Writes the entries of the workers that were in contact within `ENTRY_TTL_MS` to the store.
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -2,6 +2,7 @@
 //! invariants.
 
 use bulrushlink_fleet::{EndCause, JobId, JobSpec, Run, ShownState, TaskId};
+use std::collections::BTreeSet;
 
 /// A violated invariant of the scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -81,7 +82,7 @@
     /// Ends of gang members whose gang was not complete in time.
     pub(super) gang_timeouts: u64,
     /// Runs of a step in which a task has ended as done, each listed under the task of index 0.
-    pub(super) finished: Vec<(TaskId, Run)>,
+    pub(super) finished: BTreeSet<(TaskId, Run)>,
     /// Times and descriptions of events, to explain a violation.
     pub(super) trace: Vec<(u64, String)>,
 }
@@ -162,7 +163,7 @@
             self.gang_timeouts += 1;
         }
         if cause == EndCause::Done {
-            self.finished.push((TaskId { index: 0, ..task }, run));
+            self.finished.insert((TaskId { index: 0, ..task }, run));
         }
         if cause == EndCause::Done
             && let Some(job) = self.job(task.job)
