--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -136,8 +136,9 @@
         worker.band = band;
     }
     let racks = Racks::of(&workers);
-    let place =
-        |count, preference| super::place_gang(&workers, &racks, &step(8, 8), count, preference);
+    let place = |count, preference| {
+        super::place_gang(&workers, &racks, &step(8, 8), count, false, preference)
+    };
     assert_eq!(place(2, SpeedPreference::Fastest), Some(vec![1, 3]));
     assert_eq!(place(2, SpeedPreference::SpareFastest), Some(vec![2, 4]));
     // The two fast workers don't fit four members; the slow ones are not used.
