Create the leader's key only under a lease that is open and renewed

- A lease request that the store refused at once left a placeholder, lease 0.
The next attempt within 400 ms created the leader's key with it, that is without a lease: had that daemon died, no placer would have been elected again.
- A creation that took effect late, after the daemon had opened another lease, was taken as its own: it led, and counted its lease as valid, while the key was under a lease that nobody renewed.
The key's value now names its lease, and a key under an earlier one is left to expire.

The value of the key gains a part; old and new builds only compare it with their own and look at its suffix.

--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -94,12 +94,15 @@
 /// State of this daemon in the election.
 #[derive(Debug)]
 pub(crate) struct Election {
-    /// Value that this process writes to the leader's key.
-    own_value: Vec<u8>,
+    /// Identifies this process: the daemon and its incarnation.
+    identity: String,
     phase: Phase,
     ordinal: u64,
-    /// Lease for the leader's key, and when it was requested.
+    /// Open lease for the leader's key, and when it was requested.
     lease: Option<(LeaseId, Moment)>,
+    /// When a lease was last requested. A lease counts from then on, before the store opens it, so
+    /// that it never counts as valid for too long.
+    lease_requested: Moment,
     /// This host has little processor time, so stronger hosts have precedence.
     weak: bool,
     /// When the key was first seen to be free; `None` while a daemon holds it.
@@ -113,15 +116,12 @@
 
 impl Election {
     pub(crate) fn new(daemon: &DaemonId, incarnation: u64, weak: bool) -> Self {
-        let mut own_value = format!("{daemon}/{incarnation}").into_bytes();
-        if weak {
-            own_value.extend_from_slice(WEAK_SUFFIX);
-        }
         Self {
-            own_value,
+            identity: format!("{daemon}/{incarnation}"),
             phase: Phase::Waiting(Moment::default()),
             ordinal: 0,
             lease: None,
+            lease_requested: Moment::default(),
             weak,
             free_since: None,
             handover_requested: None,
@@ -212,8 +212,7 @@
                 self.watch_answered(now, &events, as_of, out);
             }
             (ElectionTag::OpenLease(_), Ok(StoreReply::Lease(lease, _))) => {
-                let began = self.lease.map_or(now, |(_, began)| began);
-                self.lease = Some((lease, began));
+                self.lease = Some((lease, self.lease_requested));
                 self.create_key(lease, out);
             }
             (ElectionTag::CreateKey(_), Ok(StoreReply::Committed(rev))) => {
@@ -279,8 +278,11 @@
         out: &mut Vec<Output>,
     ) -> Option<LeaderChange> {
         match holder {
-            // A commit of this process whose reply was lost has created the key.
-            Some((value, rev)) if value == self.own_value => return self.elected(now, rev),
+            // A commit of this process whose reply was lost has created the key. A key under an
+            // earlier lease, which is no longer renewed, is left to expire.
+            Some((value, rev)) if self.lease.is_some_and(|(l, _)| value == self.key_value(l)) => {
+                return self.elected(now, rev);
+            }
             Some((value, rev)) => {
                 self.free_since = None;
                 let weak = value.ends_with(WEAK_SUFFIX);
@@ -300,7 +302,7 @@
         self.handover_requested = Some(epoch);
         let commit = Commit {
             expect: vec![(Subject::Key(keys::LEADER.to_string()), epoch)],
-            writes: vec![(keys::HANDOVER.to_string(), self.own_value.clone(), None)],
+            writes: vec![(keys::HANDOVER.to_string(), self.identity.clone().into_bytes(), None)],
             removes: Vec::new(),
         };
         self.call_store(StoreOp::Commit(commit), STORE_TIMEOUT, ElectionTag::RequestHandover, out);
@@ -344,9 +346,8 @@
                 self.create_key(lease, out)
             }
             _ => {
-                // 0 is a placeholder until the reply brings the identifier. The lease counts from now
-                // on, before the store opens it, so it never counts as valid for too long.
-                self.lease = Some((LeaseId(0), now));
+                self.lease = None;
+                self.lease_requested = now;
                 self.call_store(
                     StoreOp::OpenLease(LEASE_TTL),
                     STORE_TIMEOUT,
@@ -357,6 +358,15 @@
         }
     }
 
+    /// Returns the value that this process writes to the leader's key under a lease.
+    fn key_value(&self, lease: LeaseId) -> Vec<u8> {
+        let mut value = format!("{}/{lease}", self.identity).into_bytes();
+        if self.weak {
+            value.extend_from_slice(WEAK_SUFFIX);
+        }
+        value
+    }
+
     fn watch_leader(&mut self, after: Rev, out: &mut Vec<Output>) {
         let op = StoreOp::Watch(keys::LEADER.to_string(), after, WATCH_WAIT_MAX);
         self.call_store(op, WATCH_WAIT_MAX + WATCH_MARGIN, ElectionTag::Watch, out);
@@ -381,7 +391,7 @@
         let key = keys::LEADER.to_string();
         let commit = Commit {
             expect: vec![(Subject::Key(key.clone()), Rev::ABSENT)],
-            writes: vec![(key, self.own_value.clone(), Some(lease))],
+            writes: vec![(key, self.key_value(lease), Some(lease))],
             removes: Vec::new(),
         };
         self.call_store(StoreOp::Commit(commit), STORE_TIMEOUT, ElectionTag::CreateKey, out);
