Refuse or bound what one malformed message could make the placer do

- A job with an interval of 0 and many rounds was accepted, and the placer then opened all of its rounds at once: their records fill the memory, and each successor does the same.
At most as many rounds are now open as have 4,096 tasks together, and a job may have 10,000 rounds.
The test wasn't run against the old code, which would have filled the memory of the machine.
- Requests for resources and estimates near 2^64 overflowed in sums and products of the placer: a panic where overflows are checked, and a wrong guarantee check where they wrap.
Such a job is refused when it is submitted.
- A worker's clock near 2^64 overflowed in the sums for leases (the test failed first with checks on).

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -55,7 +55,10 @@
 pub use front::FrontTag;
 pub use ids::{Boot, Epoch, FencingToken, JobId, LeaseId, Rev, Run, TaskId};
 pub use lead::ElectionTag;
-pub use model::{BadSpec, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step};
+pub use model::{
+    BadSpec, JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step,
+    TASK_VALUE_MAX,
+};
 pub use node::Node;
 pub use placer::PlacerTag;
 pub use record::Item;
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -8,6 +8,11 @@
 pub const JOB_TASKS_MAX: u64 = 4_096;
 /// Maximum number of steps of a job; bounds the memory that a job takes.
 pub const JOB_STEPS_MAX: usize = 256;
+/// Maximum number of rounds of a job; the state of a job lists the rounds that are done.
+pub const JOB_ROUNDS_MAX: u32 = 10_000;
+/// Maximum amount of a resource that a task may request, and maximum estimate of its run time in
+/// milliseconds (35 years). Sums and products of such values can't overflow.
+pub const TASK_VALUE_MAX: u64 = 1 << 40;
 
 /// An amount of each resource of a worker.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -36,13 +41,13 @@
         }
     }
 
-    /// Returns the sum.
+    /// Returns the sum, at most the largest value for each resource.
     #[must_use]
     pub const fn plus(&self, other: &Self) -> Self {
         Self {
-            cpu: self.cpu + other.cpu,
-            memory: self.memory + other.memory,
-            accelerators: self.accelerators + other.accelerators,
+            cpu: self.cpu.saturating_add(other.cpu),
+            memory: self.memory.saturating_add(other.memory),
+            accelerators: self.accelerators.saturating_add(other.accelerators),
         }
     }
 
@@ -131,9 +136,12 @@
     /// No steps, or a step without tasks.
     #[display("the job has no steps or a step without tasks")]
     Empty,
-    /// More than [`JOB_STEPS_MAX`] steps or [`JOB_TASKS_MAX`] tasks.
-    #[display("the job has too many steps or tasks")]
+    /// More than [`JOB_STEPS_MAX`] steps, [`JOB_TASKS_MAX`] tasks or [`JOB_ROUNDS_MAX`] rounds.
+    #[display("the job has too many steps, tasks or rounds")]
     TooLarge,
+    /// A task requests more than [`TASK_VALUE_MAX`] of a resource, or is estimated to take longer.
+    #[display("a task requests more than any worker has, or its estimate is too long")]
+    Excessive,
     /// A step depends on itself or on a later step.
     #[display("a step depends on itself or on a later step")]
     Order,
@@ -150,9 +158,20 @@
             return Err(BadSpec::Empty);
         }
         let tasks: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
-        if self.steps.len() > JOB_STEPS_MAX || tasks > JOB_TASKS_MAX {
+        if self.steps.len() > JOB_STEPS_MAX
+            || tasks > JOB_TASKS_MAX
+            || self.rounds() > JOB_ROUNDS_MAX
+        {
             return Err(BadSpec::TooLarge);
         }
+        let excessive = |step: &Step| {
+            let Resources { cpu, memory, accelerators } = step.need;
+            let values = [cpu, memory, accelerators, step.estimate.millis()];
+            values.into_iter().any(|value| value > TASK_VALUE_MAX)
+        };
+        if self.steps.iter().any(excessive) {
+            return Err(BadSpec::Excessive);
+        }
         let ordered =
             |(number, step): (usize, &Step)| step.after.iter().all(|a| usize::from(*a) < number);
         if self.steps.iter().enumerate().all(ordered) { Ok(()) } else { Err(BadSpec::Order) }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -156,7 +156,7 @@
             if !worker.fenced {
                 worker.fenced = true;
                 // An earlier placer may have extended the lease until just before this reply.
-                worker.promised = worker.promised.max(clock + lease_max);
+                worker.promised = worker.promised.max(clock.saturating_add(lease_max));
             }
         }
         for end in ended {
@@ -418,6 +418,7 @@
     // A call without a reply may be carried out late, so each extension delays the time at which
     // the runs of a silent worker have certainly ended. Silent workers get none.
     let extend = worker.fenced && worker.silent == 0;
-    let lease_end = worker.estimated_clock(now).filter(|_| extend).map(|c| c + lease_max);
+    let lease_end =
+        worker.estimated_clock(now).filter(|_| extend).map(|c| c.saturating_add(lease_max));
     Some(WorkerOp::Hold { lease_end, acked: worker.acked, wait })
 }
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -5,7 +5,7 @@
 use crate::catalog::{Catalog, Queue};
 use crate::edge::{Clock, EndCause};
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
-use crate::model::{JobSpec, Step};
+use crate::model::{JOB_TASKS_MAX, JobSpec, Step};
 use crate::record::{JobRecord, Outcome, RoundRecord, StateRecord, StepRecord, TaskRecord};
 
 use super::pace::StepPace;
@@ -134,9 +134,14 @@
     }
 
     /// Opens the rounds that are due at `wall`, in milliseconds since the Unix epoch.
+    ///
+    /// Rounds that are due while the open ones have [`JOB_TASKS_MAX`] tasks are opened later: with a
+    /// short interval, all rounds of a job may be due at once.
     pub(crate) fn open_rounds(&mut self, wall: u64) {
+        let tasks: u64 = self.spec.steps.iter().map(|s| u64::from(s.tasks)).sum();
+        let open_max = (JOB_TASKS_MAX / tasks.max(1)).max(1) as usize;
         for round in 0..self.spec.rounds() {
-            if self.spec.due(round) > wall {
+            if self.spec.due(round) > wall || self.state.rounds.len() >= open_max {
                 break;
             }
             let is_finished = self.state.finished.binary_search(&round).is_ok();
--- a/crates/fleet/src/placer/job/tests.rs
+++ b/crates/fleet/src/placer/job/tests.rs
@@ -6,7 +6,7 @@
 use crate::catalog::Queue;
 use crate::edge::EndCause;
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
-use crate::model::{JobSpec, Resources, Step};
+use crate::model::{JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step};
 use crate::record::{JobRecord, Outcome, StateRecord};
 
 /// Failed runs after which the job has failed.
@@ -104,3 +104,19 @@
     assert_eq!(report_end(&mut job, 0, 2, EndCause::Done), Effect::Stale);
     assert_eq!(report_end(&mut job, 0, 1, EndCause::Stopped), Effect::Stale);
 }
+
+/// Guards against a job that takes the placer down, and each successor: with an interval of 0 all
+/// of its rounds are due at once, and their records would fill the memory.
+#[test]
+fn rounds_that_are_due_at_once_are_opened_a_few_at_a_time() {
+    let mut job = job(false);
+    job.spec.schedule = Some(Schedule { first: 0, every: Span::ZERO, rounds: u32::MAX });
+    job.spec.steps[0].tasks = 1_000;
+    job.open_rounds(1);
+    let open: usize = job.state.rounds.iter().map(|r| r.steps[0].tasks.len()).sum();
+    assert!(open as u64 <= JOB_TASKS_MAX, "{open} tasks are open");
+    job.state.rounds.clear();
+    job.state.finished = vec![0, 1, 2];
+    job.open_rounds(1);
+    assert_eq!(job.state.rounds.first().map(|r| r.round), Some(3));
+}
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -234,12 +234,13 @@
 
     /// Estimates the worker's clock; the true value may be up to 2% of the elapsed time lower.
     pub(crate) fn estimated_clock(&self, now: Moment) -> Option<u64> {
-        self.clock.map(|(clock, at)| clock + now.since(at).millis())
+        self.clock.map(|(clock, at)| clock.saturating_add(now.since(at).millis()))
     }
 
     /// Stores the clock reading that came with a reply.
     pub(crate) fn set_clock(&mut self, now: Moment, clock: u64) {
-        let least = self.clock.map_or(0, |(c, at)| c + min_elapsed_ms(now.since(at)));
+        let elapsed = |at| min_elapsed_ms(now.since(at));
+        let least = self.clock.map_or(0, |(clock, at)| clock.saturating_add(elapsed(at)));
         // Replies can overtake each other: an older reading says less than is already known.
         if clock >= least {
             self.clock = Some((clock, now));
@@ -255,7 +256,7 @@
         match self.clock {
             Some((clock, at)) if self.fenced => {
                 let elapsed = min_elapsed_ms(now.since(at + LEASE_EXPIRY_MARGIN));
-                clock + elapsed >= self.promised
+                clock.saturating_add(elapsed) >= self.promised
             }
             _ => {
                 let longest = Span((lease_max.millis() as f64 / (1.0 - CLOCK_DRIFT_MAX)) as u64);
@@ -314,3 +315,6 @@
 fn min_elapsed_ms(span: Span) -> u64 {
     (span.millis() as f64 * (1.0 - CLOCK_DRIFT_MAX)) as u64
 }
+
+#[cfg(test)]
+mod tests;
