--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -236,10 +236,12 @@
             Ok(at) if self.workers[at].boot.born == boot.born => {
                 let worker = &mut self.workers[at];
                 let known = worker.entry.as_ref().map(|e| e.state);
-                if known != Some(entry.state) {
+                // At a takeover the entries of all workers are new; their lines would displace those of
+                // the placements.
+                if known.is_some_and(|k| k != entry.state) {
                     log::info!(
                         event = "worker_state", worker:% = entry.id;
-                        "state changed from {known:?} to {:?}; notice {:?}", entry.state, entry.notice
+                        "state changed to {:?}; notice {:?}", entry.state, entry.notice
                     );
                 }
                 // The time that is left shrinks in any drain, so only the first notice tells.
