--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -216,7 +216,7 @@
             (sum.0.plus(&room.free), sum.1.plus(&room.capacity))
         });
         self.mostly_idle =
-            free.cpu * 2 > capacity.cpu && free.accelerators * 2 >= capacity.accelerators;
+            free.cpu > capacity.cpu / 2 && free.accelerators >= capacity.accelerators / 2;
         if racks_changed || self.rooms.len() > count {
             self.rooms.truncate(count);
             self.racks = Racks::of(&self.rooms);
@@ -342,3 +342,6 @@
         (&mut self.rooms, &self.racks)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/placer/field/tests.rs
@@ -0,0 +1,22 @@
+//! The snapshot of the workers at the start of a placement.
+
+use super::{FleetSnapshot, WorkerView};
+use crate::model::Resources;
+
+/// Guards against entries of workers with nonsensical capacities that take the placer down: their sum
+/// must not overflow.
+#[test]
+fn largest_capacities_do_not_overflow() {
+    let all = Resources { cpu: u64::MAX, memory: u64::MAX, accelerators: u64::MAX };
+    let view = || WorkerView {
+        free: all,
+        capacity: all,
+        rack: None,
+        recent_faults: 0,
+        band: 0,
+        open: true,
+    };
+    let mut fleet = FleetSnapshot::default();
+    fleet.start_placement([view(), view()].into_iter());
+    assert!(fleet.is_mostly_idle());
+}
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -186,8 +186,7 @@
             None if step.one_rack => self.racks.iter().map(|(_, w)| w.as_slice()).collect(),
             None => Vec::new(),
         };
-        let slots =
-            |workers: &[usize]| workers.iter().map(|i| rooms[*i].empty_slots(step)).sum::<u64>();
+        let slots = |workers: &[usize]| sum_slots(workers, |i| rooms[i].empty_slots(step));
         racks.retain(|workers| slots(workers) >= count as u64);
         racks
     }
@@ -206,8 +205,7 @@
         if racks.is_empty() {
             return vec![&self.all];
         }
-        let free =
-            |workers: &[usize]| workers.iter().map(|i| rooms[*i].free_slots(step)).sum::<u64>();
+        let free = |workers: &[usize]| sum_slots(workers, |i| rooms[i].free_slots(step));
         // Best fit: the rack with the fewest free slots comes first, racks that are too full last.
         racks.sort_by_cached_key(|workers| {
             let slots = free(workers);
@@ -220,6 +218,11 @@
     }
 }
 
+/// Returns the sum of the slots of some workers. A task that needs nothing fits any number of times.
+fn sum_slots(workers: &[usize], slots: impl Fn(usize) -> u64) -> u64 {
+    workers.iter().fold(0, |sum, i| sum.saturating_add(slots(*i)))
+}
+
 /// Returns true if the workers together have slots for `count` tasks; a cheap necessary condition
 /// that spares a search.
 fn has_slots_for(rooms: &[Room], count: usize, slots: impl Fn(&Room) -> u64) -> bool {
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -240,3 +240,12 @@
     let cheap = rank(&rank_input(90_000, 60_000, 2_000, 1.0), now);
     assert!(urgent.compare(&cheap).is_lt());
 }
+
+/// Guards against a gang that needs no resources and takes the placer down: it fits any number of
+/// times on each worker of a rack, and the sum must not overflow.
+#[test]
+fn gang_that_needs_nothing_is_placed() {
+    let workers = workers(&[8, 8]);
+    let nothing = Step { need: Resources::default(), one_rack: true, ..step(3, 0) };
+    assert_eq!(place_gang(&workers, &nothing, 3), Some(vec![0, 0, 0]));
+}
