--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -124,9 +124,9 @@
     after: Rev,
     /// Earliest time of the next watch.
     next: Moment,
-    /// When the watch last reported anything, or was sent.
+    /// When the watch was last sent or answered, or the pending markers were read.
     heard: Moment,
-    /// Start of the read of the pending markers in flight.
+    /// A read of the pending markers is in flight.
     polling: bool,
     /// The store no longer has the history since `after`, so the inbox has to be listed again.
     relist: bool,
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -2,34 +2,18 @@
 
 use bulrushlink_core::{Moment, Span};
 use bulrushlink_fleet::{
-    Answer, Bounds, CallerCall, CallerVerb, Catalog, Clock, Fault, HostShare, Input, JobSpec,
-    Limits, Node, NodeSettings, OperatorView, Output, Queue, RequestId, Resources, Rev, Step,
-    StoreOp, StoreReply, Tag,
+    Answer, CallerCall, CallerVerb, Catalog, Clock, Fault, Input, JobSpec, Limits, Node,
+    OperatorView, Output, Queue, RequestId, Rev, StoreOp, StoreReply, Tag,
 };
 
+use support::{node, step};
+
+mod support;
+
 fn clock(now: u64) -> Clock {
     Clock { now: Moment(now), wall: 1_800_000_000_000 + now }
 }
 
-fn node() -> Node {
-    Node::open(NodeSettings {
-        daemon: "d0".parse().expect("valid daemon name"),
-        incarnation: 1,
-        host: HostShare { core_share: 1.0, core_speed: 1.0 },
-        bounds: Bounds {
-            revoke_ms: 5_000,
-            drain_ms: 2_000,
-            lease_max_ms: 6_000,
-            stop_ms: 900,
-            gang_ms: 3_000,
-            grace_s: 6,
-            status_s: 120,
-            remote_factor: 3.0,
-            reclaim_ms: 3_400,
-        },
-    })
-}
-
 fn catalog() -> Catalog {
     let queue = Queue {
         name: "replay".to_string(),
@@ -49,21 +33,7 @@
 }
 
 fn call(timeout_ms: u64) -> CallerCall {
-    let step = Step {
-        tasks: 1,
-        need: Resources { cpu: 1_000, memory: 1_024, accelerators: 1 },
-        estimate: Span(1_000),
-        after: Vec::new(),
-        gang: false,
-        one_rack: false,
-        label: None,
-        near: None,
-        per_worker: None,
-        saves: false,
-        copies: false,
-        endless: false,
-    };
-    let spec = JobSpec { text: "x".to_string(), steps: vec![step], schedule: None };
+    let spec = JobSpec { text: "x".to_string(), steps: vec![step(1)], schedule: None };
     CallerCall {
         host: "jobs.example".to_string(),
         path: "/replay/00000000000000aa".to_string(),
--- a/crates/fleet/tests/election.rs
+++ b/crates/fleet/tests/election.rs
@@ -2,10 +2,13 @@
 
 use bulrushlink_core::{Moment, Span};
 use bulrushlink_fleet::{
-    Bounds, Clock, Commit, Fault, HostShare, Input, Item, LeaseId, Node, NodeSettings, Output, Rev,
-    StoreOp, StoreReply, Tag,
+    Clock, Commit, Fault, Input, Item, LeaseId, Node, Output, Rev, StoreOp, StoreReply, Tag,
 };
 
+use support::node;
+
+mod support;
+
 const LEADER: &str = "bulrushlink/leader";
 
 /// A node whose election calls are answered by the test; its other calls get no reply.
@@ -18,23 +21,7 @@
 
 impl Candidate {
     fn open() -> Self {
-        let node = Node::open(NodeSettings {
-            daemon: "d0".parse().expect("valid daemon name"),
-            incarnation: 1,
-            host: HostShare { core_share: 1.0, core_speed: 1.0 },
-            bounds: Bounds {
-                revoke_ms: 5_000,
-                drain_ms: 2_000,
-                lease_max_ms: 6_000,
-                stop_ms: 900,
-                gang_ms: 3_000,
-                grace_s: 6,
-                status_s: 120,
-                remote_factor: 3.0,
-                reclaim_ms: 3_400,
-            },
-        });
-        let mut candidate = Self { node, now: 0, calls: Vec::new() };
+        let mut candidate = Self { node: node(), now: 0, calls: Vec::new() };
         candidate.handle(Input::Tick);
         candidate
     }
--- a/crates/fleet/tests/specs.rs
+++ b/crates/fleet/tests/specs.rs
@@ -1,26 +1,14 @@
 //! Checks of submitted jobs.
 
 use bulrushlink_core::Span;
-use bulrushlink_fleet::{
-    BadSpec, JOB_ROUNDS_MAX, JobSpec, Resources, Schedule, Step, TASK_VALUE_MAX,
-};
+use bulrushlink_fleet::{BadSpec, JOB_ROUNDS_MAX, JobSpec, Schedule, Step, TASK_VALUE_MAX};
+
+use support::step;
+
+mod support;
 
 fn job() -> JobSpec {
-    let step = Step {
-        tasks: 4_096,
-        need: Resources { cpu: 1_000, memory: 1_024, accelerators: 1 },
-        estimate: Span(1_000),
-        after: Vec::new(),
-        gang: false,
-        one_rack: false,
-        label: None,
-        near: None,
-        per_worker: None,
-        saves: false,
-        copies: false,
-        endless: false,
-    };
-    JobSpec { text: String::new(), steps: vec![step], schedule: None }
+    JobSpec { text: String::new(), steps: vec![step(4_096)], schedule: None }
 }
 
 /// Guards against values whose sums and products overflow in the placer, which would take it and
