--- a/tests/platform/path.rs
+++ b/tests/platform/path.rs
@@ -3,6 +3,8 @@
 
 use bulrushlink_standin::{JobText, pending_text};
 
+use std::time::Duration;
+
 use crate::fleet::{Fleet, call, eventually};
 
 const KEY: Option<&str> = Some("key-north");
@@ -140,3 +142,34 @@
     fleet.wait_state(1 - placer, &id(2), "completed");
     assert!(fleet.daemons[placer].wait());
 }
+
+/// Returns the number of timer wake-ups of a daemon so far.
+fn wakeups(fleet: &Fleet, daemon: usize) -> f64 {
+    let page = call(&fleet.daemons[daemon].metrics, "GET", "/metrics", None, "")
+        .expect("the metrics page answers");
+    let line = page.body.lines().find(|l| l.starts_with("bulrushlink_wakeups_total "));
+    let value = line.and_then(|l| l.rsplit(' ').next()).expect("the counter is on the page");
+    value.parse().expect("the counter is a number")
+}
+
+/// Guards against wake-ups that multiply: each reply sets an earlier wake-up of the placer than the
+/// one that was set, and the later one must not fire as well and set another. Processor time once
+/// grew with the number of replies since the start (`fleetbench score` on hundreds of workers).
+#[test]
+fn wakeups_do_not_grow_with_the_replies_received() {
+    let fleet = Fleet::spawn(1, 8);
+    let text = JobText::new(50).step(8, false).text();
+    for n in 0..60 {
+        assert_eq!(fleet.submit(0, &id(n), &text).status, 200);
+    }
+    for n in 0..60 {
+        fleet.wait_state(0, &id(n), "completed");
+    }
+    std::thread::sleep(Duration::from_secs(1));
+    let before = wakeups(&fleet, 0);
+    std::thread::sleep(Duration::from_secs(2));
+    let rate = (wakeups(&fleet, 0) - before) / 2.0;
+    // At rest the placer reviews its state ten times a second, and makes seven calls to the store a
+    // second, each of which may be followed by a pass.
+    assert!(rate < 40.0, "{rate} wake-ups a second at rest");
+}
