--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -61,6 +61,10 @@
     LoadStates(u64),
     /// Watch for new jobs and cancellations; the number is always 0, as only one is in flight.
     Watch(u64),
+    /// Read of one page of the pending markers.
+    Pending,
+    /// Read of a job whose marker was found, while the watch has not reported the job.
+    LoadJob(JobId),
     /// Read of the registered workers, with its ordinal.
     Workers(u64),
     /// Commit of changed states, with its ordinal.
@@ -118,6 +122,10 @@
     after: Rev,
     /// Earliest time of the next watch.
     next: Moment,
+    /// When the watch last reported anything, or was sent.
+    heard: Moment,
+    /// Start of the read of the pending markers in flight.
+    polling: bool,
     /// The store no longer has the history since `after`, so the inbox has to be listed again.
     relist: bool,
 }
@@ -210,6 +218,7 @@
             return;
         }
         self.watch(ctx);
+        self.poll_pending(ctx);
         if ctx.clock.now.since(self.reviewed) >= REVIEW_INTERVAL {
             self.reviewed = ctx.clock.now;
             self.review(ctx);
@@ -261,6 +270,8 @@
             PlacerTag::LoadInbox(n) if n == self.listing => self.inbox_page_read(ctx, result),
             PlacerTag::LoadStates(n) if n == self.listing => self.states_page_read(ctx, result),
             PlacerTag::Watch(_) => self.watch_answered(ctx, result),
+            PlacerTag::Pending => self.pending_read(ctx, result),
+            PlacerTag::LoadJob(id) => self.job_read(ctx, id, result),
             PlacerTag::Workers(n) => self.workers_read(ctx, n, result),
             PlacerTag::Commit(n) => self.commit_answered(ctx, n, result),
             PlacerTag::Sweep => {
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -71,6 +71,8 @@
     LapseLeases,
     /// Compacts the store, which drops its history of changes.
     Compact,
+    /// Keeps the store's watches from reporting anything for a time in milliseconds.
+    SilenceWatches(u64),
     /// Makes a worker fail every run that it starts, or stops doing so.
     Failing(usize, bool),
     /// Halts the progress of all runs on a worker, or resumes it.
@@ -184,6 +186,8 @@
     requests: Vec<(RequestId, JobId, bool)>,
     /// The store is down until this time.
     down_until: u64,
+    /// Watches report nothing until this time.
+    silent_until: u64,
     noise: FleetNoise,
     random: fastrand::Rng,
     record: Record,
@@ -281,6 +285,7 @@
             holds: Vec::new(),
             requests: Vec::new(),
             down_until: 0,
+            silent_until: 0,
             noise: FleetNoise::default(),
             record: Record::default(),
             bounds: test_bounds(),
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -40,6 +40,7 @@
             }
             Trouble::LapseLeases => self.store.keys.expire_all(),
             Trouble::Compact => self.store.keys.compact(),
+            Trouble::SilenceWatches(millis) => self.silent_until = now + millis,
             Trouble::Failing(worker, on) => self.workers[worker].failing = on,
             Trouble::Hanging(worker, on) => self.workers[worker].hanging = on,
             Trouble::Slow(worker, times) => self.workers[worker].slowness = times,
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -234,6 +234,24 @@
     assert_no_violations(&mut lab);
 }
 
+/// An urgent job must start in time although the placer's watch of new jobs has silently stopped
+/// reporting; it once waited for the timeout of the watch, 2.1 s (`fleetbench run` on hundreds of
+/// workers, day `scale-2`, `platform_compact`).
+#[test]
+fn urgent_job_starts_in_time_while_the_watch_is_silent() {
+    let mut lab = FleetLab::open(3, 4, 22);
+    lab.run(WARM_UP_MS);
+    lab.plan(1_400, Trouble::SilenceWatches(4_000));
+    lab.submit(1_500, 1, JobId(1), "roster", job(vec![step(4, 4, 1_000, vec![])]));
+    // Of the time allowed for such a job, 1.25 s are left for everything but the work.
+    lab.run(600);
+    assert!(lab.has_started(JobId(1)), "the job has not started after 0.5 s");
+    lab.run(10_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_eq!(lab.starts(), 4);
+    assert_no_violations(&mut lab);
+}
+
 /// Guaranteed jobs that arrive at the same time must all start within the bound. Two gangs were
 /// once planned on the same resources (`fleetbench hunt`, second site, `hunt-dd30-43`).
 #[test]
