--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -90,6 +90,8 @@
     pub(crate) evacuated: &'a [DomainId],
     /// The leader's lease is certain to be still valid.
     pub(crate) holds_lease: bool,
+    /// The host has the processor time that hundreds of workers need.
+    pub(crate) strong_host: bool,
     pub(crate) out: &'a mut Vec<Output>,
 }
 
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -24,10 +24,13 @@
 /// Time that a hold waits for an end while the worker still has to report whether a stopped or
 /// unheard run is gone.
 const CLOSING_HOLD_WAIT: Span = Span(150);
-/// Most holds in flight to workers that this epoch has not heard yet: a new placer on a weak host
-/// can't process the replies of hundreds of workers before they time out. This is about an eighth
-/// of the workers in deployments of 350 workers.
-const FIRST_HOLDS_MAX: usize = 48;
+/// Most holds in flight to workers that this epoch has not heard yet, on a weak host: it can't
+/// process the replies of hundreds of workers before they time out. This is about an eighth of the
+/// workers in deployments of 350 workers.
+const FIRST_HOLDS_MAX_WEAK: usize = 48;
+/// The same on a strong host. With fewer in flight, the workers of a failure domain that is cut off
+/// would occupy all of them until they time out, and keep the placer from the others for seconds.
+const FIRST_HOLDS_MAX: usize = 400;
 /// Most holds in flight to silent workers, so that they don't delay the others.
 const SILENT_HOLDS_MAX: usize = 48;
 /// Number of ends at which a worker's list may be truncated.
@@ -35,8 +38,9 @@
 
 impl Placer {
     pub(super) fn send_holds(&mut self, ctx: &mut Context<'_>) {
+        let unknown_max = if ctx.strong_host { FIRST_HOLDS_MAX } else { FIRST_HOLDS_MAX_WEAK };
         let mut unknown_budget =
-            FIRST_HOLDS_MAX.saturating_sub(self.holds_inflight(Reachability::Unknown));
+            unknown_max.saturating_sub(self.holds_inflight(Reachability::Unknown));
         let mut silent_budget =
             SILENT_HOLDS_MAX.saturating_sub(self.holds_inflight(Reachability::Silent));
         let mut waiting = Vec::new();
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -252,6 +252,25 @@
     assert_no_violations(&mut lab);
 }
 
+/// A new placer must reach the workers that it can although a fifth of them, a failure domain, is
+/// cut off: holds to unreachable workers once kept it from the others for seconds.
+#[test]
+fn new_placer_reaches_its_workers_while_a_fifth_is_cut_off() {
+    let mut lab = FleetLab::open(3, 1_000, 23);
+    lab.run(WARM_UP_MS);
+    (0..200).for_each(|n| lab.plan(1_400, Trouble::CutWorker(n * 5, 20_000)));
+    lab.plan(1_500, Trouble::KillPlacer);
+    lab.run(700);
+    let wide = Step { gang: false, ..step(700, 8, 1_000, vec![]) };
+    lab.submit(1_600, 1, JobId(1), "roster", job(vec![wide]));
+    while lab.placer().is_none() && lab.now() < 5_000 {
+        lab.run(10);
+    }
+    // Holds to unreachable workers time out after 500 ms, for which the others need not wait.
+    lab.run(400);
+    assert!(lab.starts() >= 700, "{} of 700 tasks have started", lab.starts());
+}
+
 /// Guaranteed jobs that arrive at the same time must all start within the bound. Two gangs were
 /// once planned on the same resources (`fleetbench hunt`, second site, `hunt-dd30-43`).
 #[test]
