--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -1,5 +1,7 @@
 //! Placement: assigns waiting tasks to workers with free capacity.
 
+use bulrushlink_core::Span;
+
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::{Resources, Step};
 use crate::plan::{Room, SpeedPreference, place_gang, place_singles};
@@ -13,6 +15,9 @@
 /// A task waits for the rack of its data for this fraction of the time that it would lose on
 /// another rack.
 const RACK_WAIT_FRACTION: f64 = 0.25;
+/// Time for which a gang waits for a rack that can hold it while most of the capacity is idle. Some
+/// racks may each have a long run on one worker, so that none is free as a whole for a long time.
+const GANG_RACK_WAIT: Span = Span(2_000);
 
 /// Index of each task in its step, with the position of the worker chosen for it.
 pub(super) type Assignment = Vec<(u32, usize)>;
@@ -73,12 +78,16 @@
         let Ok(j) = self.job_index(unit.job) else { return };
         let job = &self.jobs[j];
         let step = job.spec.steps[usize::from(unit.step)].clone();
-        let waited_ms = ctx.clock.now.since(job.accepted).millis() as f64;
+        let waited = ctx.clock.now.since(job.accepted);
         let away_cost_ms = step.estimate.millis() as f64 * (ctx.bounds.remote_factor - 1.0);
+        let anywhere = match step.gang {
+            true => waited > GANG_RACK_WAIT && fleet.is_mostly_idle(),
+            false => waited.millis() as f64 > away_cost_ms * RACK_WAIT_FRACTION,
+        };
         let shape = Shape {
             endpoint: job.queue(ctx.catalog).endpoint.clone(),
             trusted: unit.has_failed,
-            anywhere: waited_ms > away_cost_ms * RACK_WAIT_FRACTION,
+            anywhere,
             count: if step.gang { unit.waiting.len() } else { 1 },
             step,
         };
@@ -112,7 +121,8 @@
             if urgent { SpeedPreference::Fastest } else { SpeedPreference::SpareFastest };
         if shape.step.gang {
             // An empty result means no room; the caller compares lengths.
-            place_gang(rooms, racks, &shape.step, count, preference).unwrap_or_default()
+            place_gang(rooms, racks, &shape.step, count, shape.anywhere, preference)
+                .unwrap_or_default()
         } else {
             place_singles(rooms, &shape.step, count, shape.anywhere, preference)
         }
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -17,7 +17,7 @@
     pub(super) step: Step,
     /// Only workers without recent faults may be used.
     pub(super) trusted: bool,
-    /// Tasks that are not in a gang may run away from the rack of their data.
+    /// The tasks may run away from the rack of their data, and a gang on several racks.
     pub(super) anywhere: bool,
     /// Number of tasks that have to be placed together.
     pub(super) count: usize,
@@ -161,6 +161,9 @@
     racks: Racks,
     /// Whether each worker may get new runs.
     open: Vec<bool>,
+    /// Less than half of the capacity of the workers that may get new runs was in use at the start
+    /// of the placement.
+    mostly_idle: bool,
     /// Groups that could be stopped, sorted by task and run; none until they are needed.
     groups: Option<Vec<Group>>,
     /// Shapes for which there is no free capacity.
@@ -208,12 +211,23 @@
             self.open.push(worker.open);
             count += 1;
         }
+        let open = self.rooms.iter().zip(&self.open).filter(|(_, open)| **open);
+        let (free, capacity) = open.fold(<(Resources, Resources)>::default(), |sum, (room, _)| {
+            (sum.0.plus(&room.free), sum.1.plus(&room.capacity))
+        });
+        self.mostly_idle =
+            free.cpu * 2 > capacity.cpu && free.accelerators * 2 >= capacity.accelerators;
         if racks_changed || self.rooms.len() > count {
             self.rooms.truncate(count);
             self.racks = Racks::of(&self.rooms);
         }
     }
 
+    /// Returns true if less than half of the capacity is in use.
+    pub(super) fn is_mostly_idle(&self) -> bool {
+        self.mostly_idle
+    }
+
     /// Returns true if an assignment fits into capacity that is free and not claimed.
     pub(super) fn has_room(&self, assignment: &[(u32, usize)], need: &Resources) -> bool {
         assignment.iter().all(|(_, at)| {
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -194,7 +194,14 @@
 
     /// Returns the sets of workers within which a gang may be placed, best first: the suitable
     /// racks if the step depends on racks, or all workers if it doesn't or no rack is large enough.
-    fn candidate_sets(&self, rooms: &[Room], step: &Step, count: usize) -> Vec<&[usize]> {
+    /// If `anywhere` is set, all workers are the last resort in any case.
+    fn candidate_sets(
+        &self,
+        rooms: &[Room],
+        step: &Step,
+        count: usize,
+        anywhere: bool,
+    ) -> Vec<&[usize]> {
         let mut racks = self.suitable_racks(rooms, step, count);
         if racks.is_empty() {
             return vec![&self.all];
@@ -206,6 +213,9 @@
             let slots = free(workers);
             (slots < count as u64, slots)
         });
+        if anywhere {
+            racks.push(&self.all);
+        }
         racks
     }
 }
@@ -221,17 +231,21 @@
 }
 
 /// Places a whole gang on free resources and returns a worker for each member, or `None`.
+///
+/// A gang that belongs on one rack is spread over several only if `anywhere` is set or no rack
+/// could hold it even if empty.
 pub(crate) fn place_gang(
     rooms: &[Room],
     racks: &Racks,
     step: &Step,
     count: usize,
+    anywhere: bool,
     preference: SpeedPreference,
 ) -> Option<Vec<usize>> {
     if !has_slots_for(rooms, count, |room| room.free_slots(step)) {
         return None;
     }
-    let sets = racks.candidate_sets(rooms, step, count);
+    let sets = racks.candidate_sets(rooms, step, count, anywhere);
     preference.band_ranges(rooms, step).into_iter().find_map(|bands| {
         sets.iter().find_map(|set| {
             let candidates = set.iter().copied().filter(|i| bands.contains(&rooms[*i].band));
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -155,7 +155,7 @@
     if !has_slots_for(rooms, count, slots) {
         return None;
     }
-    let sets = racks.candidate_sets(rooms, step, count);
+    let sets = racks.candidate_sets(rooms, step, count, false);
     let found = sets.iter().filter_map(|set| evict_within(rooms, step, count, set, band_min));
     found.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -51,7 +51,7 @@
 }
 
 fn place_gang(workers: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
-    super::place_gang(workers, &Racks::of(workers), step, count, SpeedPreference::Fastest)
+    super::place_gang(workers, &Racks::of(workers), step, count, false, SpeedPreference::Fastest)
 }
 
 fn place_singles(workers: &[Room], step: &Step, count: usize, anywhere: bool) -> Vec<usize> {
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -234,6 +234,28 @@
     assert_no_violations(&mut lab);
 }
 
+/// A gang that belongs on one rack must not wait for a whole rack while most of the capacity is
+/// idle: a long run on one worker of each rack would keep it waiting until they end. The users allow
+/// 3 s without a run of the job (rule LOST).
+#[test]
+fn gang_spreads_over_racks_if_most_capacity_is_idle() {
+    let mut lab = FleetLab::open(3, 16, 21);
+    lab.run(WARM_UP_MS);
+    for n in 0..4 {
+        // Each fills a worker, and all four racks have four workers.
+        let rack = format!("r1-{n}").parse().ok();
+        let long = Step { gang: false, near: rack, ..step(1, 8, 40_000, vec![]) };
+        lab.submit(1_000 + n, 0, JobId(n), "batch", job(vec![long]));
+    }
+    lab.run(500);
+    let gang = Step { one_rack: true, ..step(4, 8, 3_000, vec![]) };
+    lab.submit(1_500, 1, JobId(10), "replay", job(vec![gang]));
+    lab.run(3_000);
+    assert!(lab.has_started(JobId(10)), "the gang has not started after 3 s");
+    lab.run(50_000);
+    assert_no_violations(&mut lab);
+}
+
 /// An urgent job must start in time although the placer's watch of new jobs has silently stopped
 /// reporting; it once waited for the timeout of the watch, 2.1 s (`fleetbench run` on hundreds of
 /// workers, day `scale-2`, `platform_compact`).
