--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -51,7 +51,7 @@
 }
 
 fn place_gang(workers: &[Room], step: &Step, count: usize) -> Option<Vec<usize>> {
-    super::place_gang(workers, &Racks::of(workers), step, count, SpeedPreference::Fastest)
+    super::place_gang(workers, &Racks::of(workers), step, count, false, SpeedPreference::Fastest)
 }
 
 fn place_singles(workers: &[Room], step: &Step, count: usize, anywhere: bool) -> Vec<usize> {
@@ -136,8 +136,9 @@
         worker.band = band;
     }
     let racks = Racks::of(&workers);
-    let place =
-        |count, preference| super::place_gang(&workers, &racks, &step(8, 8), count, preference);
+    let place = |count, preference| {
+        super::place_gang(&workers, &racks, &step(8, 8), count, false, preference)
+    };
     assert_eq!(place(2, SpeedPreference::Fastest), Some(vec![1, 3]));
     assert_eq!(place(2, SpeedPreference::SpareFastest), Some(vec![2, 4]));
     // The two fast workers don't fit four members; the slow ones are not used.
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -3,8 +3,8 @@
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId, WorkspaceId};
 use bulrushlink_fleet::{
     Bounds, Catalog, Clock, Fault, HostShare, Input, JobId, JobSpec, Limits, Node, NodeSettings,
-    Queue, RequestId, Resources, Rev, ShownState, StoreOp, Tag, WorkerCall, WorkerEntry,
-    WorkerReply, WorkerState, Workspace,
+    Queue, RequestId, Resources, Rev, Run, ShownState, StoreOp, Tag, TaskId, WorkerCall,
+    WorkerEntry, WorkerReply, WorkerState, Workspace,
 };
 use bulrushlink_standin::FleetWorker;
 use std::collections::BTreeMap;
@@ -63,7 +63,7 @@
     Reboot(usize),
     /// Crashes a worker, which never comes back.
     Remove(usize),
-    /// Drains a worker, which leaves after a time in milliseconds.
+    /// Drains a worker, which leaves after the time of its notice, in milliseconds.
     Drain(usize, u64),
     /// Takes the store down for a time in milliseconds.
     StoreDown(u64),
@@ -71,6 +71,8 @@
     LapseLeases,
     /// Compacts the store, which drops its history of changes.
     Compact,
+    /// Keeps the store's watches from reporting anything for a time in milliseconds.
+    SilenceWatches(u64),
     /// Makes a worker fail every run that it starts, or stops doing so.
     Failing(usize, bool),
     /// Halts the progress of all runs on a worker, or resumes it.
@@ -141,6 +143,22 @@
     tag: Tag,
 }
 
+/// A run of a gang, with the workers that have or had members of it.
+#[derive(Default)]
+struct Gang {
+    /// Number of members of a complete gang.
+    size: u32,
+    /// Sorted; may include workers whose members have ended.
+    workers: Vec<usize>,
+}
+
+/// Identifies the run of a gang: any member's task with index 0, and the number of the run.
+type GangKey = (TaskId, Run);
+
+fn gang_key(task: TaskId, run: Run) -> GangKey {
+    (TaskId { index: 0, ..task }, run)
+}
+
 /// A simulated fleet of daemons and workers with their store.
 pub struct FleetLab {
     now: u64,
@@ -148,7 +166,9 @@
     /// Daemons on hosts with a tenth of a core.
     weak: Vec<usize>,
     store: SimStore,
+    /// Sorted by identifier.
     workers: Vec<FleetWorker>,
+    gangs: BTreeMap<GangKey, Gang>,
     /// Time at which each worker can be reached again.
     cut_until: Vec<u64>,
     /// Time at which each worker last reached the store.
@@ -166,6 +186,8 @@
     requests: Vec<(RequestId, JobId, bool)>,
     /// The store is down until this time.
     down_until: u64,
+    /// Watches report nothing until this time.
+    silent_until: u64,
     noise: FleetNoise,
     random: fastrand::Rng,
     record: Record,
@@ -237,6 +259,7 @@
         addr: ([10, 128, (number >> 8) as u8, number as u8], 8080).into(),
         domain: ["east", "west"][number % 2].parse::<DomainId>().expect("a valid name"),
         state: WorkerState::Ready,
+        notice: None,
         capacity: Resources { cpu: 32_000, memory: 131_072, accelerators: 8 },
         rack: rack.parse().ok(),
         labels: vec!["a".to_string(), rack],
@@ -253,6 +276,7 @@
             weak: Vec::new(),
             store: SimStore::new(test_catalog()),
             workers: Vec::new(),
+            gangs: BTreeMap::new(),
             cut_until: vec![0; workers],
             last_contact: vec![0; workers],
             events: BTreeMap::new(),
@@ -262,6 +286,7 @@
             holds: Vec::new(),
             requests: Vec::new(),
             down_until: 0,
+            silent_until: 0,
             noise: FleetNoise::default(),
             record: Record::default(),
             bounds: test_bounds(),
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -234,6 +234,86 @@
     assert_no_violations(&mut lab);
 }
 
+/// A gang that belongs on one rack must not wait for a whole rack while most of the capacity is
+/// idle: a long run on one worker of each rack would keep it waiting until they end. The users allow
+/// 3 s without a run of the job (rule LOST).
+#[test]
+fn gang_spreads_over_racks_if_most_capacity_is_idle() {
+    let mut lab = FleetLab::open(3, 16, 21);
+    lab.run(WARM_UP_MS);
+    for n in 0..4 {
+        // Each fills a worker, and all four racks have four workers.
+        let rack = format!("r1-{n}").parse().ok();
+        let long = Step { gang: false, near: rack, ..step(1, 8, 40_000, vec![]) };
+        lab.submit(1_000 + n, 0, JobId(n), "batch", job(vec![long]));
+    }
+    lab.run(500);
+    let gang = Step { one_rack: true, ..step(4, 8, 3_000, vec![]) };
+    lab.submit(1_500, 1, JobId(10), "replay", job(vec![gang]));
+    lab.run(3_000);
+    assert!(lab.has_started(JobId(10)), "the gang has not started after 3 s");
+    lab.run(50_000);
+    assert_no_violations(&mut lab);
+}
+
+/// An urgent job must start in time although the placer's watch of new jobs has silently stopped
+/// reporting; it once waited for the timeout of the watch, 2.1 s (`fleetbench run` on hundreds of
+/// workers, day `scale-2`, `platform_compact`).
+#[test]
+fn urgent_job_starts_in_time_while_the_watch_is_silent() {
+    let mut lab = FleetLab::open(3, 4, 22);
+    lab.run(WARM_UP_MS);
+    lab.plan(1_400, Trouble::SilenceWatches(4_000));
+    lab.submit(1_500, 1, JobId(1), "roster", job(vec![step(4, 4, 1_000, vec![])]));
+    // Of the time allowed for such a job, 1.25 s are left for everything but the work.
+    lab.run(600);
+    assert!(lab.has_started(JobId(1)), "the job has not started after 0.5 s");
+    lab.run(10_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_eq!(lab.starts(), 4);
+    assert_no_violations(&mut lab);
+}
+
+/// A new placer must reach the workers that it can although a fifth of them, a failure domain, is
+/// cut off: holds to unreachable workers once kept it from the others for seconds.
+#[test]
+fn new_placer_reaches_its_workers_while_a_fifth_is_cut_off() {
+    let mut lab = FleetLab::open(3, 1_000, 23);
+    lab.run(WARM_UP_MS);
+    (0..200).for_each(|n| lab.plan(1_400, Trouble::CutWorker(n * 5, 20_000)));
+    lab.plan(1_500, Trouble::KillPlacer);
+    lab.run(700);
+    let wide = Step { gang: false, ..step(700, 8, 1_000, vec![]) };
+    lab.submit(1_600, 1, JobId(1), "roster", job(vec![wide]));
+    while lab.placer().is_none() && lab.now() < 5_000 {
+        lab.run(10);
+    }
+    // Holds to unreachable workers time out after 500 ms, for which the others need not wait.
+    lab.run(400);
+    assert!(lab.starts() >= 700, "{} of 700 tasks have started", lab.starts());
+}
+
+/// A gang with a member on a worker that leaves at short notice must start elsewhere before the worker
+/// is gone. It once waited until the worker's lease had expired, 6 s after the worker had left
+/// (`fleetbench run` on hundreds of workers, day `scale-2`: 645 runs lost with their workers).
+#[test]
+fn gang_leaves_a_worker_that_is_taken_away_at_short_notice() {
+    let mut lab = FleetLab::open(3, 4, 24);
+    lab.run(WARM_UP_MS);
+    let gang = Step { saves: false, ..step(2, 8, 8_000, vec![]) };
+    lab.submit(1_000, 0, JobId(1), "replay", job(vec![gang]));
+    lab.run(1_500);
+    let places = lab.places(JobId(1));
+    lab.plan(2_600, Trouble::Drain(places[0], 1_800));
+    // The notice, less half a second for reading the entries and the time that stops take.
+    lab.run(1_500);
+    assert_eq!(lab.starts(), 4);
+    assert!(!lab.places(JobId(1)).contains(&places[0]));
+    lab.run(10_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_no_violations(&mut lab);
+}
+
 /// Guaranteed jobs that arrive at the same time must all start within the bound. Two gangs were
 /// once planned on the same resources (`fleetbench hunt`, second site, `hunt-dd30-43`).
 #[test]
