Failing test: daemon behind a narrow link stops serving with a large configuration

The test runs a daemon behind a proxy that carries 10 Mbit/s and writes a configuration of 1 MB.

The proxy of the soak moves out of it, as both use it.

--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -120,6 +120,20 @@
         self.lock().keys.put("op/config", text.into_bytes());
     }
 
+    /// Writes a configuration as [`Self::configure`] does, with further queues that nobody uses;
+    /// each takes about 250 bytes.
+    pub fn configure_large(&self, version: u64, keys: &[&str], idle_queues: usize) {
+        let mut text = configuration(version, keys);
+        let queue = text["routes"][0].clone();
+        for n in 0..idle_queues {
+            let mut idle = queue.clone();
+            idle["name"] = json!(format!("idle-{n:06}"));
+            idle["prefix"] = json!(format!("/idle-{n:06}/"));
+            text["routes"].as_array_mut().expect("the routes are a list").push(idle);
+        }
+        self.lock().keys.put("op/config", text.to_string().into_bytes());
+    }
+
     /// Registers a worker whose entry can't be decoded.
     pub fn register_undecodable_worker(&self) {
         self.lock().keys.put("servers/i-rubbish", vec![0xff, 0x00, 0x7b]);
--- a/tests/platform/soak/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -18,6 +18,8 @@
     Open,
     /// Each chunk is delayed by so many milliseconds.
     Slow(u64),
+    /// All connections together carry so many bytes a second.
+    Narrow(u64),
     /// Open connections are closed, and so are new ones.
     Reset,
     /// Data to the server is held until the state changes, then forwarded.
@@ -29,6 +31,10 @@
 struct Shared {
     server: SocketAddr,
     link: Mutex<LinkState>,
+    /// Held while a chunk is on a narrow link.
+    sending: Mutex<()>,
+    /// Bytes that the server has sent.
+    sent: AtomicU64,
     /// Connections opened in an earlier generation never forward data again.
     generation: AtomicU64,
     stopped: AtomicBool,
@@ -69,6 +75,8 @@
         let state = Arc::new(Shared {
             server,
             link: Mutex::new(LinkState::Open),
+            sending: Mutex::new(()),
+            sent: AtomicU64::new(0),
             generation: AtomicU64::new(0),
             stopped: AtomicBool::new(false),
         });
@@ -86,6 +94,11 @@
         *self.state.link.lock().expect("the lock is not poisoned") = link;
     }
 
+    /// Returns the number of bytes that the server has sent through the proxy.
+    pub(crate) fn sent(&self) -> u64 {
+        self.state.sent.load(Ordering::SeqCst)
+    }
+
     /// Stops forwarding on all open connections without closing them; new ones work.
     pub(crate) fn silence_open(&self) {
         self.state.generation.fetch_add(1, Ordering::SeqCst);
@@ -136,8 +149,16 @@
             Err(e) if matches!(e.kind(), ErrorKind::WouldBlock | ErrorKind::TimedOut) => continue,
             Err(_) => break,
         };
-        if let LinkState::Slow(millis) = state.link() {
-            std::thread::sleep(Duration::from_millis(millis));
+        match state.link() {
+            LinkState::Slow(millis) => std::thread::sleep(Duration::from_millis(millis)),
+            LinkState::Narrow(rate) => {
+                let _turn = state.sending.lock().expect("the lock is not poisoned");
+                std::thread::sleep(Duration::from_secs_f64(length as f64 / rate as f64));
+            }
+            _ => {}
+        }
+        if !to_server {
+            state.sent.fetch_add(length as u64, Ordering::SeqCst);
         }
         let blocked = || match state.link() {
             LinkState::BlockedToServer => to_server,
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -11,12 +11,11 @@
 use std::time::Instant;
 
 use crate::fleet::{DaemonProcess, call, eventually};
+use crate::proxy::{LinkState, Proxy};
 use callers::{Caller, Job, KEY, Outcome, Shared};
-use proxy::{LinkState, Proxy};
 use troubles::Fault;
 
 mod callers;
-mod proxy;
 mod troubles;
 
 /// Daemons of a soak.
--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -1,7 +1,7 @@
 //! Injected faults, drawn from a seed.
 
 use super::Deployment;
-use super::proxy::LinkState;
+use crate::proxy::LinkState;
 
 /// Longest pause before the next fault; it is short so that most faults overlap.
 const MAX_PAUSE_MS: u64 = 500;
