--- a/crates/fleet/src/catalog.rs
+++ b/crates/fleet/src/catalog.rs
@@ -62,6 +62,8 @@
     pub version: u64,
     /// Store revision at which this version was written.
     pub rev: Rev,
+    /// Size of the stored value, in bytes.
+    pub size: u64,
     /// Sorted by name.
     pub queues: Vec<Queue>,
     /// Sorted by name.
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -152,7 +152,7 @@
         if self.rev() >= catalog.rev {
             return;
         }
-        log::info!(event = "catalog", version = catalog.version, rev:% = catalog.rev; "configuration in use");
+        log::info!(event = "catalog", version = catalog.version, rev:% = catalog.rev, bytes = catalog.size; "configuration in use");
         self.catalog = Some(catalog);
     }
 }
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -29,7 +29,14 @@
     };
     let limits =
         Limits { head: 16_384, body: 262_144, head_time: Span(3_000), idle_time: Span(15_000) };
-    Catalog { version: 1, rev: Rev(1), queues: vec![queue], workspaces: Vec::new(), limits }
+    Catalog {
+        version: 1,
+        rev: Rev(1),
+        size: 500,
+        queues: vec![queue],
+        workspaces: Vec::new(),
+        limits,
+    }
 }
 
 fn call(timeout_ms: u64) -> CallerCall {
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -249,7 +249,8 @@
             let Some(conn) = self.remove(id) else { continue };
             timed_out_peers.push(conn.peer);
             let Some(Pending { token, .. }) = conn.pending else { continue };
-            let reason = "no answer in time".to_string();
+            let received = conn.stream.wr - conn.stream.rd;
+            let reason = format!("no complete answer in time, {received} bytes received");
             let result = Err(if conn.connected {
                 Failure::Unknown(reason)
             } else {
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -239,6 +239,7 @@
     Catalog {
         version: 1,
         rev: Rev(1),
+        size: 1_000,
         queues: vec![
             test_queue("batch", 2, 4),
             test_queue("replay", 1, 3),
