Let a call's deadline move while its messages are being transferred

Cause: a call had a fixed timeout whatever the size of its answer. A page of the store is up to 1.4 MB on the wire, which takes 1.1 s on a link of 10 Mbit/s, so that a read with a timeout of 800 ms fails there however often it is repeated.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,7 +2,7 @@
 //!
 //! A connection carries one call at a time. A call that times out closes its connection and all
 //! idle connections to the same peer, because existing connections can stop responding for good
-//! while new ones still work.
+//! while new ones still work. A call doesn't time out while its messages are being transferred.
 
 use bulrushlink_core::{Moment, Span};
 use derive_more::Display;
@@ -13,6 +13,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
+use crate::deadline::Deadline;
 use crate::message::{Request, Response};
 use crate::parse::{Bounds, parse_response};
 
@@ -55,7 +56,7 @@
 
 struct Pending<T> {
     token: T,
-    deadline: Moment,
+    deadline: Deadline,
 }
 
 struct Connection<T> {
@@ -97,7 +98,8 @@
 }
 
 impl<T> Client<T> {
-    /// Starts a call with the given token and deadline; `ready` creates the handler of readiness
+    /// Starts a call with the given token and deadline, which moves while a long message is being
+    /// transferred; `ready` creates the handler of readiness
     /// events for a new connection.
     ///
     /// Returns the outcome at once if the request can't be sent.
@@ -110,6 +112,7 @@
         pending: (T, Moment),
     ) -> Option<Finished<T>> {
         let (token, deadline) = pending;
+        let deadline = Deadline::new(deadline);
         // The newest idle connection is the least likely to have gone silent.
         let newest = self.idle.range((peer, 0)..=(peer, u64::MAX)).next_back().map(|(_, id)| *id);
         let id = match newest {
@@ -127,7 +130,7 @@
             let result = Err(Failure::NotSent("the connection is closed".to_string()));
             return Some(Finished { token, result, stale: false });
         };
-        self.deadlines.insert((deadline, id));
+        self.deadlines.insert((deadline.at(), id));
         conn.pending = Some(Pending { token, deadline });
         conn.stream.out.extend_from_slice(&request.encode());
         if conn.connected && conn.stream.flush().is_err() {
@@ -168,9 +171,12 @@
         }
         if ready.is_writable() {
             conn.connected = true;
+            let unsent = conn.stream.out.len();
             if conn.stream.flush().is_err() {
                 return self.fail(id, "the connection is broken");
             }
+            let sent = unsent - conn.stream.out.len();
+            self.record_progress(id, sent, now);
         }
         if ready.is_readable() || ready.is_read_closed() || ready.is_error() {
             return self.read(id, now);
@@ -180,6 +186,7 @@
 
     fn read(&mut self, id: u64, now: Moment) -> Option<Finished<T>> {
         let conn = self.connections.get_mut(&id)?;
+        let known = conn.stream.wr - conn.stream.rd;
         let mut bytes = READ_MIN_BYTES;
         let eof = loop {
             match conn.stream.read(bytes) {
@@ -206,18 +213,34 @@
                 conn.completed_calls += 1;
                 conn.idle_since = now;
                 self.idle.insert((conn.peer, id));
-                self.deadlines.remove(&(deadline, id));
+                self.deadlines.remove(&(deadline.at(), id));
                 if close {
                     self.remove(id);
                 }
                 Some(Finished { token, result: Ok(response), stale: false })
             }
             Ok(None) if eof => self.fail(id, "the connection has ended"),
-            Ok(None) => None,
+            Ok(None) => {
+                let received = unread.len() - known;
+                self.record_progress(id, received, now);
+                None
+            }
             Err(error) => self.fail(id, &error.to_string()),
         }
     }
 
+    /// Moves the deadline of a connection's call if enough of its messages has been transferred.
+    fn record_progress(&mut self, id: u64, bytes: usize, now: Moment) {
+        let Some(conn) = self.connections.get_mut(&id) else { return };
+        let Some(Pending { deadline, .. }) = &mut conn.pending else { return };
+        let before = deadline.at();
+        deadline.record(bytes, now);
+        if deadline.at() != before {
+            self.deadlines.remove(&(before, id));
+            self.deadlines.insert((deadline.at(), id));
+        }
+    }
+
     /// Closes a connection.
     fn remove(&mut self, id: u64) -> Option<Connection<T>> {
         let conn = self.connections.remove(&id)?;
@@ -228,7 +251,7 @@
     fn fail(&mut self, id: u64, reason: &str) -> Option<Finished<T>> {
         let conn = self.remove(id)?;
         let Pending { token, deadline } = conn.pending?;
-        self.deadlines.remove(&(deadline, id));
+        self.deadlines.remove(&(deadline.at(), id));
         let no_bytes = conn.stream.rd == conn.stream.wr;
         let result = if conn.connected {
             Err(Failure::Unknown(reason.to_string()))
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,6 +17,7 @@
 //! ```
 
 mod client;
+mod deadline;
 mod message;
 mod parse;
 mod server;
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -1,3 +1,6 @@
+use bulrushlink_core::Moment;
+
+use crate::deadline::Deadline;
 use crate::message::{Method, Request, Response};
 use crate::parse::{Bounds, Malformed, parse_request, parse_response};
 
@@ -56,3 +59,17 @@
         parse_response(&sent, &BOUNDS, false).expect("well formed").expect("complete");
     assert_eq!((parsed.status, parsed.header("connection")), (503, Some("close")));
 }
+
+/// A long answer on a narrow link must not time out while it arrives, but a few bytes now and then
+/// must not keep a call open.
+#[test]
+fn deadline_moves_only_while_a_transfer_makes_progress() {
+    let mut deadline = Deadline::new(Moment(800));
+    for step in 1..=20 {
+        deadline.record(20_000, Moment(step * 200));
+    }
+    assert_eq!(deadline.at(), Moment(20 * 200 + 800));
+    let mut trickle = Deadline::new(Moment(800));
+    (1..=7).for_each(|step| trickle.record(1_000, Moment(step * 100)));
+    assert_eq!(trickle.at(), Moment(800));
+}
