Transfer a large configuration only when it has changed

Cause: each daemon read the whole configuration every 0.7 s, to prove that its view is fresh. Its size isn't bounded by anything but the store's 1 MB a value, which takes 1.1 s on a link of 10 Mbit/s. Such a host spent its whole link on it (1.06 MB/s received, 7% to 9% of a core, no call refused by the store), and once the read took longer than its timeout of 800 ms, it never succeeded again. Class: the cost of proving that nothing has changed grows with the state instead of with the change, and a transfer that is cut off at a fixed time starts again from nothing.

Change: a configuration of 32 KB or more is read only when it has changed. In between, a commit without changes that expects its revision proves it current; a refusal of that commit brings the newest one. The evacuations are then read on their own.

--- a/crates/fleet/src/edge.rs
+++ b/crates/fleet/src/edge.rs
@@ -48,6 +48,11 @@
 pub enum StoreOp {
     /// Reads the newest configuration and the evacuated failure domains.
     Catalog,
+    /// Checks that the configuration still has the given revision; the reply is that of a commit
+    /// without changes, and contains the newest configuration if it has another one.
+    CheckCatalog(Rev),
+    /// Reads the evacuated failure domains.
+    Evacuations,
     /// Reads the registered workers.
     Workers,
     /// Reads one key.
@@ -123,6 +128,8 @@
 pub enum StoreReply {
     /// Reply to [`StoreOp::Catalog`].
     Operator(OperatorView),
+    /// The evacuated failure domains, sorted.
+    Evacuated(Vec<DomainId>),
     /// Reply to [`StoreOp::Workers`]: entries sorted by identifier, and the number of unreadable
     /// ones.
     Workers(Vec<WorkerEntry>, usize),
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -7,7 +7,7 @@
 use crate::lead::{Election, LeaderChange};
 use crate::placer::{self, Placer};
 use crate::settings::NodeSettings;
-use crate::view::View;
+use crate::view::{ReadProgress, View};
 
 /// Longest time between two ticks.
 const TICK_INTERVAL_MAX: Span = Span(250);
@@ -130,10 +130,11 @@
     ) {
         match tag {
             Tag::Catalog(ordinal) => {
-                let read = self.view.read_answered(clock.now, ordinal, result);
-                self.with_front(clock, out, |f, s| match read {
-                    Some(_) => f.view_refreshed(s),
-                    None => f.view_unavailable(s),
+                let progress = self.view.read_answered(clock.now, ordinal, result, out);
+                self.with_front(clock, out, |f, s| match progress {
+                    ReadProgress::Complete => f.view_refreshed(s),
+                    ReadProgress::Unfinished => {}
+                    ReadProgress::Failed => f.view_unavailable(s),
                 });
             }
             Tag::Front(id, tag) => {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -2,6 +2,9 @@
 //!
 //! The configuration is polled rather than watched: a silent watch may just be broken, while every
 //! decision here needs an upper bound on the age of the view.
+//!
+//! A large configuration is transferred only when it has changed, or its transfers would take up
+//! the link of a small host. Between changes, its revision is checked.
 
 use bulrushlink_core::{DomainId, Moment, Span};
 
@@ -15,9 +18,23 @@
 const READ_TIMEOUT: Span = Span(800);
 /// Delay before a failed read is retried.
 const RETRY_DELAY: Span = Span(150);
+/// Size in bytes from which a configuration is large. Reading a smaller one each [`READ_INTERVAL`]
+/// takes up to 5% of a link of 10 Mbit/s.
+const LARGE_CATALOG_BYTES: u64 = 32 * 1024;
 /// Age of the view above which the daemon reports itself as not ready for new callers.
 const READY_AGE_MAX: Span = Span(2_000);
 
+/// What a reply means for the read that it belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum ReadProgress {
+    /// The read is complete; the view holds everything written before it began.
+    Complete,
+    /// Another call of the read is in flight.
+    Unfinished,
+    /// The read has failed and will be repeated.
+    Failed,
+}
+
 /// The latest known configuration and the time as of which it was the latest.
 #[derive(Debug, Default)]
 pub(crate) struct View {
@@ -25,7 +42,7 @@
     evacuated: Vec<DomainId>,
     /// Start of the latest successful read; the view holds everything written before it.
     last_read: Option<Moment>,
-    /// Ordinal and start of the read in flight.
+    /// Ordinal of the call in flight, and start of the read that it belongs to.
     reading: Option<(u64, Moment)>,
     /// When the next read is due.
     next: Moment,
@@ -87,9 +104,18 @@
             return;
         }
         self.wanted = false;
+        let op = match &self.catalog {
+            Some(catalog) if is_large(catalog) => StoreOp::CheckCatalog(catalog.rev),
+            _ => StoreOp::Catalog,
+        };
+        self.call_store(now, op, out);
+    }
+
+    /// Sends a call of the read that began at `began`.
+    fn call_store(&mut self, began: Moment, op: StoreOp, out: &mut Vec<Output>) {
         self.ordinal += 1;
-        self.reading = Some((self.ordinal, now));
-        out.push(Output::Store(Tag::Catalog(self.ordinal), StoreOp::Catalog, READ_TIMEOUT));
+        self.reading = Some((self.ordinal, began));
+        out.push(Output::Store(Tag::Catalog(self.ordinal), op, READ_TIMEOUT));
     }
 
     /// Returns when the next read is due.
@@ -97,33 +123,42 @@
         if self.reading.is_some() { None } else { Some(self.next) }
     }
 
-    /// Processes the reply to a read and returns the start of the read if it succeeded.
+    /// Processes the reply to a call of a read.
     pub(crate) fn read_answered(
         &mut self,
         now: Moment,
         ordinal: u64,
         result: Result<StoreReply, Fault>,
-    ) -> Option<Moment> {
-        let (current, began) = self.reading?;
-        if current != ordinal {
-            return None;
-        }
+        out: &mut Vec<Output>,
+    ) -> ReadProgress {
+        let Some((_, began)) = self.reading.filter(|(current, _)| *current == ordinal) else {
+            return ReadProgress::Unfinished;
+        };
         self.reading = None;
         match result {
-            Ok(StoreReply::Operator(view)) => {
-                if self.lost {
-                    log::info!(event = "store_regained"; "store reachable again");
+            Ok(StoreReply::Operator(OperatorView { catalog, evacuated })) => {
+                self.adopt_read(catalog);
+                // Beside a large configuration, the page may have no room for what follows it.
+                if self.catalog.as_ref().is_some_and(is_large) {
+                    self.call_store(began, StoreOp::Evacuations, out);
+                    return ReadProgress::Unfinished;
                 }
-                self.lost = false;
-                self.next = began + READ_INTERVAL;
-                self.apply(view);
-                self.last_read = Some(began);
-                Some(began)
+                self.complete(began, evacuated)
+            }
+            Ok(StoreReply::Committed(_)) => {
+                self.call_store(began, StoreOp::Evacuations, out);
+                ReadProgress::Unfinished
             }
+            Ok(StoreReply::Conflict(_, catalog)) => {
+                self.adopt_read(catalog);
+                self.call_store(began, StoreOp::Evacuations, out);
+                ReadProgress::Unfinished
+            }
+            Ok(StoreReply::Evacuated(domains)) => self.complete(began, domains),
             Ok(other) => {
                 log::error!(event = "store_answer"; "unexpected store reply to a configuration read: {other:?}");
                 self.next = now + RETRY_DELAY;
-                None
+                ReadProgress::Failed
             }
             Err(fault) => {
                 if !self.lost {
@@ -131,17 +166,28 @@
                 }
                 self.lost = true;
                 self.next = now + RETRY_DELAY;
-                None
+                ReadProgress::Failed
             }
         }
     }
 
-    fn apply(&mut self, view: OperatorView) {
-        if view.evacuated != self.evacuated {
-            log::info!(event = "evacuation"; "evacuated failure domains: {:?}", view.evacuated);
-            self.evacuated = view.evacuated;
+    /// Completes the read that began at `began`.
+    fn complete(&mut self, began: Moment, evacuated: Vec<DomainId>) -> ReadProgress {
+        if self.lost {
+            log::info!(event = "store_regained"; "store reachable again");
+        }
+        self.lost = false;
+        self.next = began + READ_INTERVAL;
+        self.last_read = Some(began);
+        if evacuated != self.evacuated {
+            log::info!(event = "evacuation"; "evacuated failure domains: {evacuated:?}");
+            self.evacuated = evacuated;
         }
-        match view.catalog {
+        ReadProgress::Complete
+    }
+
+    fn adopt_read(&mut self, catalog: Option<Catalog>) {
+        match catalog {
             Some(catalog) => self.adopt(catalog),
             None => log::warn!(event = "no_catalog"; "the store has no readable configuration"),
         }
@@ -156,3 +202,7 @@
         self.catalog = Some(catalog);
     }
 }
+
+fn is_large(catalog: &Catalog) -> bool {
+    catalog.size >= LARGE_CATALOG_BYTES
+}
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -70,6 +70,48 @@
     node
 }
 
+/// Returns the tag and the operation of the call that belongs to a read of the configuration.
+fn configuration_call(outputs: Vec<Output>) -> Option<(Tag, StoreOp)> {
+    outputs.into_iter().find_map(|o| match o {
+        Output::Store(tag @ Tag::Catalog(_), op, _) => Some((tag, op)),
+        _ => None,
+    })
+}
+
+/// A large configuration must be transferred only when it has changed: reading it all the time took up
+/// the links of small hosts.
+#[test]
+fn large_configuration_is_read_only_when_it_has_changed() {
+    let mut node = node();
+    let evacuated = || Ok(StoreReply::Evacuated(Vec::new()));
+    let (tag, op) = configuration_call(node.handle(clock(0), Input::Tick)).expect("a read");
+    assert_eq!(op, StoreOp::Catalog);
+    let large = Catalog { size: 1_000_000, ..catalog() };
+    let view = OperatorView { catalog: Some(large.clone()), evacuated: Vec::new() };
+    let outputs = node.handle(clock(5), Input::Store(tag, Ok(StoreReply::Operator(view))));
+    let (tag, op) = configuration_call(outputs).expect("a read of the evacuations");
+    assert_eq!(op, StoreOp::Evacuations);
+    assert!(!node.is_ready(Moment(5)));
+    node.handle(clock(10), Input::Store(tag, evacuated()));
+    assert!(node.is_ready(Moment(10)));
+
+    let (tag, op) = configuration_call(node.handle(clock(800), Input::Tick)).expect("a check");
+    assert_eq!(op, StoreOp::CheckCatalog(Rev(1)));
+    let outputs = node.handle(clock(805), Input::Store(tag, Ok(StoreReply::Committed(Rev(9)))));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    node.handle(clock(810), Input::Store(tag, evacuated()));
+    assert!(node.is_ready(Moment(2_700)));
+
+    let (tag, _) = configuration_call(node.handle(clock(1_600), Input::Tick)).expect("a check");
+    let changed = Catalog { rev: Rev(12), ..large };
+    let reply = Ok(StoreReply::Conflict(Vec::new(), Some(changed)));
+    let outputs = node.handle(clock(1_605), Input::Store(tag, reply));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    node.handle(clock(1_610), Input::Store(tag, evacuated()));
+    let (_, op) = configuration_call(node.handle(clock(2_400), Input::Tick)).expect("a check");
+    assert_eq!(op, StoreOp::CheckCatalog(Rev(12)));
+}
+
 /// Counts the commits that create a job; the commits of the election write a single key.
 fn creation_commits(outputs: &[Output]) -> usize {
     let commit =
--- a/crates/lab/src/fleet/store.rs
+++ b/crates/lab/src/fleet/store.rs
@@ -9,6 +9,8 @@
 
 /// Items in one page of a list.
 const PAGE_ITEMS: usize = 20;
+/// Size in bytes of a configuration beside which a page has no room for other keys.
+const PAGE_BYTES: u64 = 1_000_000;
 /// Key whose revision is that of the configuration; its value stays empty.
 const CATALOG_KEY: &str = "catalog";
 
@@ -49,8 +51,16 @@
         match op {
             StoreOp::Catalog => StoreReply::Operator(OperatorView {
                 catalog: Some(self.catalog.clone()),
-                evacuated: self.evacuated.clone(),
+                evacuated: match self.catalog.size {
+                    PAGE_BYTES.. => Vec::new(),
+                    _ => self.evacuated.clone(),
+                },
             }),
+            StoreOp::CheckCatalog(rev) => {
+                let expect = vec![(Subject::Catalog, *rev)];
+                self.commit(&Commit { expect, ..Commit::default() })
+            }
+            StoreOp::Evacuations => StoreReply::Evacuated(self.evacuated.clone()),
             StoreOp::Workers => StoreReply::Workers(self.workers.clone(), 0),
             StoreOp::Get(key) => StoreReply::Item(self.keys.get(key).map(item), rev),
             StoreOp::List(prefix, after) => {
