Test that evacuations are noticed beside a large configuration

Beside a large configuration the page ended before the evacuations, and work was started in evacuated failure domains (EVAC). Half of the storms run with a large configuration now.

--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -404,6 +404,25 @@
     assert_no_violations(&mut lab);
 }
 
+/// Beside a configuration of 1 MB, a page of the operators' keys has no room for the evacuations: work
+/// was started in evacuated failure domains.
+#[test]
+fn evacuation_is_noticed_beside_a_large_configuration() {
+    let mut lab = FleetLab::open(3, 4, 26);
+    lab.change_catalog(|c| c.size = 1_000_000);
+    lab.run(WARM_UP_MS);
+    lab.evacuate("east");
+    lab.run(2_000);
+    let wide = Step { gang: false, ..step(4, 8, 3_000, vec![]) };
+    lab.submit(3_100, 0, JobId(1), "roster", job(vec![wide]));
+    lab.run(1_500);
+    // Workers with even numbers are in the evacuated failure domain.
+    assert_eq!(lab.places(JobId(1)), [1, 3]);
+    lab.run(10_000);
+    assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed));
+    assert_no_violations(&mut lab);
+}
+
 /// A run that makes no progress must be stopped and started on another worker.
 #[test]
 fn stalled_run_restarts_elsewhere() {
@@ -423,6 +442,9 @@
     let (daemons, workers) = (4, 10);
     let mut random = fastrand::Rng::with_seed(seed);
     let mut lab = FleetLab::open(daemons, workers, seed);
+    if seed.is_multiple_of(2) {
+        lab.change_catalog(|c| c.size = 1_000_000);
+    }
     lab.run(WARM_UP_MS);
     let chance = |r: &mut fastrand::Rng| if r.bool() { r.f64() * 0.08 } else { 0.0 };
     lab.set_noise(FleetNoise {
