Go on at the failed page when the records are listed, after a delay

A new placer that failed to read one page of the inbox or of the states began again at the first page, at once: with many records and some calls failing it may never have them all, and a store that refuses calls was asked again within milliseconds. While loading, the next tick is due when a read is, no longer each millisecond.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -103,6 +103,16 @@
     Active,
 }
 
+/// The page of records that was requested last.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Listing {
+    number: u64,
+    /// Key after which the page begins; `None` for the first page.
+    after: Option<String>,
+    /// When the page is requested again; `None` unless a read of it has failed.
+    retry: Option<Moment>,
+}
+
 /// State of the periodic read of the registered workers.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 struct Reading {
@@ -156,8 +166,7 @@
     fences: u32,
     /// Ordinal of the latest commit or hold.
     ordinal: u64,
-    /// Number of the latest page of records that was requested.
-    listing: u64,
+    listing: Listing,
     /// Something that placement depends on has changed since the latest placement.
     stale: bool,
     /// A reply has arrived since the latest pass.
@@ -192,7 +201,7 @@
             watching: Watching::default(),
             fences: 0,
             ordinal: 0,
-            listing: 0,
+            listing: Listing::default(),
             stale: true,
             touched: true,
             passed: Moment::default(),
@@ -210,12 +219,13 @@
 
     /// Starts loading the records.
     pub(crate) fn start_loading(&mut self, ctx: &mut Context<'_>) {
-        self.list_inbox(ctx, None);
+        self.list_page(ctx, None);
     }
 
     /// Runs everything that is due.
     pub(crate) fn tick(&mut self, ctx: &mut Context<'_>) {
         self.read_workers(ctx);
+        self.retry_page(ctx);
         if self.stage != Stage::Active {
             return;
         }
@@ -254,7 +264,11 @@
         let review = self.reviewed + REVIEW_INTERVAL;
         let pass = self.passed + PASS_INTERVAL_MIN;
         match () {
-            () if self.stage != Stage::Active => review,
+            () if self.stage != Stage::Active => {
+                let read =
+                    if self.reading.under_way.is_some() { None } else { Some(self.reading.next) };
+                [read, self.listing.retry].into_iter().flatten().min().unwrap_or(Moment(u64::MAX))
+            }
             () if self.touched => review.min(pass),
             () if self.stale => review.min(pass.max(self.decide_next)),
             () => review,
@@ -269,8 +283,12 @@
     ) {
         self.touched = true;
         match tag {
-            PlacerTag::LoadInbox(n) if n == self.listing => self.inbox_page_read(ctx, result),
-            PlacerTag::LoadStates(n) if n == self.listing => self.states_page_read(ctx, result),
+            PlacerTag::LoadInbox(n) if n == self.listing.number => {
+                self.inbox_page_read(ctx, result)
+            }
+            PlacerTag::LoadStates(n) if n == self.listing.number => {
+                self.states_page_read(ctx, result)
+            }
             PlacerTag::Watch(_) => self.watch_answered(ctx, result),
             PlacerTag::Pending => self.pending_read(ctx, result),
             PlacerTag::LoadJob(id) => self.job_read(ctx, id, result),
@@ -311,11 +329,6 @@
         }
     }
 
-    fn next_listing(&mut self) -> u64 {
-        self.listing += 1;
-        self.listing
-    }
-
     fn call_store(&self, ctx: &mut Context<'_>, tag: PlacerTag, op: StoreOp, timeout: Span) {
         ctx.out.push(Output::Store(Tag::Placer(self.epoch, tag), op, timeout));
     }
--- a/crates/fleet/src/placer/inbox.rs
+++ b/crates/fleet/src/placer/inbox.rs
@@ -26,7 +26,7 @@
         self.watching.under_way = true;
         if self.watching.relist {
             self.watching.after = Rev::ABSENT;
-            self.list_inbox(ctx, None);
+            self.list_page(ctx, None);
             return;
         }
         self.watching.heard = ctx.clock.now;
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -9,33 +9,48 @@
 use super::job::Job;
 use super::worker::{Phase, Slot, Worker};
 use super::{
-    Context, Placer, PlacerTag, STORE_RETRY_DELAY, STORE_TIMEOUT, Stage, WORKERS_READ_INTERVAL,
+    Context, Listing, Placer, PlacerTag, STORE_RETRY_DELAY, STORE_TIMEOUT, Stage,
+    WORKERS_READ_INTERVAL,
 };
 
 impl Placer {
-    pub(super) fn list_inbox(&mut self, ctx: &mut Context<'_>, after: Option<String>) {
-        let tag = PlacerTag::LoadInbox(self.next_listing());
-        let op = StoreOp::List(keys::INBOX.to_string(), after);
+    /// Requests a page of the states if these are being loaded, or else of the inbox.
+    pub(super) fn list_page(&mut self, ctx: &mut Context<'_>, after: Option<String>) {
+        let number = self.listing.number + 1;
+        let (prefix, tag) = match self.stage {
+            Stage::States => (keys::STATES, PlacerTag::LoadStates(number)),
+            Stage::Inbox | Stage::Active => (keys::INBOX, PlacerTag::LoadInbox(number)),
+        };
+        let op = StoreOp::List(prefix.to_string(), after.clone());
+        self.listing = Listing { number, after, retry: None };
         self.call_store(ctx, tag, op, STORE_TIMEOUT);
     }
 
-    fn list_states(&mut self, ctx: &mut Context<'_>, after: Option<String>) {
-        let tag = PlacerTag::LoadStates(self.next_listing());
-        let op = StoreOp::List(keys::STATES.to_string(), after);
-        self.call_store(ctx, tag, op, STORE_TIMEOUT);
+    /// Requests the page again whose read has failed. The pages before it aren't read again: with
+    /// many records and failing calls, the last page would hardly ever be reached.
+    pub(super) fn retry_page(&mut self, ctx: &mut Context<'_>) {
+        if self.listing.retry.is_some_and(|at| ctx.clock.now >= at) {
+            let after = self.listing.after.take();
+            self.list_page(ctx, after);
+        }
+    }
+
+    fn page_failed(&mut self, ctx: &Context<'_>, result: &Result<StoreReply, Fault>) {
+        log::warn!(
+            event = "load_failed", page = self.listing.number;
+            "reading a page of records failed; reading it again: {result:?}"
+        );
+        self.listing.retry = Some(ctx.clock.now + STORE_RETRY_DELAY);
     }
 
-    /// Processes a page of the inbox; after a failed read the listing starts again from the first
-    /// page.
+    /// Processes a page of the inbox.
     pub(super) fn inbox_page_read(
         &mut self,
         ctx: &mut Context<'_>,
         result: Result<StoreReply, Fault>,
     ) {
         let Ok(StoreReply::Page(items, more, as_of)) = result else {
-            log::warn!(event = "load_failed"; "reading the inbox failed; listing it again: {result:?}");
-            self.list_inbox(ctx, None);
-            return;
+            return self.page_failed(ctx, &result);
         };
         // The watch reports changes after the first page.
         if self.watching.after == Rev::ABSENT {
@@ -45,10 +60,10 @@
             self.apply_inbox_item(ctx, item);
         }
         match items.last() {
-            Some(last) if more => self.list_inbox(ctx, Some(last.key.clone())),
+            Some(last) if more => self.list_page(ctx, Some(last.key.clone())),
             _ if self.stage == Stage::Inbox => {
                 self.stage = Stage::States;
-                self.list_states(ctx, None);
+                self.list_page(ctx, None);
             }
             _ => {
                 self.watching.relist = false;
@@ -64,13 +79,11 @@
         result: Result<StoreReply, Fault>,
     ) {
         let Ok(StoreReply::Page(items, more, _)) = result else {
-            log::warn!(event = "load_failed"; "reading the states failed; listing them again: {result:?}");
-            self.list_states(ctx, None);
-            return;
+            return self.page_failed(ctx, &result);
         };
         items.iter().for_each(|item| self.load_state(item));
         match items.last() {
-            Some(last) if more => self.list_states(ctx, Some(last.key.clone())),
+            Some(last) if more => self.list_page(ctx, Some(last.key.clone())),
             _ => self.activate(ctx),
         }
     }
