Check the revision of a large configuration before a submission is stored under it

A submission is stored on condition that the configuration still has the revision that allowed it. If it hasn't, the store's refusal contains the whole newest configuration: 1.1 s of a link of 10 Mbit/s for each submission that is under way when the configuration changes, beside the daemon's own read of it. Under a large configuration a submission now waits for a check that begins after its arrival, which it shares with the others. That is one or two replies of the store more. Under a small one nothing changes. The test fails on the parent: the submission is sent to the store at once.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -182,6 +182,15 @@
         };
         let key = self.call.key.as_deref();
         match catalog.authorize(&self.call.host, &self.call.path, key) {
+            // A submission under an outdated configuration is refused with the whole new one. Those that
+            // wait for the same check share the transfer.
+            Ok(_)
+                if self.submits()
+                    && ctx.view.is_large()
+                    && !ctx.view.is_fresh_since(self.arrived) =>
+            {
+                self.await_view(ctx)
+            }
             Ok(grant) => match self.first_call(&grant, ctx.clock.wall) {
                 Ok((stage, op)) => {
                     let op = require_catalog(op, catalog.rev, &stage);
@@ -198,11 +207,7 @@
     /// view, as the queue or key may have been added since.
     fn deny(&mut self, ctx: &mut Context<'_>, denial: Denial) -> bool {
         if !ctx.view.is_fresh_since(self.arrived) {
-            self.stage = Stage::AwaitingView;
-            self.ordinal += 1;
-            self.retry = None;
-            ctx.view.request_read();
-            return true;
+            return self.await_view(ctx);
         }
         if self.outcome_unknown {
             return self.finish(ctx, Answer::Unknown, "denied after a commit with unknown outcome");
@@ -213,6 +218,19 @@
         }
     }
 
+    fn submits(&self) -> bool {
+        matches!(self.call.verb, CallerVerb::Submit(_))
+    }
+
+    /// Waits for a read of the configuration that begins from now on.
+    fn await_view(&mut self, ctx: &mut Context<'_>) -> bool {
+        self.stage = Stage::AwaitingView;
+        self.ordinal += 1;
+        self.retry = None;
+        ctx.view.request_read();
+        true
+    }
+
     /// Returns the first store call of a request that the configuration allows, or the answer that
     /// rejects its content.
     fn first_call(&self, grant: &Grant<'_>, wall: u64) -> Result<(Stage, StoreOp), Answer> {
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -68,6 +68,11 @@
         self.catalog.as_ref().map_or(Rev::ABSENT, |c| c.rev)
     }
 
+    /// Returns true if the configuration in use is large.
+    pub(crate) fn is_large(&self) -> bool {
+        self.catalog.as_ref().is_some_and(is_large)
+    }
+
     /// Returns true if the view holds everything written before `moment`.
     pub(crate) fn is_fresh_since(&self, moment: Moment) -> bool {
         self.last_read.is_some_and(|at| at >= moment)
@@ -139,7 +144,7 @@
             Ok(StoreReply::Operator(OperatorView { catalog, evacuated })) => {
                 self.adopt_read(catalog);
                 // Beside a large configuration, the page may have no room for what follows it.
-                if self.catalog.as_ref().is_some_and(is_large) {
+                if self.is_large() {
                     self.call_store(began, StoreOp::Evacuations, out);
                     return ReadProgress::Unfinished;
                 }
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -112,6 +112,40 @@
     assert_eq!(op, StoreOp::CheckCatalog(Rev(12)));
 }
 
+/// A submission under an outdated configuration must not be answered by the store with the whole new
+/// one: with several at a time they took up the link of a small host.
+#[test]
+fn submission_under_a_large_configuration_first_checks_its_revision() {
+    let mut node = node();
+    let large = Catalog { size: 1_000_000, ..catalog() };
+    let view = OperatorView { catalog: Some(large.clone()), evacuated: Vec::new() };
+    let (tag, _) = configuration_call(node.handle(clock(0), Input::Tick)).expect("a read");
+    let outputs = node.handle(clock(5), Input::Store(tag, Ok(StoreReply::Operator(view))));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    node.handle(clock(10), Input::Store(tag, Ok(StoreReply::Evacuated(Vec::new()))));
+
+    let outputs = node.handle(clock(100), Input::Caller(RequestId(1), call(3_000)));
+    assert_eq!(creation_commits(&outputs), 0);
+    let (tag, op) = configuration_call(outputs).expect("a check");
+    assert_eq!(op, StoreOp::CheckCatalog(Rev(1)));
+    let outputs = node.handle(clock(110), Input::Caller(RequestId(2), call(3_000)));
+    assert_eq!(creation_commits(&outputs), 0);
+    let changed = Catalog { rev: Rev(12), ..large };
+    let reply = Ok(StoreReply::Conflict(Vec::new(), Some(changed)));
+    let outputs = node.handle(clock(1_200), Input::Store(tag, reply));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    let outputs =
+        node.handle(clock(1_205), Input::Store(tag, Ok(StoreReply::Evacuated(Vec::new()))));
+    // The second one arrived after the check had begun.
+    assert_eq!(creation_commits(&outputs), 1);
+    let (tag, _) = configuration_call(outputs).expect("a check");
+    let outputs = node.handle(clock(1_210), Input::Store(tag, Ok(StoreReply::Committed(Rev(13)))));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    let outputs =
+        node.handle(clock(1_215), Input::Store(tag, Ok(StoreReply::Evacuated(Vec::new()))));
+    assert_eq!(creation_commits(&outputs), 1);
+}
+
 /// Counts the commits that create a job; the commits of the election write a single key.
 fn creation_commits(outputs: &[Output]) -> usize {
     let commit =
