Withhold recorded starts from workers that have shrunk meanwhile

Cause: the room for a start was checked when it was planned. Between then and the reply to the commit, which may take seconds, a read of the entries can show a smaller capacity; the start was sent nevertheless.

Change: send_starts checks what the worker has at that time against what runs, is being stopped or has got a start without an answer, in each resource. A gang is withheld as a whole.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -29,8 +29,11 @@
 mod load;
 mod pace;
 mod reclaim;
+mod resize;
 mod slots;
 mod starts;
+#[cfg(test)]
+mod tests;
 mod units;
 mod worker;
 
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::Span;
 
 use crate::ids::{JobId, Run, TaskId};
-use crate::model::{Resources, Step};
+use crate::model::Step;
 use crate::plan::{Room, SpeedPreference, place_gang, place_singles};
 
 use super::field::{FleetSnapshot, Shape, WorkerView};
@@ -150,7 +150,7 @@
         let entry = worker.entry.as_ref();
         WorkerView {
             free: worker.free(),
-            capacity: entry.map_or(Resources::default(), |e| e.capacity),
+            capacity: worker.capacity(),
             rack: entry.and_then(|e| e.rack.as_ref()),
             recent_faults: worker.recent_faults(ctx.clock.now),
             band: worker.pace.band(mean_log),
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -28,7 +28,7 @@
 /// A commit in flight.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Flight {
-    ordinal: u64,
+    pub(super) ordinal: u64,
     /// Each job in the commit, with the version of its state.
     jobs: Vec<(JobId, u64)>,
 }
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -22,37 +22,33 @@
 /// Backoff before the tasks of a job are placed again after a refused start.
 const REFUSED_START_BACKOFF: Span = Span(100);
 
+/// A start that is recorded and not sent: the position of its worker, the task and the run.
+pub(super) type RecordedStart = (usize, TaskId, Run);
+
 impl Placer {
     /// Sends the starts of a job that are recorded up to `version`. A start is withheld if its
-    /// worker may get no new runs any more; if it belongs to a gang, so are the starts of the other
-    /// members.
+    /// worker may get no new runs any more, or has shrunk meanwhile and has no room for it; if it
+    /// belongs to a gang, so are the starts of the other members.
     pub(super) fn send_starts(&mut self, ctx: &mut Context<'_>, id: JobId, version: u64) {
-        let ready = self.recorded_starts(id, version);
-        let accepts = |at: usize| self.may_start(ctx, at);
-        let closed_workers: Vec<usize> =
-            ready.iter().map(|r| r.0).filter(|at| !accepts(*at)).collect();
-        let gang = |task: &TaskId| {
-            self.job_index(id).is_ok_and(|j| self.jobs[j].step(task).is_some_and(|s| s.gang))
-        };
-        let withheld_gangs: Vec<(TaskId, Run)> = ready
-            .iter()
-            .filter(|(at, task, _)| closed_workers.contains(at) && gang(task))
-            .map(|(_, task, run)| (*task, *run))
-            .collect();
-        for (at, task, run) in ready {
-            let same =
-                |(t, r): &(TaskId, Run)| t.round == task.round && t.step == task.step && *r == run;
-            if closed_workers.contains(&at) || withheld_gangs.iter().any(same) {
-                self.withhold_start(at, &task, run);
-            } else {
-                self.send_start(ctx, at, &task, run);
+        for together in self.recorded_starts(id, version) {
+            let open = together.iter().all(|(at, ..)| self.may_start(ctx, *at));
+            let why = match () {
+                () if !open => Some("a worker may get no new runs any more"),
+                () if !self.starts_fit(&together) => Some("a worker has shrunk and has no room"),
+                () => None,
+            };
+            for (at, task, run) in &together {
+                match why {
+                    Some(why) => self.withhold_start(*at, task, *run, why),
+                    None => self.send_start(ctx, *at, task, *run),
+                }
             }
         }
     }
 
-    /// Lists the starts of a job that are recorded up to `version` and not sent: the worker, the task
-    /// and the run of each, sorted.
-    fn recorded_starts(&self, id: JobId, version: u64) -> Vec<(usize, TaskId, Run)> {
+    /// Lists the starts of a job that are recorded up to `version` and not sent: the members of a
+    /// gang together, and each other start by itself.
+    fn recorded_starts(&self, id: JobId, version: u64) -> Vec<Vec<RecordedStart>> {
         let Ok(j) = self.job_index(id) else { return Vec::new() };
         let mut starts = Vec::new();
         for (task, run, boot) in self.jobs[j].state.placed_tasks(id) {
@@ -63,15 +59,18 @@
                 starts.push((at, task, run));
             }
         }
-        starts.sort_unstable();
-        starts
+        starts.sort_unstable_by_key(|(_, task, run)| (task.round, task.step, *run, task.index));
+        let same_gang = |(_, a, run): &RecordedStart, (_, b, other): &RecordedStart| {
+            (a.round, a.step, run) == (b.round, b.step, other) && self.is_gang(a)
+        };
+        starts.chunk_by(same_gang).map(<[RecordedStart]>::to_vec).collect()
     }
 
     /// Withholds a start that was recorded and not sent: its task waits to be placed again.
-    fn withhold_start(&mut self, at: usize, task: &TaskId, run: Run) {
+    fn withhold_start(&mut self, at: usize, task: &TaskId, run: Run, why: &str) {
         log::info!(
             event = "start_withheld", task:% = task, run = run.0, worker:% = self.workers[at].id();
-            "start not sent: the worker may get no new runs any more"
+            "start not sent: {why}"
         );
         if let Some(s) = self.workers[at].slot_index(task, run) {
             self.workers[at].slots.remove(s);
@@ -87,7 +86,7 @@
         let Ok(j) = self.job_index(task.job) else { return };
         let Some(saved) = self.jobs[j].task(task).map(|t| t.saved.clone()) else {
             log::error!(event = "start_without_task", task:% = task, run = run.0; "start not sent: the task has no record");
-            return self.withhold_start(at, task, run);
+            return self.withhold_start(at, task, run, "the task has no record");
         };
         let text = self.jobs[j].spec.text.clone();
         let worker = &mut self.workers[at];
--- /dev/null
+++ b/crates/fleet/src/placer/tests.rs
@@ -0,0 +1,279 @@
+//! Workers whose capacity changes between the decision, the commit and the start.
+
+use bulrushlink_core::{Moment, Span};
+
+use super::job::Job;
+use super::worker::{Phase, Worker};
+use super::{Context, Placer, Stage};
+use crate::catalog::{Catalog, Limits, Queue, Workspace};
+use crate::edge::{Clock, Output, StoreOp, StoreReply, WorkerEntry, WorkerOp, WorkerState};
+use crate::ids::{Boot, Epoch, JobId, Rev, TaskId};
+use crate::model::{JobSpec, Resources, Step};
+use crate::record::{JobRecord, StateRecord};
+use crate::settings::Bounds;
+
+const BOUNDS: Bounds = Bounds {
+    revoke_ms: 5_000,
+    drain_ms: 2_000,
+    lease_max_ms: 6_000,
+    stop_ms: 900,
+    gang_ms: 3_000,
+    grace_s: 6,
+    status_s: 120,
+    remote_factor: 3.0,
+    reclaim_ms: 3_400,
+};
+
+fn accelerators(accelerators: u64) -> Resources {
+    Resources { cpu: 32_000, memory: 65_536, accelerators }
+}
+
+fn entry(number: u64, born: u64, capacity: Resources) -> WorkerEntry {
+    WorkerEntry {
+        id: format!("i-{number}").parse().expect("valid name"),
+        born,
+        endpoint: "dispatch".to_string(),
+        addr: ([127, 0, 0, 1], 8_000).into(),
+        domain: "east".parse().expect("valid name"),
+        state: WorkerState::Ready,
+        notice: None,
+        capacity,
+        labels: Vec::new(),
+        rack: None,
+    }
+}
+
+fn queue(priority: u32) -> Queue {
+    Queue {
+        name: format!("queue-{priority}"),
+        host: "jobs.example".to_string(),
+        prefix: format!("/queue-{priority}/"),
+        endpoint: "dispatch".to_string(),
+        priority,
+        attempts: 2,
+        stretch: 3.0,
+        target: Span(1_000),
+        anonymous: false,
+        advised: false,
+    }
+}
+
+fn step(tasks: u32, gang: bool, accelerators: u64) -> Step {
+    Step {
+        tasks,
+        need: Resources { cpu: 1_000, memory: 1_024, accelerators },
+        estimate: Span(60_000),
+        after: Vec::new(),
+        gang,
+        one_rack: false,
+        label: None,
+        near: None,
+        per_worker: None,
+        saves: false,
+        copies: false,
+        endless: false,
+    }
+}
+
+/// A placer with workers that have answered a hold, and without the rest of the node.
+struct Bench {
+    placer: Placer,
+    catalog: Catalog,
+    now: Moment,
+    out: Vec<Output>,
+}
+
+impl Bench {
+    /// Opens a placer with one worker for each of the capacities.
+    fn open(capacities: &[Resources]) -> Self {
+        let now = Moment(10_000);
+        let mut placer = Placer::open(Epoch(5), now);
+        placer.stage = Stage::Active;
+        for (number, capacity) in (0..).zip(capacities) {
+            let entry = entry(number, 1, *capacity);
+            let boot = Boot { worker: entry.id.clone(), born: 1 };
+            let mut worker = Worker::new(boot, 1, Some(entry), now);
+            (worker.fenced, worker.clock) = (true, Some((0, now)));
+            placer.workers.push(worker);
+        }
+        let workspace = Workspace {
+            name: "north".parse().expect("valid name"),
+            keys: Vec::new(),
+            guaranteed: 64,
+        };
+        let limits = Limits { head: 1, body: 1, head_time: Span(1), idle_time: Span(1) };
+        let (version, rev) = (1, Rev(1));
+        let queues = vec![queue(0), queue(1)];
+        let catalog = Catalog { version, rev, queues, workspaces: vec![workspace], limits };
+        let mut bench = Self { placer, catalog, now, out: Vec::new() };
+        bench.show(capacities.iter().map(|c| (1, *c)).collect());
+        bench
+    }
+
+    fn with<T>(&mut self, f: impl FnOnce(&mut Placer, &mut Context<'_>) -> T) -> T {
+        let mut ctx = Context {
+            clock: Clock { now: self.now, wall: 1_800_000_000_000 + self.now.0 },
+            bounds: &BOUNDS,
+            catalog: Some(&self.catalog),
+            view_fresh: true,
+            evacuated: &[],
+            holds_lease: true,
+            strong_host: true,
+            out: &mut self.out,
+        };
+        f(&mut self.placer, &mut ctx)
+    }
+
+    fn add_job(&mut self, id: u64, priority: u32, step: Step) {
+        let spec = JobSpec { text: String::new(), steps: vec![step], schedule: None };
+        let workspace = Some("north".parse().expect("valid name"));
+        let record =
+            JobRecord { spec, queue: queue(priority), workspace: workspace.clone(), accepted: 0 };
+        let state = StateRecord { workspace, ..StateRecord::default() };
+        self.placer.jobs.push(Job::new(JobId(id), record, state, Rev(1), self.now));
+        self.placer.stale = true;
+    }
+
+    /// Lets the placer read the entries of all workers: the boot and the capacity of each.
+    fn show(&mut self, workers: Vec<(u64, Resources)>) {
+        let entries = (0..).zip(workers).map(|(n, (born, capacity))| entry(n, born, capacity));
+        let reply = Ok(StoreReply::Workers(entries.collect(), 0));
+        let now = self.now;
+        self.placer.reading.under_way = Some((now.0, now));
+        self.with(|p, ctx| p.workers_read(ctx, now.0, reply));
+    }
+
+    /// Lets the placer decide.
+    fn pass(&mut self) {
+        self.now += Span(10);
+        self.placer.stale = true;
+        self.with(|p, ctx| p.pass(ctx));
+    }
+
+    /// Lets all commits in flight succeed, in order, and returns the starts that were sent then.
+    fn commit(&mut self) -> Vec<TaskId> {
+        let flights: Vec<u64> = self.placer.flights.iter().map(|f| f.ordinal).collect();
+        self.out.clear();
+        for ordinal in flights {
+            let reply = Ok(StoreReply::Committed(Rev(2)));
+            let sent = self.sent_starts().len();
+            self.with(|p, ctx| p.commit_answered(ctx, ordinal, reply));
+            for task in &self.sent_starts()[sent..] {
+                self.assert_room_for(task);
+            }
+        }
+        self.sent_starts()
+    }
+
+    /// Asserts that a start that was just sent has not brought its worker over its capacity.
+    fn assert_room_for(&self, task: &TaskId) {
+        let here = |w: &&Worker| w.slots.iter().any(|s| s.task == *task);
+        let worker = self.placer.workers.iter().find(here).expect("the start has a slot");
+        let sent = worker.slots.iter().filter(|s| !matches!(s.phase, Phase::Planned(_)));
+        let used = sent.fold(Resources::default(), |sum, s| sum.plus(&s.need));
+        assert!(worker.capacity().fits(&used), "{task}: {used:?} of {:?}", worker.capacity());
+    }
+
+    fn sent_starts(&self) -> Vec<TaskId> {
+        let start = |output: &Output| match output {
+            Output::Worker(_, call, _) => match call.op {
+                WorkerOp::Start { task, .. } => Some(task),
+                _ => None,
+            },
+            _ => None,
+        };
+        self.out.iter().filter_map(start).collect()
+    }
+
+    fn sent_commits(&self) -> usize {
+        let commit = |o: &&Output| matches!(o, Output::Store(_, StoreOp::Commit(_), _));
+        self.out.iter().filter(commit).count()
+    }
+}
+
+fn task(job: u64, index: u32) -> TaskId {
+    TaskId { job: JobId(job), round: 0, step: 0, index }
+}
+
+/// A worker shrank while the commit of a start was in flight, and the start was sent nevertheless.
+#[test]
+fn recorded_start_is_not_sent_to_a_worker_that_has_shrunk() {
+    let full = accelerators(8);
+    let smaller = [
+        accelerators(2),
+        accelerators(0),
+        Resources { cpu: 999, ..full },
+        Resources { memory: 1_023, ..full },
+        Resources::default(),
+    ];
+    for shrunk in smaller {
+        let mut bench = Bench::open(&[full]);
+        bench.add_job(1, 1, step(1, false, 4));
+        bench.pass();
+        assert_eq!(bench.sent_commits(), 1);
+        bench.show(vec![(1, shrunk)]);
+        assert_eq!(bench.commit(), [], "{shrunk:?}");
+        assert_eq!(bench.placer.workers[0].slots.len(), 0);
+        // It starts once the worker has grown again.
+        bench.pass();
+        bench.commit();
+        bench.show(vec![(1, full)]);
+        bench.pass();
+        assert_eq!(bench.commit(), [task(1, 0)], "{shrunk:?}");
+    }
+}
+
+/// All members of a gang must be withheld if one of them has no room any more.
+#[test]
+fn gang_is_withheld_if_the_worker_of_one_member_has_shrunk() {
+    let mut bench = Bench::open(&[accelerators(8), accelerators(8)]);
+    bench.add_job(1, 1, step(2, true, 8));
+    bench.pass();
+    bench.show(vec![(1, accelerators(8)), (1, accelerators(7))]);
+    assert_eq!(bench.commit(), []);
+    assert!(bench.placer.workers.iter().all(|w| w.slots.is_empty()));
+}
+
+/// Of several recorded starts on a worker that has shrunk, those that still fit must be sent.
+#[test]
+fn recorded_starts_that_still_fit_are_sent() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 1, step(4, false, 2));
+    bench.pass();
+    bench.show(vec![(1, accelerators(5))]);
+    assert_eq!(bench.commit(), [task(1, 0), task(1, 1)]);
+    // The worker may have both, so nothing else may be sent although one accelerator is free.
+    bench.pass();
+    assert_eq!(bench.commit(), []);
+}
+
+/// Capacities that change all the time, to nothing and to absurd values, with claims and gangs under
+/// way, must not take the placer down.
+#[test]
+fn capacities_that_change_all_the_time_do_no_harm() {
+    let mut random = fastrand::Rng::with_seed(26);
+    let mut bench = Bench::open(&[accelerators(8); 4]);
+    for id in 1..200 {
+        let tasks = random.u32(1..5);
+        bench.add_job(id, random.u32(0..2), step(tasks, random.bool(), random.u64(0..9)));
+        bench.pass();
+        if random.bool() {
+            bench.commit();
+        }
+        let mut draw = |_| match random.u8(..8) {
+            0 => (1, Resources::default()),
+            1 => (1, Resources { cpu: u64::MAX, memory: u64::MAX, accelerators: u64::MAX }),
+            _ => (1, accelerators(random.u64(0..12))),
+        };
+        let shown: Vec<(u64, Resources)> = (0..4).map(&mut draw).collect();
+        bench.show(shown);
+        for worker in &mut bench.placer.workers {
+            if random.u8(..8) == 0 {
+                // All runs end at once.
+                worker.slots.take();
+            }
+            let slots = worker.slots.iter().fold(Resources::default(), |s, r| s.plus(&r.need));
+            assert_eq!(worker.slots.used(), slots);
+        }
+    }
+}
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -226,10 +226,14 @@
         self.slots.insert(slot);
     }
 
+    /// Returns the capacity that its entry shows.
+    pub(crate) fn capacity(&self) -> Resources {
+        self.entry.as_ref().map_or(Resources::default(), |e| e.capacity)
+    }
+
     /// Returns the capacity that the runs leave free.
     pub(crate) fn free(&self) -> Resources {
-        let capacity = self.entry.as_ref().map_or(Resources::default(), |e| e.capacity);
-        capacity.minus(&self.slots.used())
+        self.capacity().minus(&self.slots.used())
     }
 
     /// Estimates the worker's clock; the true value may be up to 2% of the elapsed time lower.
