Count what runs take beyond a shrunken capacity when room is made

Cause: the free capacity of a worker saturates at zero. On a worker whose runs take more than it has left, preemption counted the whole need of a stopped run as free: runs were stopped for a gang that still didn't fit, and after the claim had expired others again. A task that doesn't need the resource that is short was still placed there.

A worker that is over its capacity in any resource gets no start.

Measured: without the excess, runs_are_not_stopped_in_vain_on_a_worker_that_has_shrunk fails (1 run stopped for a job that doesn't fit the empty worker).

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -150,6 +150,7 @@
         let entry = worker.entry.as_ref();
         WorkerView {
             free: worker.free(),
+            excess: worker.excess(),
             capacity: worker.capacity(),
             rack: entry.and_then(|e| e.rack.as_ref()),
             recent_faults: worker.recent_faults(ctx.clock.now),
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -143,6 +143,8 @@
 /// State of a worker at the start of a placement.
 pub(super) struct WorkerView<'a> {
     pub(super) free: Resources,
+    /// What the runs take beyond the capacity.
+    pub(super) excess: Resources,
     pub(super) capacity: Resources,
     pub(super) rack: Option<&'a RackId>,
     /// Number of recent faults.
@@ -200,6 +202,7 @@
             }
             let room = &mut self.rooms[count];
             room.free = worker.free;
+            room.excess = worker.excess;
             room.claimed = Resources::default();
             room.capacity = worker.capacity;
             if room.rack.as_ref() != worker.rack {
@@ -233,7 +236,7 @@
         assignment.iter().all(|(_, at)| {
             let tasks = assignment.iter().filter(|(_, other)| other == at).count() as u64;
             let room = &self.rooms[*at];
-            room.free.minus(&room.claimed).count(need) >= tasks
+            !room.is_over() && room.free.minus(&room.claimed).count(need) >= tasks
         })
     }
 
--- a/crates/fleet/src/placer/field/tests.rs
+++ b/crates/fleet/src/placer/field/tests.rs
@@ -10,6 +10,7 @@
     let all = Resources { cpu: u64::MAX, memory: u64::MAX, accelerators: u64::MAX };
     let view = || WorkerView {
         free: all,
+        excess: Resources::default(),
         capacity: all,
         rack: None,
         recent_faults: 0,
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::{Moment, Span};
 
 use super::job::Job;
-use super::worker::{Phase, Worker};
+use super::worker::{Phase, Slot, Worker};
 use super::{Context, Placer, Stage};
 use crate::catalog::{Catalog, Limits, Queue, Workspace};
 use crate::edge::{Clock, Output, StoreOp, StoreReply, WorkerEntry, WorkerOp, WorkerState};
@@ -189,6 +189,12 @@
         let commit = |o: &&Output| matches!(o, Output::Store(_, StoreOp::Commit(_), _));
         self.out.iter().filter(commit).count()
     }
+
+    /// Returns how many runs are being stopped.
+    fn closing(&self) -> usize {
+        let closing = |s: &&Slot| matches!(s.phase, Phase::Closing { .. });
+        self.placer.workers.iter().map(|w| w.slots.iter().filter(closing).count()).sum()
+    }
 }
 
 fn task(job: u64, index: u32) -> TaskId {
@@ -247,6 +253,44 @@
     assert_eq!(bench.commit(), []);
 }
 
+/// What runs on a worker that has shrunk goes on, and nothing new starts there, whatever it needs,
+/// until the runs fit again.
+#[test]
+fn worker_over_its_capacity_gets_no_start() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 1, step(1, false, 8));
+    bench.pass();
+    assert_eq!(bench.commit(), [task(1, 0)]);
+    bench.show(vec![(1, accelerators(4))]);
+    bench.add_job(2, 1, step(1, false, 0));
+    bench.pass();
+    // It must not even be planned, or it would be recorded and withheld again and again.
+    assert_eq!(bench.sent_commits(), 0);
+    assert_eq!((bench.commit(), bench.closing()), (vec![], 0));
+    bench.show(vec![(1, accelerators(8))]);
+    bench.pass();
+    assert_eq!(bench.commit(), [task(2, 0)]);
+}
+
+/// Runs were stopped for a gang that still didn't fit on a worker that had shrunk: what the runs
+/// took beyond its capacity counted as if it became free.
+#[test]
+fn runs_are_not_stopped_in_vain_on_a_worker_that_has_shrunk() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 1, step(2, false, 4));
+    bench.pass();
+    assert_eq!(bench.commit().len(), 2);
+    bench.show(vec![(1, accelerators(3))]);
+    // A job of priority 0 for which even an empty worker is too small.
+    bench.add_job(2, 0, step(1, true, 4));
+    bench.pass();
+    assert_eq!(bench.closing(), 0);
+    // One for which both runs have to go.
+    bench.add_job(3, 0, step(1, true, 3));
+    bench.pass();
+    assert_eq!(bench.closing(), 2);
+}
+
 /// Capacities that change all the time, to nothing and to absurd values, with claims and gangs under
 /// way, must not take the placer down.
 #[test]
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -236,6 +236,11 @@
         self.capacity().minus(&self.slots.used())
     }
 
+    /// Returns what the runs take beyond the capacity, which may have shrunk since they started.
+    pub(crate) fn excess(&self) -> Resources {
+        self.slots.used().minus(&self.capacity())
+    }
+
     /// Estimates the worker's clock; the true value may be up to 2% of the elapsed time lower.
     pub(crate) fn estimated_clock(&self, now: Moment) -> Option<u64> {
         self.clock.map(|(clock, at)| clock.saturating_add(now.since(at).millis()))
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -28,6 +28,8 @@
 pub(crate) struct Room {
     /// Resources that no run uses.
     pub(crate) free: Resources,
+    /// What the runs take beyond the capacity; nothing of such a resource is free.
+    pub(crate) excess: Resources,
     /// Resources claimed for gangs that wait for victims to stop; may exceed what is free so far.
     pub(crate) claimed: Resources,
     /// Total resources.
@@ -61,8 +63,17 @@
         free.count(&step.need).min(most)
     }
 
-    /// Returns how many tasks of a step fit into the unclaimed free resources.
+    /// Returns true if the runs take more than the capacity of at least one resource.
+    pub(crate) fn is_over(&self) -> bool {
+        self.excess != Resources::default()
+    }
+
+    /// Returns how many tasks of a step fit into the unclaimed free resources. A worker that is over
+    /// its capacity has no room for any task, not even for one that needs other resources.
     fn free_slots(&self, step: &Step) -> u64 {
+        if self.is_over() {
+            return 0;
+        }
         self.task_slots(step, &self.unclaimed())
     }
 
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -43,9 +43,8 @@
 impl Search<'_> {
     /// Returns the resources that must be free on a worker for one more task to fit.
     fn required(&self, room: usize) -> Resources {
-        // The free resources must also cover the claims of waiting gangs.
         let tasks = self.used[room] + 1;
-        (0..tasks).fold(self.rooms[room].claimed, |sum, _| sum.plus(&self.step.need))
+        (0..tasks).fold(taken_before(&self.rooms[room]), |sum, _| sum.plus(&self.step.need))
     }
 
     /// Returns what is free on a worker once the groups evicted so far have ended.
@@ -103,6 +102,12 @@
     }
 }
 
+/// Returns what the resources that become free on a worker must cover before any task fits: the claims
+/// of waiting gangs, and what the runs take beyond the capacity.
+fn taken_before(room: &Room) -> Resources {
+    room.claimed.plus(&room.excess)
+}
+
 /// Removes the victims that need not be evicted after all, the most costly first, and returns the
 /// fit with the remaining ones.
 fn prune_victims(
@@ -150,7 +155,8 @@
             return 0;
         }
         let all = room.victims.iter().fold(room.free, |sum, v| sum.plus(&v.need));
-        room.task_slots(step, &all.minus(&room.claimed))
+        let taken = taken_before(room);
+        if all.fits(&taken) { room.task_slots(step, &all.minus(&taken)) } else { 0 }
     };
     if !has_slots_for(rooms, count, slots) {
         return None;
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -35,6 +35,7 @@
     let all = Resources { cpu: 32_000, memory: 131_072, accelerators: 8 };
     Room {
         free: Resources { accelerators: free, ..all },
+        excess: Resources::default(),
         claimed: Resources::default(),
         capacity: all,
         rack: Some(rack(number / 2)),
@@ -249,3 +250,23 @@
     let nothing = Step { need: Resources::default(), one_rack: true, ..step(3, 0) };
     assert_eq!(place_gang(&workers, &nothing, 3), Some(vec![0, 0, 0]));
 }
+
+/// Runs were stopped on a worker that had shrunk, although what they freed was less than what the
+/// runs took beyond its capacity.
+#[test]
+fn excess_on_a_worker_that_has_shrunk_is_not_freed() {
+    let victim = |group| Victim { need: need(4), group, cost: 1.0 };
+    let mut shrunk = Room { excess: need(4), ..worker(0, 0) };
+    shrunk.victims = vec![victim(0), victim(1)];
+    let groups = |room: &Room, accelerators| {
+        let rooms = [room.clone()];
+        let found = super::evict(&rooms, &Racks::of(&rooms), &step(1, accelerators), 1);
+        found.map(|e: Eviction| e.groups)
+    };
+    assert_eq!(groups(&shrunk, 4), Some(vec![0, 1]));
+    assert_eq!(groups(&shrunk, 5), None);
+    assert_eq!(place_gang(&[shrunk.clone()], &step(1, 0), 1), None);
+    assert_eq!(place_singles(&[shrunk.clone()], &step(1, 0), 1, true), Vec::<usize>::new());
+    shrunk.excess = Resources::default();
+    assert_eq!(groups(&shrunk, 4).map(|g| g.len()), Some(1));
+}
