Drop claims on workers that have shrunk below them

Cause: a claim lasts for half of reclaim_ms. On a worker that shrinks below what stays on it and the claims together, the gang couldn't start until the claim had expired.

Change: each read of the entries that shows a smaller capacity drops such claims, and the gang gets another place with the next placement.

Measured: without it, claim_on_a_worker_that_has_shrunk_is_dropped fails (the claim stays).

--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -7,6 +7,7 @@
 use crate::record::{Item, JobRecord, StateRecord, decode, keys};
 
 use super::job::Job;
+use super::resize::Resize;
 use super::worker::{Phase, Slot, Worker};
 use super::{
     Context, Placer, PlacerTag, STORE_RETRY_DELAY, STORE_TIMEOUT, Stage, WORKERS_READ_INTERVAL,
@@ -206,10 +207,20 @@
                 worker.missing = Some(now);
             }
         }
-        let mut short_notice = false;
+        let (mut short_notice, mut resizes) = (false, Vec::new());
         for entry in entries {
+            let known =
+                self.worker_index(&entry.id).ok().filter(|at| self.workers[*at].entry.is_some());
+            let before = known.map(|at| self.workers[at].capacity());
             short_notice |= self.update_worker(ctx, entry);
+            if let (Some(at), Some(before)) = (known, before) {
+                let (worker, after) = (self.workers[at].id(), self.workers[at].capacity());
+                if after != before {
+                    resizes.push(Resize { worker: worker.clone(), before, after });
+                }
+            }
         }
+        self.apply_resizes(now, &resizes);
         if short_notice {
             self.stop_runs_of_leaving_workers(ctx);
         }
--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -22,7 +22,7 @@
 /// Seconds of work that every stop costs: the stop itself, the wait and the restart.
 const RESTART_COST_S: f64 = 0.5;
 /// A run that is expected to end within this time is not stopped: a stop takes about as long.
-const NEAR_END_MAX: Span = Span(500);
+pub(super) const NEAR_END_MAX: Span = Span(500);
 /// A claim lasts for `reclaim_ms`, the time within which a guaranteed gang must start, divided by
 /// this, which leaves time for a second attempt.
 const CLAIM_LIFETIME_DIVISOR: u64 = 2;
@@ -43,6 +43,16 @@
     pub(super) fn is_for(&self, task: &TaskId) -> bool {
         (self.job, self.round, self.step) == (task.job, task.round, task.step)
     }
+
+    /// Returns the task of the claimed step with the given index.
+    pub(super) fn task(&self, index: u32) -> TaskId {
+        TaskId { job: self.job, round: self.round, step: self.step, index }
+    }
+
+    /// Returns the worker of each task.
+    pub(super) fn workers(&self) -> impl Iterator<Item = &WorkerId> {
+        self.tasks.iter().map(|(_, id)| id)
+    }
 }
 
 impl Placer {
@@ -64,11 +74,9 @@
             let need = self.jobs[j].spec.steps[usize::from(claim.step)].need;
             if fleet.has_room(&assignment, &need) {
                 fleet.take_room(&assignment, &need);
-                let task =
-                    TaskId { job: claim.job, round: claim.round, step: claim.step, index: 0 };
                 self.plan_starts(
                     ctx,
-                    &task,
+                    &claim.task(0),
                     &assignment,
                     "preempted runs have freed the claimed capacity",
                 );
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -291,6 +291,45 @@
     assert_eq!(bench.closing(), 2);
 }
 
+/// A claim kept its gang waiting although the worker had shrunk below it; the gang must get another
+/// place at once.
+#[test]
+fn claim_on_a_worker_that_has_shrunk_is_dropped() {
+    let mut bench = Bench::open(&[accelerators(8), accelerators(8)]);
+    bench.add_job(1, 1, step(2, false, 8));
+    bench.pass();
+    assert_eq!(bench.commit().len(), 2);
+    bench.add_job(2, 0, step(1, true, 6));
+    bench.pass();
+    assert_eq!(bench.placer.claims.len(), 1);
+    let claimed = bench.placer.claims[0].workers().next().cloned();
+    let shown = |b: &Bench, n: usize| match claimed.as_ref() == Some(b.placer.workers[n].id()) {
+        true => (1, accelerators(4)),
+        false => (1, accelerators(8)),
+    };
+    bench.show(vec![shown(&bench, 0), shown(&bench, 1)]);
+    assert_eq!(bench.placer.claims, []);
+    bench.pass();
+    let moved = bench.placer.claims[0].workers().next().cloned();
+    assert!(moved.is_some() && moved != claimed, "{moved:?}");
+}
+
+/// A claim must survive a change of the capacity that leaves room for it.
+#[test]
+fn claim_survives_a_change_that_leaves_room_for_it() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 1, step(1, false, 8));
+    bench.pass();
+    bench.commit();
+    bench.add_job(2, 0, step(1, true, 6));
+    bench.pass();
+    for accelerators in [accelerators(6), accelerators(7), accelerators(9)] {
+        bench.show(vec![(1, accelerators)]);
+        bench.pass();
+        assert_eq!(bench.placer.claims.len(), 1);
+    }
+}
+
 /// Capacities that change all the time, to nothing and to absurd values, with claims and gangs under
 /// way, must not take the placer down.
 #[test]
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -241,6 +241,11 @@
         self.slots.used().minus(&self.capacity())
     }
 
+    /// Returns true if the runs take more than the capacity of at least one resource.
+    pub(crate) fn is_over(&self) -> bool {
+        !self.capacity().fits(&self.slots.used())
+    }
+
     /// Estimates the worker's clock; the true value may be up to 2% of the elapsed time lower.
     pub(crate) fn estimated_clock(&self, now: Moment) -> Option<u64> {
         self.clock.map(|(clock, at)| clock.saturating_add(now.since(at).millis()))
