Start nothing on a new boot by the entry of the earlier one

Cause: a reboot that was learned from the reply to a hold kept the entry of the earlier boot until the next read of the entries. The new boot may be of another kind, with less capacity and other labels.

Change: a worker gets starts only if its entry is of the same boot.

Measured: without it, new_boot_gets_no_start_before_its_own_entry fails (the start is sent by the capacity of the earlier boot).

--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -330,6 +330,25 @@
     }
 }
 
+/// The first boot's entry counted for a later boot that had been learned from a reply, and that may
+/// be of another kind, until the entries were read again.
+#[test]
+fn new_boot_gets_no_start_before_its_own_entry() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.with(|p, ctx| p.handle_reboot(0, 2, ctx.clock.now));
+    bench.placer.workers[0].fenced = true;
+    bench.placer.workers[0].clock = Some((0, bench.now));
+    bench.add_job(1, 1, step(1, false, 8));
+    bench.pass();
+    bench.show(vec![(1, accelerators(8))]);
+    bench.pass();
+    assert_eq!(bench.commit(), []);
+    bench.show(vec![(2, accelerators(4))]);
+    bench.add_job(2, 1, step(1, false, 4));
+    bench.pass();
+    assert_eq!(bench.commit(), [task(2, 0)]);
+}
+
 /// Capacities that change all the time, to nothing and to absurd values, with claims and gangs under
 /// way, must not take the placer down.
 #[test]
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -281,7 +281,10 @@
 
     /// Returns true if nothing known of the worker itself speaks against new runs on it.
     pub(crate) fn accepts_runs(&self, now: Moment) -> bool {
-        let ready = self.entry.as_ref().is_some_and(|e| e.state == WorkerState::Ready);
+        // The entry of an earlier boot says nothing about the capacity and the labels of this one.
+        let this_boot = |e: &WorkerEntry| e.born == self.boot.born;
+        let ready =
+            self.entry.as_ref().is_some_and(|e| e.state == WorkerState::Ready && this_boot(e));
         ready && self.fenced && self.silent == 0 && self.missing.is_none() && now >= self.shunned
     }
 
