Let workers of the lab and the emulator shrink and grow

Cause: no stand-in changed a worker's capacity, the emulator's runs needed nothing, and the lab's check of the capacity knew only one that stays.

A start that is carried out late is checked by the time at which it was sent. Without a change the check is as strict as before. The emulator takes what a task needs from the spec, as the wire's start doesn't say it.

--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -81,6 +81,8 @@
     Hanging(usize, bool),
     /// Slows a worker down by a factor.
     Slow(usize, u64),
+    /// Changes the capacity of a worker, which its entry shows with the next heartbeat.
+    Resize(usize, Resources),
     /// Kills all daemons and restarts them at once.
     KillAll,
 }
@@ -119,6 +121,7 @@
         call: u64,
         tag: Tag,
         request: WorkerCall,
+        sent: u64,
         lost: bool,
     },
     WorkerReply {
@@ -455,6 +458,11 @@
         self.daemons[daemon].node.dump(Moment(self.now))
     }
 
+    /// Returns the present capacity of a worker.
+    pub fn capacity(&self, worker: usize) -> Resources {
+        self.workers[worker].entry.capacity
+    }
+
     /// Returns the present one-way latency to the store.
     fn store_latency(&self) -> u64 {
         let (latency, until) = self.store_latency;
@@ -535,10 +543,10 @@
                     self.deliver(daemon, Input::Store(tag, result));
                 }
             }
-            Event::Worker { daemon, incarnation, call, tag, request, lost } => {
+            Event::Worker { daemon, incarnation, call, tag, request, sent, lost } => {
                 self.handle_worker_call(
                     PendingCall { until: 0, daemon, incarnation, call, tag },
-                    request,
+                    (request, sent),
                     lost,
                 );
             }
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -46,6 +46,7 @@
             Trouble::SilenceWatches(millis) => self.silent_until = now + millis,
             Trouble::Failing(worker, on) => self.workers[worker].failing = on,
             Trouble::Hanging(worker, on) => self.workers[worker].hanging = on,
+            Trouble::Resize(worker, capacity) => self.workers[worker].resize(now, capacity),
             Trouble::Slow(worker, times) => self.workers[worker].slowness = times,
             Trouble::KillAll => (0..self.daemons.len()).for_each(|daemon| self.restart(daemon)),
         }
--- a/crates/standin/src/emulator.rs
+++ b/crates/standin/src/emulator.rs
@@ -5,6 +5,7 @@
 //! [`Emulator`] serves them over HTTP.
 
 mod keys;
+mod rooms;
 mod texts;
 mod wire;
 mod worker;
--- a/crates/standin/src/emulator/texts.rs
+++ b/crates/standin/src/emulator/texts.rs
@@ -1,7 +1,11 @@
 //! Builders for JSON bodies of the platform's wire protocol, for tests.
 
+use bulrushlink_fleet::Resources;
 use serde_json::{Value, json};
 
+/// What each task needs.
+const TASK_NEED: Resources = Resources { cpu: 1_000, memory: 1_024, accelerators: 1 };
+
 /// Builder for the body of a job, whose tasks run for a fixed time on the emulator's workers.
 #[derive(Clone, Debug)]
 pub struct JobText {
@@ -19,7 +23,8 @@
     #[must_use]
     pub fn step(mut self, count: u64, gang: bool) -> Self {
         self.steps.push(json!({
-            "count": count, "cpu": 1000, "memMb": 1024, "gpu": 1, "estRuntimeMs": 300,
+            "count": count, "cpu": TASK_NEED.cpu, "memMb": TASK_NEED.memory,
+            "gpu": TASK_NEED.accelerators, "estRuntimeMs": 300,
             "gang": gang,
         }));
         self
@@ -39,11 +44,24 @@
         let first = self.steps.first();
         let gang =
             first.filter(|s| s["gang"] == json!(true)).map_or(json!(0), |s| s["count"].clone());
-        let spec = format!("ms={} gang={gang}", self.millis);
+        let Resources { cpu, memory, accelerators } = TASK_NEED;
+        let need = format!("cpu={cpu} mem={memory} gpu={accelerators}");
+        let spec = format!("ms={} gang={gang} {need}", self.millis);
         json!({ "spec": spec, "steps": self.steps }).to_string()
     }
 }
 
+/// Parses the run time in milliseconds, the gang size and what a task needs from a job's spec, such
+/// as `ms=500 gang=4 cpu=1000 mem=1024 gpu=1`; a gang size of 0 means no gang. A start says nothing
+/// else of these.
+pub(crate) fn parse_spec(spec: &str) -> (u64, u32, Resources) {
+    let find = |name: &str| spec.split(' ').find_map(|w| w.strip_prefix(name)?.parse().ok());
+    let amount = |name: &str| find(name).unwrap_or(0);
+    let need =
+        Resources { cpu: amount("cpu="), memory: amount("mem="), accelerators: amount("gpu=") };
+    (find("ms=").unwrap_or(100), amount("gang=") as u32, need)
+}
+
 /// Returns the body of an answer with the state of a job.
 pub fn state_text(state: &str) -> String {
     json!({ "state": state }).to_string()
--- a/crates/standin/src/emulator/worker.rs
+++ b/crates/standin/src/emulator/worker.rs
@@ -5,6 +5,8 @@
     WorkerEntry, WorkerOp, WorkerReply,
 };
 
+use super::rooms::EarlierRoom;
+
 /// A run of a task on a worker.
 #[derive(Clone, Debug)]
 pub struct FleetRun {
@@ -48,6 +50,8 @@
     pub last_end: u64,
     /// For each task the latest run that ended or was stopped: it and earlier runs must not start.
     pub blocked_runs: Vec<(TaskId, Run)>,
+    /// Capacities that the worker had before, in order.
+    pub(crate) earlier_rooms: Vec<EarlierRoom>,
     /// Whether every task that starts here fails.
     pub failing: bool,
     /// Whether the runs make no progress.
@@ -79,6 +83,7 @@
             ends: Vec::new(),
             last_end: 0,
             blocked_runs: Vec::new(),
+            earlier_rooms: Vec::new(),
             failing: false,
             hanging: false,
             slowness: 1,
@@ -95,7 +100,8 @@
     pub fn reboot(&mut self, now: u64) {
         let mut entry = self.entry.clone();
         entry.born = entry.born.max(now) + 1;
-        *self = Self::new(entry, now, self.clock_rate);
+        let earlier_rooms = self.rooms_after_boot(now);
+        *self = Self { earlier_rooms, ..Self::new(entry, now, self.clock_rate) };
     }
 
     /// Returns the resources that the active runs occupy.
