--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -226,10 +226,24 @@
         self.slots.insert(slot);
     }
 
+    /// Returns the capacity that its entry shows.
+    pub(crate) fn capacity(&self) -> Resources {
+        self.entry.as_ref().map_or(Resources::default(), |e| e.capacity)
+    }
+
     /// Returns the capacity that the runs leave free.
     pub(crate) fn free(&self) -> Resources {
-        let capacity = self.entry.as_ref().map_or(Resources::default(), |e| e.capacity);
-        capacity.minus(&self.slots.used())
+        self.capacity().minus(&self.slots.used())
+    }
+
+    /// Returns what the runs take beyond the capacity, which may have shrunk since they started.
+    pub(crate) fn excess(&self) -> Resources {
+        self.slots.used().minus(&self.capacity())
+    }
+
+    /// Returns true if the runs take more than the capacity of at least one resource.
+    pub(crate) fn is_over(&self) -> bool {
+        !self.capacity().fits(&self.slots.used())
     }
 
     /// Estimates the worker's clock; the true value may be up to 2% of the elapsed time lower.
@@ -267,7 +281,10 @@
 
     /// Returns true if nothing known of the worker itself speaks against new runs on it.
     pub(crate) fn accepts_runs(&self, now: Moment) -> bool {
-        let ready = self.entry.as_ref().is_some_and(|e| e.state == WorkerState::Ready);
+        // The entry of an earlier boot says nothing about the capacity and the labels of this one.
+        let this_boot = |e: &WorkerEntry| e.born == self.boot.born;
+        let ready =
+            self.entry.as_ref().is_some_and(|e| e.state == WorkerState::Ready && this_boot(e));
         ready && self.fenced && self.silent == 0 && self.missing.is_none() && now >= self.shunned
     }
 
