--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -146,6 +146,47 @@
     assert_eq!(creation_commits(&outputs), 1);
 }
 
+/// A request for an added queue waits for a new view, which takes a second where the configuration is
+/// large. If requests that arrive meanwhile are handled under the older one, the daemon goes back from
+/// the newer configuration to the older one in the order in which its callers sent their requests.
+#[test]
+fn later_request_is_not_handled_under_an_older_configuration_than_an_earlier_one() {
+    let mut node = node();
+    let large = Catalog { size: 1_000_000, ..catalog() };
+    let view = OperatorView { catalog: Some(large.clone()), evacuated: Vec::new() };
+    let evacuated = || Ok(StoreReply::Evacuated(Vec::new()));
+    let (tag, _) = configuration_call(node.handle(clock(0), Input::Tick)).expect("a read");
+    let outputs = node.handle(clock(5), Input::Store(tag, Ok(StoreReply::Operator(view))));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    node.handle(clock(10), Input::Store(tag, evacuated()));
+
+    let count =
+        |path: &str| CallerCall { path: path.to_string(), verb: CallerVerb::Get, ..call(3_000) };
+    let outputs = node.handle(clock(100), Input::Caller(RequestId(1), count("/added/")));
+    assert_eq!(first_answer(&outputs), None);
+    let (tag, _) = configuration_call(outputs).expect("a check");
+    // Later than the 250 ms by which a daemon may go back.
+    let outputs = node.handle(clock(450), Input::Caller(RequestId(2), count("/replay/")));
+    let later_under_old = counts(&outputs, "replay") > 0;
+
+    let mut changed = Catalog { rev: Rev(12), ..large };
+    changed.queues[0].name = "added".to_string();
+    changed.queues[0].prefix = "/added/".to_string();
+    let reply = Ok(StoreReply::Conflict(Vec::new(), Some(changed)));
+    let outputs = node.handle(clock(1_200), Input::Store(tag, reply));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    let outputs = node.handle(clock(1_205), Input::Store(tag, evacuated()));
+    let earlier_under_new = counts(&outputs, "added") > 0;
+    assert!(!(later_under_old && earlier_under_new));
+}
+
+/// Counts the listings of the queue's pending markers.
+fn counts(outputs: &[Output], queue: &str) -> usize {
+    let listing =
+        |o: &&Output| matches!(o, Output::Store(_, StoreOp::List(p, _), _) if p.contains(queue));
+    outputs.iter().filter(listing).count()
+}
+
 /// Counts the commits that create a job; the commits of the election write a single key.
 fn creation_commits(outputs: &[Output]) -> usize {
     let commit =
