Let later requests wait with one that waits for a large configuration

A request for an added queue waits for a read of the configuration that began after its arrival. With a large one that takes 0.6 s on 10 Mbit/s, and requests sent up to then were handled under the older one, more than the 250 ms later by which a daemon may go back.

Under a large configuration, a request that arrives while another one waits for the view now waits too, and they resume in the order of their arrival.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -113,11 +113,20 @@
             outcome_unknown: false,
             faults: 0,
         };
-        if request.begin(ctx) {
+        // A later request must not be handled under an older configuration than an earlier one. The
+        // wait is short unless the configuration is large.
+        let follows = ctx.view.is_large() && self.awaits_view();
+        let keep = if follows { request.await_view(ctx) } else { request.begin(ctx) };
+        if keep {
             self.requests.push(request);
         }
     }
 
+    /// Returns true if a request waits for a fresh view.
+    fn awaits_view(&self) -> bool {
+        self.requests.iter().any(|r| r.stage == Stage::AwaitingView)
+    }
+
     /// Drops a request whose caller has disconnected; its commit may still take effect.
     pub(crate) fn forget(&mut self, id: RequestId) {
         self.requests.retain(|r| r.id != id);
@@ -132,9 +141,15 @@
         self.requests.iter().map(|r| r.retry.unwrap_or(r.deadline).min(r.deadline)).min()
     }
 
-    /// Resumes the requests that waited for a fresh view.
+    /// Resumes the requests that waited for a fresh view, in the order of their arrival, up to one
+    /// that needs a fresher one.
     pub(crate) fn view_refreshed(&mut self, ctx: &mut Context<'_>) {
-        self.requests.retain_mut(|r| r.stage != Stage::AwaitingView || r.begin(ctx));
+        let mut waits = false;
+        self.requests.retain_mut(|r| {
+            let keep = waits || r.stage != Stage::AwaitingView || r.begin(ctx);
+            waits |= keep && r.stage == Stage::AwaitingView;
+            keep
+        });
     }
 
     /// Refuses the requests that waited for a fresh view, because the read of it failed.
