--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -14,12 +14,14 @@
 };
 use crate::ids::{Epoch, JobId, Rev, Run, TaskId};
 use crate::settings::Bounds;
+use crash::Silence;
 use field::FleetSnapshot;
 use flush::Flight;
 use job::Job;
 use reclaim::Claim;
 use worker::{Target, Worker};
 
+mod crash;
 mod decide;
 mod field;
 mod flush;
@@ -147,6 +149,8 @@
     /// Cancellations that were read before their jobs, or before all records were loaded.
     cancels: Vec<JobId>,
     claims: Vec<Claim>,
+    /// Recent losses of contact with workers that had runs.
+    silences: Vec<Silence>,
     /// Workers as the latest placement saw them; kept to reuse its allocations.
     field: FleetSnapshot,
     flights: Vec<Flight>,
@@ -186,6 +190,7 @@
             workers: Vec::new(),
             cancels: Vec::new(),
             claims: Vec::new(),
+            silences: Vec::new(),
             field: FleetSnapshot::default(),
             flights: Vec::new(),
             reading: Reading { next: now, ..Reading::default() },
@@ -354,11 +359,13 @@
         }
     }
 
-    /// Runs the checks that depend on time alone: expired leases, expired claims and stalled runs.
+    /// Runs the checks that depend on time alone: expired leases, expired claims, stalled
+    /// runs and suspected tasks.
     fn review(&mut self, ctx: &mut Context<'_>) {
         self.release_expired_runs(ctx);
         self.drop_expired_claims(ctx);
         self.stop_stalled_runs(ctx);
+        self.clear_suspects(ctx.clock.now);
         metrics::gauge!("bulrushlink_jobs")
             .set(self.jobs.iter().filter(|j| !j.is_over()).count() as f64);
         metrics::gauge!("bulrushlink_runs")
--- /dev/null
+++ b/crates/fleet/src/placer/crash.rs
@@ -0,0 +1,443 @@
+//! Tasks that crash the workers that start them: workers' crashes are counted against the tasks
+//! that ran there, suspected tasks run apart from others, and a task that goes on crashing workers
+//! is given up with its job.
+
+use bulrushlink_core::{Moment, Span};
+
+use crate::edge::{Fault, WorkerState};
+use crate::ids::{Boot, JobId, Run, TaskId};
+use crate::record::{CrashRecord, Outcome};
+
+use super::job::Job;
+use super::worker::{ContactLoss, Phase, Slot, Worker};
+use super::{Context, Placer};
+
+/// Age of a run up to which it is suspected when its worker crashes.
+const SUSPECT_AGE_MAX: Span = Span(1_000);
+/// Age of a run up to which a crash of its worker is counted at all.
+const COUNTED_AGE_MAX: Span = Span(30_000);
+/// Time for which a worker with a suspected run that has just started gets no other runs.
+const PROBATION: Span = Span(1_500);
+/// Longest time for which a suspected task waits for a worker without other runs.
+const ISOLATION_WAIT_MAX: Span = Span(2_000);
+/// A worker that was listed as ready this long ago can't have left as planned, as departures are
+/// announced earlier.
+const READY_AGE_MAX: Span = Span(1_000);
+/// Two workers that fall silent within this time may have the same cause.
+const SAME_CAUSE_WINDOW: Span = Span(500);
+/// Number of other workers that fall silent in that time, each with other suspects, at which all
+/// have the same cause.
+const SAME_CAUSE_WORKERS: usize = 3;
+/// Time for which the silences of workers are kept, longer than a worker takes to boot again.
+const SILENCE_RETENTION: Span = Span(30_000);
+/// A task that runs longer than twice the age at which its worker crashed, and this, is cleared.
+const CLEARED_AGE_MIN: Span = Span(3_000);
+/// Crashes at which a task is given up if one of them has no other explanation.
+const CLEAR_CRASHES_MAX: u32 = 2;
+/// Crashes at which a task is given up in any case.
+const CRASHES_MAX: u32 = 3;
+/// Crashes at which a task is given up if some of them followed a start that got no reply.
+const UNSURE_CRASHES_MAX: u32 = 4;
+
+/// What is known of a worker's crash with regard to one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct CrashEvidence {
+    /// The worker has confirmed the start.
+    pub(crate) confirmed: bool,
+    /// The run had just started.
+    pub(crate) early: bool,
+    /// The run had just started, and no run of another job had.
+    pub(crate) sole: bool,
+    /// Age of the run.
+    pub(crate) age: Span,
+    /// The run was remembered as lost, which happens once to each run.
+    pub(crate) remembered: bool,
+}
+
+/// The loss of contact with a worker, with the jobs whose runs there had just started.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) struct Silence {
+    at: Moment,
+    /// Sorted.
+    suspects: Vec<JobId>,
+}
+
+impl CrashEvidence {
+    /// A crash of which no more is known than that the run was on the worker.
+    const BELATED: Self =
+        Self { confirmed: true, early: false, sole: false, age: Span::ZERO, remembered: false };
+    const REMEMBERED: Self = Self { remembered: true, ..Self::BELATED };
+}
+
+impl CrashRecord {
+    /// Returns true if the task has to be given up.
+    fn convicts(&self) -> bool {
+        (self.early >= CLEAR_CRASHES_MAX && self.sole > 0)
+            || self.crashes >= CRASHES_MAX
+            || self.crashes + self.unsure >= UNSURE_CRASHES_MAX
+    }
+
+    /// Returns true if the task may have caused a crash: one came soon after its start.
+    fn is_suspect(&self) -> bool {
+        self.early + self.unsure > 0
+    }
+}
+
+impl Job {
+    fn crash_index(&self, task: &TaskId) -> Result<usize, usize> {
+        let key = (task.round, task.step, task.index);
+        self.state.crashes.binary_search_by_key(&key, |c| (c.round, c.step, c.index))
+    }
+
+    fn crash_record(&mut self, task: &TaskId) -> &mut CrashRecord {
+        let at = self.crash_index(task).unwrap_or_else(|at| {
+            let record = CrashRecord::new(task.round, task.step, task.index);
+            self.state.crashes.insert(at, record);
+            at
+        });
+        &mut self.state.crashes[at]
+    }
+
+    /// Returns true if a worker has crashed soon after it started the task, and the task isn't
+    /// cleared since.
+    pub(crate) fn is_suspect(&self, task: &TaskId) -> bool {
+        self.crash_index(task).is_ok_and(|at| self.state.crashes[at].is_suspect())
+    }
+
+    /// Counts a crash of the worker of a run. Returns `None` if the run is already counted, or no
+    /// run of this task.
+    pub(crate) fn count_crash(
+        &mut self,
+        task: &TaskId,
+        run: Run,
+        evidence: &CrashEvidence,
+    ) -> Option<&CrashRecord> {
+        if self.is_over() || self.task(task).is_none_or(|t| t.done || run > t.run) {
+            return None;
+        }
+        let record = self.crash_record(task);
+        if run <= record.counted && !evidence.remembered {
+            return None;
+        }
+        record.counted = record.counted.max(run);
+        record.lost.retain(|(lost, _)| *lost != run);
+        record.crashes += u32::from(evidence.confirmed);
+        record.unsure += u32::from(!evidence.confirmed);
+        record.early += u32::from(evidence.confirmed && evidence.early);
+        record.sole += u32::from(evidence.confirmed && evidence.sole);
+        record.age_ms = record.age_ms.max(evidence.age.millis());
+        self.mark_dirty();
+        let at = self.crash_index(task).ok()?;
+        Some(&self.state.crashes[at])
+    }
+
+    /// Remembers a run that was lost with its lease, in case its worker turns out to have crashed.
+    pub(crate) fn remember_lost(&mut self, task: &TaskId, run: Run, boot: &Boot) {
+        if self.is_over() || self.task(task).is_none_or(|t| t.done || t.run != run) {
+            return;
+        }
+        self.crash_record(task).lost.push((run, boot.clone()));
+        self.mark_dirty();
+    }
+
+    /// Takes the lost runs on boots that match, with their tasks.
+    fn take_lost(&mut self, matches: impl Fn(&Boot) -> bool) -> Vec<(TaskId, Run)> {
+        let (id, mut taken) = (self.id, Vec::new());
+        for record in &mut self.state.crashes {
+            let (round, step, index) = (record.round, record.step, record.index);
+            let lost = record.lost.extract_if(.., |(_, boot)| matches(boot));
+            taken.extend(lost.map(|(run, _)| (TaskId { job: id, round, step, index }, run)));
+        }
+        if !taken.is_empty() {
+            self.mark_dirty();
+        }
+        taken
+    }
+
+    /// Drops what is counted against tasks that are done or cleared.
+    fn clear_suspects(&mut self, cleared: impl Fn(&TaskId, &CrashRecord) -> bool) {
+        let (id, before) = (self.id, self.state.crashes.len());
+        let mut crashes = std::mem::take(&mut self.state.crashes);
+        crashes.retain(|c| {
+            let task = TaskId { job: id, round: c.round, step: c.step, index: c.index };
+            let done = self.task(&task).is_none_or(|t| t.done);
+            !done && !cleared(&task, c)
+        });
+        self.state.crashes = crashes;
+        if self.state.crashes.len() < before {
+            self.mark_dirty();
+        }
+    }
+}
+
+impl Slot {
+    /// Returns true if the run was on the worker when contact was lost, as far as known: a stop that
+    /// the worker confirmed before may have ended it.
+    fn was_running(&self, lost: Moment) -> bool {
+        match self.phase {
+            Phase::Planned(_) => false,
+            // After the loss, only a later boot can have confirmed the stop.
+            Phase::Closing { answered, .. } => answered.is_none_or(|at| at >= lost),
+            Phase::Starting | Phase::Running | Phase::Unheard => true,
+        }
+    }
+}
+
+impl Worker {
+    /// Returns when contact was lost. A worker that is known to have crashed and was never silent
+    /// has been lost since its last reply.
+    fn contact_loss(&self, now: Moment) -> ContactLoss {
+        self.loss.unwrap_or_else(|| ContactLoss::new(now, self.clock.map(|(_, at)| at)))
+    }
+
+    /// Returns true if the worker can't have left as planned when contact was lost. A worker that
+    /// was never listed in this epoch counts as ready.
+    fn was_ready(&self, lost: Moment) -> bool {
+        let Some(entry) = &self.entry else { return true };
+        entry.state == WorkerState::Ready
+            && self.ready.is_some_and(|at| lost.since(at) <= READY_AGE_MAX)
+    }
+
+    /// Returns true if a run had just started when contact was lost.
+    fn is_early(slot: &Slot, loss: &ContactLoss) -> bool {
+        slot.phase != Phase::Unheard
+            && slot.was_running(loss.at)
+            && slot.started >= loss.suspects_since
+    }
+
+    /// Lists, sorted, the jobs whose runs had just started when contact was lost.
+    fn suspects(&self, loss: &ContactLoss) -> Vec<JobId> {
+        let early = self.slots.iter().filter(|s| Self::is_early(s, loss));
+        let mut jobs: Vec<JobId> = early.map(|s| s.task.job).collect();
+        jobs.sort_unstable();
+        jobs.dedup();
+        jobs
+    }
+
+    /// Returns true if the worker must get no other runs because of a suspected one.
+    pub(crate) fn is_on_probation(&self, now: Moment) -> bool {
+        now < self.closed_until && !self.slots.is_empty()
+    }
+}
+
+impl ContactLoss {
+    /// `heard` is when the worker last replied; none if the call that failed tells by itself that
+    /// the worker has just failed.
+    fn new(now: Moment, heard: Option<Moment>) -> Self {
+        let since = now - SUSPECT_AGE_MAX;
+        Self { at: now, suspects_since: heard.map_or(since, |h| h.min(since)) }
+    }
+}
+
+impl Placer {
+    /// Counts a call to a worker that got no reply.
+    pub(super) fn count_unanswered(&mut self, at: usize, now: Moment, fault: &Fault) {
+        // A refused connection shows at once that the worker has failed, a time-out doesn't.
+        let prompt = matches!(fault, Fault::NotDone(_));
+        self.count_silence(at, now, prompt);
+    }
+
+    /// Counts a call to a worker that puts the worker in doubt.
+    pub(super) fn count_silence(&mut self, at: usize, now: Moment, prompt: bool) {
+        self.workers[at].silent += 1;
+        self.record_loss(at, now, prompt);
+    }
+
+    /// Records when contact with a worker was lost, unless it already is.
+    pub(super) fn record_loss(&mut self, at: usize, now: Moment, prompt: bool) {
+        let worker = &mut self.workers[at];
+        if worker.loss.is_some() {
+            return;
+        }
+        let heard = worker.clock.map(|(_, at)| at).filter(|_| !prompt);
+        let loss = ContactLoss::new(now, heard);
+        worker.loss = Some(loss);
+        if !worker.slots.is_empty() {
+            let suspects = worker.suspects(&loss);
+            self.silences.retain(|s| now.since(s.at) <= SILENCE_RETENTION);
+            self.silences.push(Silence { at: now, suspects });
+        }
+    }
+
+    /// Returns true if other workers fell silent at about the same time for another reason than the
+    /// runs that had just started here: a worker on which none had, or too many workers with others.
+    fn has_other_cause(&self, loss: &ContactLoss, suspects: &[JobId]) -> bool {
+        let near = |s: &&Silence| {
+            s.at.max(loss.at).since(s.at.min(loss.at)) <= SAME_CAUSE_WINDOW
+                && !s.suspects.iter().any(|j| suspects.binary_search(j).is_ok())
+        };
+        let others: Vec<&Silence> = self.silences.iter().filter(near).collect();
+        others.len() >= SAME_CAUSE_WORKERS || others.iter().any(|s| s.suspects.is_empty())
+    }
+
+    /// Handles the crash of a worker whose address now belongs to another boot: its runs are gone.
+    pub(super) fn handle_replaced(&mut self, ctx: &mut Context<'_>, at: usize) {
+        let worker = &mut self.workers[at];
+        if std::mem::replace(&mut worker.replaced, true) {
+            return;
+        }
+        log::info!(
+            event = "worker_replaced", worker:% = worker.id(), runs = worker.slots.len();
+            "another boot replies at the address of the worker, whose runs are lost"
+        );
+        self.count_worker_crash(ctx, at);
+        let slots = self.workers[at].slots.take();
+        for slot in slots {
+            self.release_lost_run(ctx, &slot, "its worker is replaced by another boot");
+        }
+    }
+
+    /// Counts a worker's crash against the tasks that ran there, and gives up those that go on
+    /// crashing workers.
+    pub(super) fn count_worker_crash(&mut self, ctx: &mut Context<'_>, at: usize) {
+        let now = ctx.clock.now;
+        self.record_loss(at, now, false);
+        let worker = &self.workers[at];
+        let boot = worker.boot.clone();
+        let loss = worker.contact_loss(now);
+        let mut runs = Vec::new();
+        if worker.was_ready(loss.at) {
+            let suspects = worker.suspects(&loss);
+            let external = self.has_other_cause(&loss, &suspects);
+            for slot in worker.slots.iter().filter(|s| s.was_running(loss.at)) {
+                let age = loss.at.since(slot.started);
+                let is_early = !external && Worker::is_early(slot, &loss);
+                let sole = is_early && suspects == [slot.task.job];
+                let (confirmed, remembered) = (slot.confirmed, false);
+                let evidence = CrashEvidence { confirmed, early: is_early, sole, age, remembered };
+                if age <= COUNTED_AGE_MAX && (slot.confirmed || is_early) {
+                    runs.push((slot.task, slot.run, evidence));
+                }
+            }
+        } else if !worker.slots.is_empty() {
+            log::info!(
+                event = "crash_uncounted", worker:% = boot.worker, runs = worker.slots.len();
+                "the worker may have left as planned"
+            );
+        }
+        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
+            let lost = job.take_lost(|b| *b == boot);
+            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::REMEMBERED)));
+        }
+        self.count_crashes(ctx, &boot, &runs);
+    }
+
+    /// Counts the crash of an earlier boot of a worker against the tasks that were lost with it.
+    pub(super) fn count_earlier_crash(&mut self, ctx: &mut Context<'_>, boot: &Boot) {
+        let mut runs = Vec::new();
+        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
+            let earlier = |b: &Boot| b.worker == boot.worker && b.born < boot.born;
+            let lost = job.take_lost(earlier);
+            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::REMEMBERED)));
+        }
+        self.count_crashes(ctx, boot, &runs);
+    }
+
+    /// Counts a crash that was found when a run was restored on a worker that has a later boot.
+    pub(super) fn count_restored_crash(
+        &mut self,
+        ctx: &mut Context<'_>,
+        boot: &Boot,
+        task: TaskId,
+        run: Run,
+    ) {
+        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::BELATED)]);
+    }
+
+    fn count_crashes(
+        &mut self,
+        ctx: &mut Context<'_>,
+        boot: &Boot,
+        runs: &[(TaskId, Run, CrashEvidence)],
+    ) {
+        for (task, run, evidence) in runs {
+            let Ok(j) = self.job_index(task.job) else { continue };
+            self.jobs[j].isolate_until = ctx.clock.now + ISOLATION_WAIT_MAX;
+            let Some(record) = self.jobs[j].count_crash(task, *run, evidence) else { continue };
+            log::info!(
+                event = "crash_counted", task:% = task, run = run.0, worker:% = boot.worker,
+                crashes = record.crashes, unsure = record.unsure, early = record.early, sole = record.sole,
+                suspects = runs.len(), age_ms = evidence.age.millis(); "the worker has crashed under the run"
+            );
+            if record.convicts() {
+                log::warn!(
+                    event = "job_given_up", job:% = task.job, task:% = task, crashes = record.crashes,
+                    unsure = record.unsure; "the task goes on crashing its workers; the job has failed"
+                );
+                metrics::counter!("bulrushlink_jobs_given_up_total").increment(1);
+                self.jobs[j].finish(Outcome::Failed, ctx.clock.wall);
+                self.stop_job(ctx, task.job);
+            }
+        }
+        self.stale |= !runs.is_empty();
+    }
+
+    /// Remembers a run that is lost with its lease, unless its worker may have left as planned.
+    pub(super) fn remember_lost(&mut self, at: usize, slot: &Slot, boot: &Boot, now: Moment) {
+        let loss = self.workers[at].contact_loss(now);
+        let counts = slot.confirmed
+            && slot.was_running(loss.at)
+            && loss.at.since(slot.started) <= COUNTED_AGE_MAX
+            && self.workers[at].was_ready(loss.at);
+        if counts && let Ok(j) = self.job_index(slot.task.job) {
+            self.jobs[j].remember_lost(&slot.task, slot.run, boot);
+        }
+    }
+
+    /// Drops the lost runs of a boot that turns out to be alive.
+    pub(super) fn forget_lost(&mut self, boot: &Boot) {
+        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
+            job.take_lost(|b| b == boot);
+        }
+    }
+
+    /// Clears the tasks that are done, or that run well past the age at which their workers crashed.
+    pub(super) fn clear_suspects(&mut self, now: Moment) {
+        let workers = &self.workers;
+        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
+            let state = &job.state;
+            let mut cleared = Vec::new();
+            for (task, run, boot) in state.placed_tasks(job.id) {
+                let Ok(at) = job.crash_index(&task) else { continue };
+                let past = CLEARED_AGE_MIN + Span(2 * state.crashes[at].age_ms);
+                let Ok(w) = workers.binary_search_by(|w| w.id().cmp(&boot.worker)) else {
+                    continue;
+                };
+                let Some(s) = workers[w].slot_index(&task, run) else { continue };
+                let slot = &workers[w].slots[s];
+                let runs = slot.phase == Phase::Running && workers[w].silent == 0;
+                if runs && now.since(slot.since) > past {
+                    cleared.push(task);
+                }
+            }
+            job.clear_suspects(|task, _| cleared.contains(task));
+        }
+    }
+
+    /// Postpones the suspected tasks of a job while one of them runs on a worker that may be about
+    /// to crash or has crashed. Returns the jobs whose suspected tasks have to wait.
+    pub(super) fn postpone_suspects(&mut self, now: Moment) -> Vec<JobId> {
+        let workers = &self.workers;
+        let mut postponed = Vec::new();
+        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty() && !j.is_over()) {
+            let at_risk = |task: &TaskId, boot: &Boot| {
+                let worker = workers.binary_search_by(|w| w.id().cmp(&boot.worker));
+                job.is_suspect(task)
+                    && worker.is_ok_and(|w| workers[w].silent > 0 || now < workers[w].closed_until)
+            };
+            if job.state.placed_tasks(job.id).any(|(task, _, boot)| at_risk(&task, boot)) {
+                job.isolate_until = now + ISOLATION_WAIT_MAX;
+                postponed.push(job.id);
+            }
+        }
+        postponed
+    }
+
+    /// Keeps other runs away from a worker that gets a run of a suspected task.
+    pub(super) fn guard_suspect(&mut self, at: usize, task: &TaskId, now: Moment) {
+        let suspect = self.job_index(task.job).is_ok_and(|j| self.jobs[j].is_suspect(task));
+        if suspect {
+            self.workers[at].closed_until = now + PROBATION;
+        }
+    }
+}
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -88,15 +88,21 @@
         let shape = Shape {
             endpoint: job.queue(ctx.catalog).endpoint.clone(),
             trusted: unit.has_failed,
+            alone: unit.suspects && ctx.clock.now < job.isolate_until,
             anywhere,
             count: if step.gang { unit.waiting.len() } else { 1 },
             step,
         };
         if !fleet.lacks_room(&shape) {
-            let placed = self.find_room(unit, &shape, fleet);
+            let mut placed = self.find_room(unit, &shape, fleet);
             if placed.len() < unit.waiting.len() {
                 fleet.record_no_room(&shape);
             }
+            if shape.alone && !shape.step.gang {
+                // The first worker tells whether the job goes on crashing workers.
+                let first = placed.first().copied();
+                placed.retain(|at| Some(*at) == first);
+            }
             if !placed.is_empty() {
                 if let Some(claim) = claim {
                     self.drop_claim(claim, &shape.step.need, fleet);
@@ -107,7 +113,7 @@
                 return;
             }
         }
-        if shape.step.gang && claim.is_none() {
+        if shape.step.gang && claim.is_none() && !shape.alone {
             self.preempt_for(ctx, unit, &shape, guaranteed, fleet);
         }
     }
@@ -154,7 +160,7 @@
             rack: entry.and_then(|e| e.rack.as_ref()),
             recent_faults: worker.recent_faults(ctx.clock.now),
             band: worker.pace.band(mean_log),
-            open: self.may_start(ctx, at),
+            open: self.may_start(ctx, at) && !worker.is_on_probation(ctx.clock.now),
         }
     }
 
@@ -204,9 +210,11 @@
                 percent: 0,
                 moved: now,
                 fresh,
+                confirmed: false,
                 telling: fresh,
             });
-            places.push(format!("{index}:{}", worker.id()));
+            self.guard_suspect(*at, &task, now);
+            places.push(format!("{index}:{}", self.workers[*at].id()));
         }
         let job = &self.jobs[j];
         log::info!(
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -17,6 +17,8 @@
     pub(super) step: Step,
     /// Only workers without recent faults may be used.
     pub(super) trusted: bool,
+    /// Only workers without runs may be used.
+    pub(super) alone: bool,
     /// The tasks may run away from the rack of their data, and a gang on several racks.
     pub(super) anywhere: bool,
     /// Number of tasks that have to be placed together.
@@ -33,6 +35,7 @@
         let (a, b) = (&self.step, &other.step);
         self.endpoint == other.endpoint
             && self.trusted == other.trusted
+            && self.alone == other.alone
             && self.anywhere == other.anywhere
             && self.count <= other.count
             && other.step.need.fits(&self.step.need)
@@ -313,7 +316,9 @@
     ) -> (&mut [Room], &Racks) {
         for (at, room) in self.rooms.iter_mut().enumerate() {
             let trusted = !shape.trusted || room.doubt == 0;
-            room.usable = self.open[at] && trusted && eligible(at);
+            let vacant = !shape.alone
+                || (room.free == room.capacity && room.claimed == Resources::default());
+            room.usable = self.open[at] && trusted && vacant && eligible(at);
             room.siblings = 0;
             room.victims.clear();
         }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -4,7 +4,7 @@
 
 use bulrushlink_core::{Moment, Span, WorkerId};
 
-use crate::edge::{EndCause, EndReport, Fault, RunReport, WorkerOp, WorkerReply};
+use crate::edge::{EndCause, EndReport, Fault, RunReport, StartRefusal, WorkerOp, WorkerReply};
 use crate::ids::{JobId, TaskId};
 use crate::model::Resources;
 
@@ -105,7 +105,7 @@
                 if let Some(born) = born
                     && born > self.workers[at].boot.born
                 {
-                    self.handle_reboot(at, born, now);
+                    self.handle_reboot(ctx, at, born);
                 } else if born.is_some_and(|b| b < self.workers[at].boot.born) {
                     return;
                 }
@@ -115,7 +115,10 @@
                 log::info!(event = "hold_refused", worker:% = id; "{refusal}");
                 self.step_down_if_fenced(refusal);
                 self.workers[at].hold_next = now + HOLD_RETRY_DELAY;
-                self.workers[at].silent += 1;
+                self.count_silence(at, now, true);
+                if refusal == StartRefusal::OtherBoot {
+                    self.handle_replaced(ctx, at);
+                }
             }
             Ok(WorkerReply::Done) => {
                 log::error!(event = "worker_answer", worker:% = id; "reply to a hold without lists")
@@ -125,8 +128,8 @@
                 if worker.silent == 0 {
                     log::info!(event = "worker_silent", worker:% = id, cause:% = fault; "no reply to a hold");
                 }
-                worker.silent += 1;
                 worker.hold_next = now + HOLD_RETRY_DELAY;
+                self.count_unanswered(at, now, &fault);
             }
         }
         self.stale = true;
@@ -145,10 +148,12 @@
         let now = ctx.clock.now;
         let lease_max = ctx.bounds.lease_max_ms;
         let worker = &mut self.workers[at];
+        let out_of_contact = worker.silent > 0 || !worker.fenced;
         if worker.silent > 0 {
             log::info!(event = "worker_heard", worker:% = worker.id(); "the worker replies again");
         }
         worker.silent = 0;
+        worker.loss = None;
         worker.hold_next = now;
         worker.told = worker.told.max(call.acked);
         if let Some(clock) = clock {
@@ -159,6 +164,10 @@
                 worker.promised = worker.promised.max(clock.saturating_add(lease_max));
             }
         }
+        if out_of_contact {
+            let boot = self.workers[at].boot.clone();
+            self.forget_lost(&boot);
+        }
         for end in ended {
             self.process_end(ctx, at, end);
         }
@@ -323,6 +332,7 @@
             percent: report.percent,
             moved: now,
             fresh: false,
+            confirmed: true,
             telling: false,
         });
     }
@@ -369,8 +379,10 @@
             );
             // The worker has to report its runs before it gets a new one.
             worker.fenced = false;
+            let boot = worker.boot.clone();
             let slots = worker.slots.take();
             for slot in slots {
+                self.remember_lost(at, &slot, &boot, now);
                 self.release_lost_run(ctx, &slot, "its lease has expired");
             }
         }
@@ -392,7 +404,8 @@
 
 /// Returns the next hold of a worker, if it needs one now.
 fn next_hold(worker: &Worker, now: Moment, lease_max: u64) -> Option<WorkerOp> {
-    if worker.hold.is_some() || now < worker.hold_next || worker.entry.is_none() {
+    if worker.hold.is_some() || now < worker.hold_next || worker.entry.is_none() || worker.replaced
+    {
         return None;
     }
     let unacked = worker.acked > worker.told;
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -36,6 +36,9 @@
     pub(crate) starts: bool,
     /// No task of the job is started before this time.
     pub(crate) rest: Moment,
+    /// The job's suspected tasks, under which workers have crashed, wait until this time for
+    /// workers without other runs.
+    pub(crate) isolate_until: Moment,
     /// Learned rates of the steps' tasks, in order of the steps.
     pub(super) paces: Vec<StepPace>,
 }
@@ -82,6 +85,7 @@
             marked,
             starts: false,
             rest: Moment::default(),
+            isolate_until: Moment::default(),
             paces,
         }
     }
@@ -360,6 +364,7 @@
         self.state.outcome = Some(outcome);
         self.state.ended = wall;
         self.state.rounds.clear();
+        self.state.crashes.clear();
         self.mark_dirty();
     }
 }
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -132,19 +132,21 @@
         );
         for (boot, task, run, need) in runs {
             let slot = unheard_slot(task, run, need, now);
-            self.restore_run(boot, slot, now);
+            self.restore_run(ctx, boot, slot);
         }
         self.apply_pending_cancels(ctx);
     }
 
     /// Puts a recorded run on its worker, or clears its place if that boot is known to be gone.
-    fn restore_run(&mut self, boot: Boot, slot: Slot, now: Moment) {
+    fn restore_run(&mut self, ctx: &mut Context<'_>, boot: Boot, slot: Slot) {
+        let now = ctx.clock.now;
         match self.worker_index(&boot.worker) {
             Ok(at) if self.workers[at].boot == boot => self.workers[at].insert_slot(slot),
             Ok(_) => {
                 if let Ok(at) = self.job_index(slot.task.job) {
                     self.jobs[at].clear_place(&slot.task, slot.run);
                 }
+                self.count_restored_crash(ctx, &boot, slot.task, slot.run);
             }
             Err(at) => {
                 self.fences += 1;
@@ -206,6 +208,14 @@
                 worker.missing = Some(now);
             }
         }
+        // Workers that have crashed together are compared with each other.
+        for entry in &entries {
+            if let Ok(at) = self.worker_index(&entry.id)
+                && self.workers[at].boot.born < entry.born
+            {
+                self.record_loss(at, now, false);
+            }
+        }
         let mut short_notice = false;
         for entry in entries {
             short_notice |= self.update_worker(ctx, entry);
@@ -219,18 +229,23 @@
 
     /// Applies the entry of a worker. Returns true if it shows that the worker, which was ready until
     /// now, leaves at short notice.
-    fn update_worker(&mut self, ctx: &Context<'_>, entry: WorkerEntry) -> bool {
+    fn update_worker(&mut self, ctx: &mut Context<'_>, entry: WorkerEntry) -> bool {
         let now = ctx.clock.now;
+        let listed = self.reading.fresh.filter(|_| entry.state == WorkerState::Ready);
         let boot = Boot { worker: entry.id.clone(), born: entry.born };
         match self.worker_index(&entry.id) {
             Err(at) => {
                 self.fences += 1;
-                self.workers.insert(at, Worker::new(boot, self.fences, Some(entry), now));
+                let mut worker = Worker::new(boot.clone(), self.fences, Some(entry), now);
+                worker.ready = listed;
+                self.workers.insert(at, worker);
+                self.count_earlier_crash(ctx, &boot);
                 false
             }
             Ok(at) if self.workers[at].boot.born < boot.born => {
-                self.handle_reboot(at, boot.born, now);
+                self.handle_reboot(ctx, at, boot.born);
                 self.workers[at].entry = Some(entry);
+                self.workers[at].ready = listed;
                 false
             }
             Ok(at) if self.workers[at].boot.born == boot.born => {
@@ -249,6 +264,7 @@
                 let leaves_at =
                     short.filter(|_| known == Some(WorkerState::Ready)).map(|notice| now + notice);
                 worker.leaves_at = worker.leaves_at.or(leaves_at);
+                worker.ready = listed.or(worker.ready);
                 worker.entry = Some(entry);
                 leaves_at.is_some()
             }
@@ -260,7 +276,9 @@
     /// Handles a new boot under a known identifier. Runs of the earlier boot are lost, but starts
     /// sent in the meantime may have reached the new boot. The new fence makes it refuse those that
     /// arrive later.
-    pub(super) fn handle_reboot(&mut self, at: usize, born: u64, now: Moment) {
+    pub(super) fn handle_reboot(&mut self, ctx: &mut Context<'_>, at: usize, born: u64) {
+        let now = ctx.clock.now;
+        self.count_worker_crash(ctx, at);
         let worker = &mut self.workers[at];
         log::info!(
             event = "worker_reborn", worker:% = worker.id(), born = born,
@@ -280,7 +298,7 @@
             if let Ok(j) = self.jobs.binary_search_by_key(&slot.task.job, |j| j.id) {
                 self.jobs[j].move_to_boot(&slot.task, slot.run, &boot);
             }
-            rebooted.insert_slot(Slot { phase, since: now, ..slot });
+            rebooted.insert_slot(Slot { phase, since: now, confirmed: false, ..slot });
         }
         self.workers[at] = rebooted;
         self.stale = true;
@@ -306,6 +324,7 @@
         percent: 0,
         moved: now,
         fresh: false,
+        confirmed: true,
         telling: false,
     }
 }
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -103,6 +103,7 @@
         let tag = PlacerTag::Start(target.worker.clone(), target.fence, *task, run);
         let timeout = call_timeout(ctx);
         self.call_worker(ctx, target, tag, op, timeout);
+        self.guard_suspect(at, task, now);
         metrics::counter!("bulrushlink_starts_total").increment(1);
     }
 
@@ -137,6 +138,7 @@
                 self.start_refused(ctx, at, s, refusal);
             }
             Ok(_) => {
+                slot.confirmed = true;
                 if slot.phase == Phase::Starting {
                     slot.phase = Phase::Running;
                     slot.since = now;
@@ -145,7 +147,7 @@
             Err(Fault::NotDone(cause)) if slot.phase == Phase::Starting => {
                 log::info!(event = "start_failed", task:% = task, run = run.0, worker:% = id, cause:% = cause; "the start was not sent");
                 let slot = self.workers[at].slots.remove(s);
-                self.workers[at].silent += 1;
+                self.count_silence(at, now, true);
                 self.release_lost_run(ctx, &slot, "the start was not sent");
             }
             Err(fault) => {
@@ -154,7 +156,7 @@
                     slot.phase = Phase::Closing { sent: None, answered: None, next: now };
                     slot.since = now;
                 }
-                self.workers[at].silent += 1;
+                self.count_unanswered(at, now, &fault);
                 if self.is_gang(task) {
                     self.stop_gang(ctx, task, run, "no reply to the start of a gang member");
                 }
@@ -178,7 +180,7 @@
             StartRefusal::Unhealthy | StartRefusal::NoRoom => {
                 worker.record_fault(now, slot.task.job);
             }
-            StartRefusal::OtherBoot => worker.silent += 1,
+            StartRefusal::OtherBoot => self.count_silence(at, now, true),
             StartRefusal::LeaseOver | StartRefusal::OldRun | StartRefusal::BadCall => {}
             StartRefusal::Fenced => self.step_down_if_fenced(refusal),
         }
@@ -186,6 +188,9 @@
             self.jobs[j].rest = now + REFUSED_START_BACKOFF;
         }
         self.release_lost_run(ctx, &slot, "the start was refused");
+        if refusal == StartRefusal::OtherBoot {
+            self.handle_replaced(ctx, at);
+        }
     }
 
     /// Steps down if a worker has seen a higher epoch.
@@ -306,7 +311,8 @@
                 log::info!(event = "stop_refused", task:% = task, run = run.0, worker:% = id; "{refusal}");
                 worker.slots[s].phase = retry;
                 if refusal == StartRefusal::OtherBoot {
-                    worker.silent += 1;
+                    self.count_silence(at, now, true);
+                    self.handle_replaced(ctx, at);
                 }
                 self.step_down_if_fenced(refusal);
             }
@@ -317,7 +323,7 @@
             Err(fault) => {
                 log::debug!(event = "stop_unknown", task:% = task, worker:% = id, cause:% = fault; "no reply to the stop, which will be retried");
                 worker.slots[s].phase = retry;
-                worker.silent += 1;
+                self.count_unanswered(at, now, &fault);
             }
         }
     }
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -24,6 +24,8 @@
     pub(super) priority: u32,
     /// A run of the step has failed, so workers with recent faults are excluded.
     pub(super) has_failed: bool,
+    /// Workers have crashed under these tasks, or under members of this gang.
+    pub(super) suspects: bool,
 }
 
 impl Unit {
@@ -59,16 +61,24 @@
     }
 
     /// Lists all units that may start.
-    pub(super) fn units(&self, ctx: &Context<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
+    pub(super) fn units(&mut self, ctx: &Context<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
+        let postponed = self.postpone_suspects(ctx.clock.now);
         let mut units = Vec::new();
         let orphaned_tasks = self.orphaned_tasks();
         for job in self.jobs.iter().filter(|j| !j.is_over() && ctx.clock.now >= j.rest) {
             let is_guaranteed = guaranteed.binary_search(&job.id).is_ok();
             for round in &job.state.rounds {
                 let steps = 0..round.steps.len();
-                units.extend(steps.filter_map(|n| {
+                let waiting = steps.filter_map(|n| {
                     waiting_unit(ctx, job, round, n, is_guaranteed, &orphaned_tasks)
-                }));
+                });
+                if job.state.crashes.is_empty() {
+                    units.extend(waiting);
+                } else {
+                    let parts = waiting.flat_map(|unit| split_suspects(job, unit));
+                    let postponed = postponed.contains(&job.id);
+                    units.extend(parts.filter(|u| !(u.suspects && postponed)));
+                }
             }
         }
         units
@@ -136,9 +146,22 @@
         guaranteed,
         priority: queue.priority,
         has_failed: record.failures > 0 || record.tasks.iter().any(|t| t.failures > 0),
+        suspects: false,
     })
 }
 
+/// Separates the suspected tasks of a unit from the others; a gang stays together.
+fn split_suspects(job: &Job, unit: Unit) -> Vec<Unit> {
+    let gang = job.step(&unit.task(0)).is_some_and(|s| s.gang);
+    let (suspects, others): (Vec<u32>, Vec<u32>) =
+        unit.waiting.iter().partition(|index| job.is_suspect(&unit.task(**index)));
+    if suspects.is_empty() || others.is_empty() || gang {
+        return vec![Unit { suspects: !suspects.is_empty(), ..unit }];
+    }
+    let first = Unit { waiting: suspects, suspects: true, ..unit.clone() };
+    vec![first, Unit { waiting: others, ..unit }]
+}
+
 /// Returns an upper bound on the accelerators that a job uses at once: the sum over its steps.
 fn max_accelerators(job: &Job) -> u64 {
     job.spec.steps.iter().map(|s| u64::from(s.tasks) * s.need.accelerators).sum()
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -62,6 +62,8 @@
     pub(crate) moved: Moment,
     /// This placer started the run, and not from a checkpoint.
     pub(crate) fresh: bool,
+    /// The worker has confirmed the start, or an earlier placer has recorded it.
+    pub(crate) confirmed: bool,
     /// The run may still give a sample of its worker's speed; each run gives at most one.
     pub(crate) telling: bool,
 }
@@ -92,6 +94,15 @@
     pub(crate) acked: u64,
 }
 
+/// When contact with a worker was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct ContactLoss {
+    /// When the first call failed.
+    pub(crate) at: Moment,
+    /// Runs that started since then had just started when the worker failed, if it did.
+    pub(crate) suspects_since: Moment,
+}
+
 /// Whether a worker replies to calls of the present epoch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Reachability {
@@ -141,6 +152,14 @@
     /// Calls that got no reply, or a refusal that puts the worker in doubt, since its latest reply
     /// to a hold.
     pub(crate) silent: u32,
+    /// When the first of these calls failed.
+    pub(crate) loss: Option<ContactLoss>,
+    /// When the latest read that lists the worker as ready was sent.
+    pub(crate) ready: Option<Moment>,
+    /// Another boot replies at its address, so this one is gone.
+    pub(crate) replaced: bool,
+    /// It gets no runs until this time, or until it has none: a suspected run has just started.
+    pub(crate) closed_until: Moment,
     /// Its learned speed relative to the others.
     pub(super) pace: WorkerPace,
 }
@@ -159,6 +178,7 @@
 
     /// Applies the worker's report of the run.
     pub(crate) fn apply_report(&mut self, report: &RunReport, now: Moment) {
+        self.confirmed = true;
         if matches!(self.phase, Phase::Starting | Phase::Unheard) {
             self.phase = Phase::Running;
             self.since = now;
@@ -195,6 +215,10 @@
             faults: Vec::new(),
             shunned: Moment::default(),
             silent: 0,
+            loss: None,
+            ready: None,
+            replaced: false,
+            closed_until: Moment::default(),
             pace: WorkerPace::default(),
         }
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -82,6 +82,49 @@
     pub(crate) steps: Vec<StepRecord>,
 }
 
+/// Crashes of workers under a task.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CrashRecord {
+    /// Number of the task's round.
+    pub(crate) round: u32,
+    /// Number of the task's step.
+    pub(crate) step: u16,
+    /// Index of the task in its step.
+    pub(crate) index: u32,
+    /// Number of runs under which a worker has crashed.
+    pub(crate) crashes: u32,
+    /// Number of runs whose start got no reply before the worker crashed.
+    pub(crate) unsure: u32,
+    /// How many of `crashes` came soon after the start.
+    pub(crate) early: u32,
+    /// How many of `early` came while no run of another job had just started on the worker.
+    pub(crate) sole: u32,
+    /// Greatest age of a run at the crash, in milliseconds.
+    pub(crate) age_ms: u64,
+    /// The latest counted run; a run counts once.
+    pub(crate) counted: Run,
+    /// Runs whose leases expired without an end. They count if their boot turns out to have crashed.
+    pub(crate) lost: Vec<(Run, Boot)>,
+}
+
+impl CrashRecord {
+    /// Returns the record of a task under which no worker has crashed.
+    pub(crate) fn new(round: u32, step: u16, index: u32) -> Self {
+        Self {
+            round,
+            step,
+            index,
+            crashes: 0,
+            unsure: 0,
+            early: 0,
+            sole: 0,
+            age_ms: 0,
+            counted: Run::default(),
+            lost: Vec::new(),
+        }
+    }
+}
+
 /// The progress of a job.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StateRecord {
@@ -98,6 +141,9 @@
     pub(crate) rounds: Vec<RoundRecord>,
     /// Numbers of the done rounds, sorted.
     pub(crate) finished: Vec<u32>,
+    /// Crashes of workers under the job's tasks, sorted by round, step and index. Appended later:
+    /// records without it are read as having none, and earlier versions don't read it.
+    pub(crate) crashes: Vec<CrashRecord>,
 }
 
 impl StateRecord {
@@ -127,13 +173,26 @@
     }
 }
 
+/// A record that is kept in the store.
+pub(crate) trait Stored: Serialize + DeserializeOwned {
+    /// Number of fields appended since the first version of the layout. Each is empty if it is
+    /// missing.
+    const APPENDED: usize = 0;
+}
+
+impl Stored for JobRecord {}
+
+impl Stored for StateRecord {
+    const APPENDED: usize = 1;
+}
+
 /// Encodes a record.
 ///
 /// # Errors
 ///
 /// [`Code::FieldInvalid`] if the record can't be encoded, which doesn't happen for the records of
 /// this module.
-pub(crate) fn encode<T: Serialize>(record: &T) -> Result<Vec<u8>, Error> {
+pub(crate) fn encode<T: Stored>(record: &T) -> Result<Vec<u8>, Error> {
     let start = vec![LAYOUT_VERSION];
     postcard::to_extend(record, start).map_err(|e| Error::new(Code::FieldInvalid, e.to_string()))
 }
@@ -143,10 +202,15 @@
 /// # Errors
 ///
 /// [`Code::FieldInvalid`] if the bytes are no record of this type and layout.
-pub(crate) fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+pub(crate) fn decode<T: Stored>(bytes: &[u8]) -> Result<T, Error> {
     let bad = |text: String| Error::new(Code::FieldInvalid, text);
     match bytes.split_first() {
-        Some((&LAYOUT_VERSION, rest)) => postcard::from_bytes(rest).map_err(|e| bad(e.to_string())),
+        Some((&LAYOUT_VERSION, rest)) => {
+            // An empty list is encoded as a zero; what follows the last field is not read.
+            let mut padded = rest.to_vec();
+            padded.resize(rest.len() + T::APPENDED, 0);
+            postcard::from_bytes(&padded).map_err(|e| bad(e.to_string()))
+        }
         Some((other, _)) => Err(bad(format!("unknown layout {other} of a record"))),
         None => Err(bad("empty record".to_string())),
     }
@@ -209,3 +273,6 @@
     /// Revision of the latest write.
     pub rev: Rev,
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/fleet/src/record/tests.rs
@@ -0,0 +1,47 @@
+//! Tests that daemons of different versions read each other's records.
+
+use super::{
+    CrashRecord, LAYOUT_VERSION, Outcome, RoundRecord, StateRecord, StepRecord, TaskRecord, decode,
+    encode,
+};
+use crate::ids::{Boot, Run};
+use bulrushlink_core::WorkspaceId;
+
+/// The fields of a state before crashes were counted, in their order.
+type FirstState = (Option<WorkspaceId>, Option<Outcome>, u64, bool, Vec<RoundRecord>, Vec<u32>);
+
+fn boot() -> Boot {
+    Boot { worker: "i-1".parse().expect("a valid name"), born: 7 }
+}
+
+fn first_state() -> FirstState {
+    let task = TaskRecord { run: Run(3), place: Some(boot()), ..TaskRecord::default() };
+    let steps = vec![StepRecord { tasks: vec![task], ..StepRecord::default() }];
+    (None, None, 0, true, vec![RoundRecord { round: 2, steps }], vec![0, 1])
+}
+
+/// Guards against accepted jobs that are ignored after an upgrade because their records can't be
+/// read.
+#[test]
+fn state_of_an_earlier_version_is_read_without_crashes() {
+    let (workspace, outcome, ended, begun, rounds, finished) = first_state();
+    let bytes = postcard::to_extend(&first_state(), vec![LAYOUT_VERSION]).expect("encodable");
+    let state: StateRecord = decode(&bytes).expect("readable");
+    let crashes = Vec::new();
+    let expected = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
+    assert_eq!(state, expected);
+}
+
+/// Guards against jobs that a daemon of an earlier version ignores while daemons are upgraded one by
+/// one.
+#[test]
+fn earlier_version_reads_a_state_with_crashes() {
+    let (workspace, outcome, ended, begun, rounds, finished) = first_state();
+    let lost = vec![(Run(2), boot())];
+    let crashes = vec![CrashRecord { crashes: 1, lost, ..CrashRecord::new(2, 0, 0) }];
+    let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
+    let bytes = encode(&state).expect("encodable");
+    assert_eq!(bytes[0], LAYOUT_VERSION);
+    assert_eq!(postcard::from_bytes::<FirstState>(&bytes[1..]), Ok(first_state()));
+    assert_eq!(decode::<StateRecord>(&bytes), Ok(state));
+}
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -13,7 +13,10 @@
 use super::record::{Breach, JobTrack, Record, SubmitOutcome};
 use super::store::SimStore;
 
+pub use deadly::DeadlyTasks;
+
 mod calls;
+mod deadly;
 mod people;
 mod troubles;
 mod work;
@@ -133,6 +136,15 @@
     Submit(usize, JobId),
     Cancel(usize, JobId),
     Leave(usize, u64),
+    /// A deadly task crashes its worker.
+    Crash {
+        worker: usize,
+        born: u64,
+        task: TaskId,
+        downtime: u64,
+    },
+    /// A worker boots after the crash of an earlier boot.
+    Boot(usize, u64),
 }
 
 type Reply = Result<bulrushlink_fleet::StoreReply, Fault>;
@@ -361,6 +373,7 @@
             shown_state: None,
             done: Vec::new(),
             unacked: Vec::new(),
+            failed_runs: Vec::new(),
             started: false,
         });
         self.schedule(at, Event::Submit(daemon, id));
@@ -555,6 +568,10 @@
                     self.remove(worker);
                 }
             }
+            Event::Crash { worker, born, task, downtime } => {
+                self.crash_for(worker, born, &task, downtime);
+            }
+            Event::Boot(worker, born) => self.boot(worker, born),
         }
     }
 }
--- a/crates/lab/src/fleet/lab/calls.rs
+++ b/crates/lab/src/fleet/lab/calls.rs
@@ -123,6 +123,7 @@
         let worker = &mut self.workers[index];
         let (reply, started) = worker.call(now, request.token, &request.op, make, &limits);
         let clock = Some(worker.clock(now));
+        let mut crashes = false;
         if let Some((task, run)) = started {
             let capacity = worker.entry.capacity;
             if !capacity.fits(&worker.used()) {
@@ -133,13 +134,14 @@
             }
             self.record.record_start(now, (task, run, index), CANCEL_GRACE_MS);
             self.register_gang_member(index, task, run);
+            crashes = self.schedule_crash(index, &task);
             let fails = self.random.f64() < self.noise.run_fails;
             if fails || self.workers[index].failing {
                 let last = self.workers[index].runs.len() - 1;
                 self.end_run(index, last, EndCause::Failed);
             }
         }
-        if lost {
+        if lost || crashes {
             return;
         }
         let PendingCall { daemon, incarnation, call, tag, .. } = waiting;
--- a/crates/lab/src/fleet/lab/people.rs
+++ b/crates/lab/src/fleet/lab/people.rs
@@ -57,13 +57,15 @@
     }
 
     /// Records a violation for each accepted job that has not ended and for each job that is shown
-    /// as completed with a task that is not done. To be called long after the last fault.
+    /// as completed with a task that is not done, or as failed without cause. To be called long after the last fault.
     pub fn check_ends(&mut self) {
         let ids: Vec<JobId> = self.record.jobs.iter().map(|j| j.id).collect();
         for id in ids {
             let shown = self.state(id);
             let now = self.now;
-            let Some(job) = self.record.job(id) else { continue };
+            let queues = &self.store.catalog().queues;
+            let Some(job) = self.record.jobs.iter().find(|j| j.id == id) else { continue };
+            let attempts = queues.iter().find(|q| q.name == job.queue).map_or(1, |q| q.attempts);
             let cancelled = job.cancel_requested;
             let ended = matches!(shown, Some(ShownState::Completed | ShownState::Failed))
                 || (cancelled && shown == Some(ShownState::Cancelled));
@@ -74,6 +76,9 @@
                 (_, Some(ShownState::Completed)) if !job.is_done() => {
                     format!("{id} is shown as completed, and a task is not done")
                 }
+                (_, Some(ShownState::Failed)) if !self.record.may_fail(job, attempts) => {
+                    format!("{id} is shown as failed without cause")
+                }
                 _ => continue,
             };
             self.record.record_violation(now, text);
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -60,6 +60,9 @@
     }
 
     pub(super) fn remove(&mut self, worker: usize) {
+        if !self.workers[worker].up {
+            return;
+        }
         self.crash(worker);
         self.workers[worker].up = false;
     }
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -2,7 +2,15 @@
 //! invariants.
 
 use bulrushlink_fleet::{EndCause, JobId, JobSpec, Run, ShownState, TaskId};
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
+
+use super::lab::DeadlyTasks;
+
+/// Crashes of workers under a task after which it may be given up.
+const CRASHES_TO_GIVE_UP: u32 = 2;
+/// Crashes of workers under a deadly task after which it may be started only `STARTS_LEFT` times.
+const CRASHES_MAX: u32 = 3;
+const STARTS_LEFT: u32 = 2;
 
 /// A violated invariant of the scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -41,6 +49,8 @@
     pub(super) done: Vec<TaskId>,
     /// Successful ends of runs that no placer has acknowledged.
     pub(super) unacked: Vec<UnackedEnd>,
+    /// Runs that have failed, sorted; each run of a gang is listed under the task of index 0.
+    pub(super) failed_runs: Vec<(TaskId, Run)>,
     pub(super) started: bool,
 }
 
@@ -85,6 +95,12 @@
     pub(super) finished: BTreeSet<(TaskId, Run)>,
     /// Times and descriptions of events, to explain a violation.
     pub(super) trace: Vec<(u64, String)>,
+    pub(super) deadly: Vec<DeadlyTasks>,
+    /// Number of workers that crashed because they started a deadly task.
+    pub(super) deadly_crashes: u64,
+    /// For each task, how many workers have crashed while it ran there, and how often it has been
+    /// started since there were `CRASHES_MAX`.
+    pub(super) crashes: BTreeMap<TaskId, (u32, u32)>,
 }
 
 impl Record {
@@ -115,6 +131,7 @@
             self.record_violation(now, text);
         }
         self.live.push((task, run, worker));
+        self.check_starts_after_crashes(now, &task);
         let Some(job) = self.jobs.iter_mut().find(|j| j.id == task.job) else {
             return self.record_violation(now, format!("{task} belongs to no job"));
         };
@@ -150,6 +167,33 @@
         texts.into_iter().for_each(|text| self.record_violation(now, text));
     }
 
+    /// Records a violation if a deadly task is started too often.
+    fn check_starts_after_crashes(&mut self, now: u64, task: &TaskId) {
+        let deadly = self.deadly.iter().any(|d| d.contains(task));
+        let Some((crashes, starts)) = self.crashes.get_mut(task) else { return };
+        if !deadly || *crashes < CRASHES_MAX {
+            return;
+        }
+        *starts += 1;
+        if *starts > STARTS_LEFT {
+            let text = format!("{task} is started again after {crashes} workers crashed under it");
+            self.record_violation(now, text);
+        }
+    }
+
+    /// Returns true if a job may be shown as failed: a task has failed so many times, or workers
+    /// have crashed under it.
+    pub(super) fn may_fail(&self, job: &JobTrack, attempts: u32) -> bool {
+        let used_up = job
+            .failed_runs
+            .chunk_by(|a, b| a.0 == b.0)
+            .any(|failures| failures.len() as u32 >= attempts);
+        let crashed = |(task, (crashes, _)): (&TaskId, &(u32, u32))| {
+            task.job == job.id && *crashes >= CRASHES_TO_GIVE_UP
+        };
+        used_up || self.crashes.iter().any(crashed)
+    }
+
     /// Records the end of a run.
     pub(super) fn record_end(
         &mut self,
@@ -162,6 +206,15 @@
         if cause == EndCause::Alone {
             self.gang_timeouts += 1;
         }
+        if cause == EndCause::Failed
+            && let Some(job) = self.job(task.job)
+        {
+            let gang = job.spec.steps[usize::from(task.step)].gang;
+            let failed = (TaskId { index: if gang { 0 } else { task.index }, ..task }, run);
+            if let Err(at) = job.failed_runs.binary_search(&failed) {
+                job.failed_runs.insert(at, failed);
+            }
+        }
         if cause == EndCause::Done {
             self.finished.insert((TaskId { index: 0, ..task }, run));
         }
@@ -197,6 +250,9 @@
 
     /// Records the crash of a worker, with the loss of its runs and of its list of ends.
     pub(super) fn record_crash(&mut self, worker: usize) {
+        for (task, ..) in self.live.iter().filter(|(_, _, w)| *w == worker) {
+            self.crashes.entry(*task).or_default().0 += 1;
+        }
         self.live.retain(|(_, _, w)| *w != worker);
         for job in &mut self.jobs {
             // A task that was started again since its end no longer counts as done by that end.
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -2,9 +2,12 @@
 
 use bulrushlink_core::Span;
 use bulrushlink_fleet::{JobId, JobSpec, Resources, ShownState, Step};
-use bulrushlink_lab::{FleetLab, FleetNoise, SubmitOutcome, Trouble};
+use bulrushlink_lab::{DeadlyTasks, FleetLab, FleetNoise, SubmitOutcome, Trouble};
 use bulrushlink_telemetry::{Sink, open_log};
 
+#[path = "fleet/deadly.rs"]
+mod deadly;
+
 fn step(tasks: u32, accelerators: u64, millis: u64, after: Vec<u16>) -> Step {
     Step {
         tasks,
@@ -418,7 +421,8 @@
     assert_no_violations(&mut lab);
 }
 
-/// Runs a random mix of jobs with 2 to 8 faults and lost and late calls, all drawn from the seed.
+/// Runs a random mix of jobs with 2 to 8 faults, lost and late calls, and up to two jobs that crash
+/// workers, all drawn from the seed.
 fn storm(seed: u64) -> FleetLab {
     let (daemons, workers) = (4, 10);
     let mut random = fastrand::Rng::with_seed(seed);
@@ -473,6 +477,14 @@
         };
         lab.plan(at, trouble);
     }
+    for _ in 0..random.usize(..3) {
+        lab.add_deadly(DeadlyTasks {
+            job: JobId(random.u64(..70)),
+            index: random.bool().then_some(0),
+            delay: random.u64(..800),
+            downtime: random.u64(500..8_000),
+        });
+    }
     lab.run(33_000);
     lab.set_noise(FleetNoise::default());
     lab.run(60_000);
