Crash workers in the soak, and let them come back under another identifier in the lab

The emulator's workers crash some milliseconds after the start of a task with `crash=MS` in its spec and are down for 1.5 s; its record of starts reports a task that is started too often after three crashes. Some functions for JSON bodies move to texts.rs.

--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -141,10 +141,14 @@
         worker: usize,
         born: u64,
         task: TaskId,
-        downtime: u64,
+        deadly: DeadlyTasks,
     },
     /// A worker boots after the crash of an earlier boot.
-    Boot(usize, u64),
+    Boot {
+        worker: usize,
+        born: u64,
+        renamed: bool,
+    },
 }
 
 type Reply = Result<bulrushlink_fleet::StoreReply, Fault>;
@@ -568,10 +572,10 @@
                     self.remove(worker);
                 }
             }
-            Event::Crash { worker, born, task, downtime } => {
-                self.crash_for(worker, born, &task, downtime);
+            Event::Crash { worker, born, task, deadly } => {
+                self.crash_for(worker, born, &task, &deadly);
             }
-            Event::Boot(worker, born) => self.boot(worker, born),
+            Event::Boot { worker, born, renamed } => self.boot(worker, born, renamed),
         }
     }
 }
--- a/crates/lab/src/fleet/lab/calls.rs
+++ b/crates/lab/src/fleet/lab/calls.rs
@@ -2,8 +2,8 @@
 
 use bulrushlink_core::Span;
 use bulrushlink_fleet::{
-    EndCause, Fault, Output, Resources, Rev, Run, StoreOp, TaskId, WorkerCall, WorkerOp,
-    WorkerReply,
+    EndCause, Fault, Output, Resources, Rev, Run, StartRefusal, StoreOp, TaskId, WorkerCall,
+    WorkerOp, WorkerReply,
 };
 use bulrushlink_standin::{FleetRun, FleetWorkerBounds};
 
@@ -90,8 +90,8 @@
         lost: bool,
     ) {
         let now = self.now;
-        let by_id = self.workers.binary_search_by(|w| w.entry.id.cmp(&request.worker));
-        let Ok(index) = by_id else {
+        let by_addr = self.workers.iter().position(|w| w.entry.addr == request.addr);
+        let Some(index) = by_addr else {
             return;
         };
         if now < self.cut_until[index] || !self.workers[index].up {
@@ -121,6 +121,16 @@
             FleetRun { task, run, need, started: now, worked, length, gang, stop_at: None }
         };
         let worker = &mut self.workers[index];
+        if worker.entry.id != request.worker {
+            if !lost {
+                let PendingCall { daemon, incarnation, call, tag, .. } = waiting;
+                let result = Ok(WorkerReply::Refused(StartRefusal::OtherBoot));
+                let clock = Some(worker.clock(now));
+                let reply = Event::WorkerReply { daemon, incarnation, call, tag, clock, result };
+                self.schedule(now + LATENCY_MS, reply);
+            }
+            return;
+        }
         let (reply, started) = worker.call(now, request.token, &request.op, make, &limits);
         let clock = Some(worker.clock(now));
         let mut crashes = false;
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -483,6 +483,7 @@
             index: random.bool().then_some(0),
             delay: random.u64(..800),
             downtime: random.u64(500..8_000),
+            renamed: random.bool(),
         });
     }
     lab.run(33_000);
--- a/crates/standin/src/emulator.rs
+++ b/crates/standin/src/emulator.rs
@@ -4,6 +4,7 @@
 //! [`KeyValues`] and [`FleetWorker`] take the time as an argument, for tests under virtual time;
 //! [`Emulator`] serves them over HTTP.
 
+mod crashes;
 mod keys;
 mod texts;
 mod wire;
--- a/crates/standin/src/emulator/texts.rs
+++ b/crates/standin/src/emulator/texts.rs
@@ -1,18 +1,24 @@
-//! Builders for JSON bodies of the platform's wire protocol, for tests.
+//! Texts of the platform's wire protocol: builders for tests, and bodies of entries and items.
 
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bulrushlink_fleet::{WorkerEntry, WorkerState};
 use serde_json::{Value, json};
 
+use super::keys::KeyValue;
+
 /// Builder for the body of a job, whose tasks run for a fixed time on the emulator's workers.
 #[derive(Clone, Debug)]
 pub struct JobText {
     millis: u64,
+    crash: Option<u64>,
     steps: Vec<Value>,
 }
 
 impl JobText {
     /// Creates a job without steps whose tasks run for `millis`.
     pub fn new(millis: u64) -> Self {
-        Self { millis, steps: Vec::new() }
+        Self { millis, crash: None, steps: Vec::new() }
     }
 
     /// Adds a step of `count` tasks with one accelerator each, as a gang if `gang` is set.
@@ -34,12 +40,19 @@
         self
     }
 
+    /// Makes all tasks crash their workers after a time in milliseconds.
+    #[must_use]
+    pub fn crash(self, delay: u64) -> Self {
+        Self { crash: Some(delay), ..self }
+    }
+
     /// Returns the JSON text. The gang size of the first step applies to all tasks.
     pub fn text(&self) -> String {
         let first = self.steps.first();
         let gang =
             first.filter(|s| s["gang"] == json!(true)).map_or(json!(0), |s| s["count"].clone());
-        let spec = format!("ms={} gang={gang}", self.millis);
+        let crash = self.crash.map(|delay| format!(" crash={delay}")).unwrap_or_default();
+        let spec = format!("ms={} gang={gang}{crash}", self.millis);
         json!({ "spec": spec, "steps": self.steps }).to_string()
     }
 }
@@ -54,6 +67,38 @@
     json!({ "pending": count }).to_string()
 }
 
+/// Parses the run time in milliseconds and the gang size from a job's spec, such as
+/// `ms=500 gang=4`; a gang size of 0 means no gang.
+pub(super) fn parse_spec(spec: &str) -> (u64, u32) {
+    let find = |name: &str| spec.split(' ').find_map(|w| w.strip_prefix(name)?.parse().ok());
+    (find("ms=").unwrap_or(100), find("gang=").unwrap_or(0) as u32)
+}
+
+/// Parses the time in milliseconds after which a task crashes its worker from a job's spec.
+pub(super) fn crash_delay(spec: &str) -> Option<u64> {
+    spec.split(' ').find_map(|w| w.strip_prefix("crash=")?.parse().ok())
+}
+
+pub(super) fn entry_body(entry: &WorkerEntry) -> Value {
+    json!({
+        "service": entry.endpoint, "address": entry.addr.to_string(),
+        "zone": entry.domain, "version": "v1", "slots": 8,
+        "state": if entry.state == WorkerState::Ready { "ready" } else { "draining" },
+        "coldRemainingMs": 0, "labels": entry.labels, "born": entry.born, "seq": 1,
+        "capacity": {
+            "cpu": entry.capacity.cpu, "memMb": entry.capacity.memory,
+            "gpu": entry.capacity.accelerators,
+        },
+    })
+}
+
+pub(super) fn item_body(item: &KeyValue) -> Value {
+    json!({
+        "key": item.key, "value": STANDARD.encode(&item.bytes), "rev": item.rev,
+        "created": item.created, "lease": item.lease.unwrap_or(0),
+    })
+}
+
 /// Returns a configuration with one queue, `/replay/` at `jobs.example`, and one workspace with the
 /// given API keys.
 pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -13,8 +13,9 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use tiny_http::Method;
 
-use super::keys::{CommitRefusal, KeyChange, KeyValue, KeyValues};
-use super::texts::configuration;
+use super::crashes::Crashes;
+use super::keys::{CommitRefusal, KeyChange, KeyValues};
+use super::texts::{configuration, crash_delay, entry_body, item_body, parse_spec};
 use super::worker::{FleetRun, FleetWorker, FleetWorkerBounds};
 use crate::http::{HttpServer, Reply, Service};
 
@@ -51,6 +52,7 @@
     acked_done: Vec<TaskId>,
     /// Violations of the rules of starts, as text.
     violations: Vec<String>,
+    crashes: Crashes,
     /// Whether the store answers every call with 503.
     down: bool,
     /// Time up to which the simulation has advanced.
@@ -89,6 +91,7 @@
             starts: Vec::new(),
             acked_done: Vec::new(),
             violations: Vec::new(),
+            crashes: Crashes::default(),
             down: false,
             now: 0,
         };
@@ -177,6 +180,11 @@
         self.lock().violations.clone()
     }
 
+    /// Returns how many workers have crashed under a task of a job, for the task with the most.
+    pub fn max_crashes(&self, job: u64) -> u32 {
+        self.lock().crashes.max_count(job)
+    }
+
     /// Returns the value of a key of the store as text, such as the holder of the leader key.
     pub fn value(&self, key: &str) -> Option<String> {
         let world = self.lock();
@@ -210,20 +218,15 @@
     })
 }
 
-/// Parses the run time in milliseconds and the gang size from a job's spec, such as
-/// `ms=500 gang=4`; a gang size of 0 means no gang.
-fn parse_spec(spec: &str) -> (u64, u32) {
-    let find = |name: &str| spec.split(' ').find_map(|w| w.strip_prefix(name)?.parse().ok());
-    (find("ms=").unwrap_or(100), find("gang=").unwrap_or(0) as u32)
-}
-
 impl World {
     /// Writes the entries of all workers to the store.
     fn publish(&mut self) {
         let entries: Vec<(String, Value)> = self
             .workers
             .iter()
-            .map(|w| (format!("servers/{}", w.entry.id), entry_body(&w.entry)))
+            .enumerate()
+            .filter(|(index, _)| !self.crashes.is_down(*index))
+            .map(|(_, w)| (format!("servers/{}", w.entry.id), entry_body(&w.entry)))
             .collect();
         for (key, value) in entries {
             self.keys.put(&key, value.to_string().into_bytes());
@@ -234,6 +237,9 @@
     fn advance(&mut self, now: u64) {
         self.now = self.now.max(now);
         self.keys.expire(now);
+        if self.crashes.advance(&mut self.workers, now) {
+            self.publish();
+        }
         for index in 0..self.workers.len() {
             if self.workers[index].clock(now) > self.workers[index].lease_end {
                 while !self.workers[index].runs.is_empty() {
@@ -321,31 +327,17 @@
                 self.violations.push(format!("{task} runs though it is known to be done"));
             }
             self.starts.push((task, run));
+            let crash = match op {
+                WorkerOp::Start { text, .. } => crash_delay(text),
+                _ => None,
+            };
+            let born = self.workers[index].entry.born;
+            self.violations.extend(self.crashes.record_start(task, index, born, now, crash));
         }
         (self.workers[index].clock(now), reply)
     }
 }
 
-fn entry_body(entry: &WorkerEntry) -> Value {
-    json!({
-        "service": entry.endpoint, "address": entry.addr.to_string(),
-        "zone": entry.domain, "version": "v1", "slots": 8,
-        "state": if entry.state == WorkerState::Ready { "ready" } else { "draining" },
-        "coldRemainingMs": 0, "labels": entry.labels, "born": entry.born, "seq": 1,
-        "capacity": {
-            "cpu": entry.capacity.cpu, "memMb": entry.capacity.memory,
-            "gpu": entry.capacity.accelerators,
-        },
-    })
-}
-
-fn item_body(item: &KeyValue) -> Value {
-    json!({
-        "key": item.key, "value": STANDARD.encode(&item.bytes), "rev": item.rev,
-        "created": item.created, "lease": item.lease.unwrap_or(0),
-    })
-}
-
 /// Returns a percent-decoded query parameter.
 fn query_param(path: &str, name: &str) -> Option<String> {
     let (_, query) = path.split_once('?')?;
@@ -547,6 +539,9 @@
     fn handle(&self, _: &Method, path: &str, body: String, now: Moment) -> Reply {
         let mut world = self.lock();
         world.advance(now.0);
+        if world.crashes.is_down(self.index) {
+            return Reply::Lost;
+        }
         let Ok(body) = serde_json::from_str::<Value>(&body) else { return bad_request("not JSON") };
         let Some(op) = decode_op(path, &body) else { return bad_request("no such order") };
         let token = body["fencingToken"].as_u64().unwrap_or(0);
@@ -573,6 +568,9 @@
     fn retry(&self, body: &str, now: Moment) -> Reply {
         let world = self.lock();
         let until: u64 = body.parse().unwrap_or(0);
+        if world.crashes.is_down(self.index) {
+            return Reply::Lost;
+        }
         if world.workers[self.index].ends.is_empty() && now.0 < until {
             return Reply::Wait(body.to_string());
         }
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -13,6 +13,10 @@
 const MAX_PAUSE_MS: u64 = 150;
 /// Fraction of the accepted jobs that are cancelled.
 const CANCEL_FRACTION: f64 = 0.1;
+/// Fraction of the jobs whose task crashes its worker.
+const DEADLY_FRACTION: f64 = 0.02;
+/// Time after which such a task crashes its worker, in milliseconds.
+const CRASH_DELAY_MS: u64 = 20;
 /// Time after acceptance within which every daemon must know the job: the bound of the
 /// deployments.
 const VISIBLE_WITHIN: Duration = Duration::from_secs(3);
@@ -93,6 +97,9 @@
 
     fn random_job(&mut self) -> String {
         let length = self.random.u64(50..900);
+        if self.random.f64() < DEADLY_FRACTION {
+            return JobText::new(length).step(1, false).crash(CRASH_DELAY_MS).text();
+        }
         match self.random.u8(..4) {
             0 => JobText::new(length).step(self.random.u64(1..4), false).text(),
             1 => JobText::new(length).step(2, false).step(2, false).after(0).text(),
