Don't take several deadly tasks at once for a mass crash

Cause: workers that fall silent within half a second count as one event if their suspects differ. Change: a failure that shows at once, within 200 ms of a start on the worker, is explained by that start and isn't compared.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -14,6 +14,8 @@
 
 /// Age of a run up to which it is suspected when its worker crashes.
 const SUSPECT_AGE_MAX: Span = Span(1_000);
+/// Age of a run up to which hardly anything else explains a failure that showed at once.
+const EXPLAINED_AGE_MAX: Span = Span(200);
 /// Age of a run up to which a crash of its worker is counted at all.
 const COUNTED_AGE_MAX: Span = Span(30_000);
 /// Time for which a worker with a suspected run that has just started gets no other runs.
@@ -60,6 +62,8 @@
     at: Moment,
     /// Sorted.
     suspects: Vec<JobId>,
+    /// The worker failed so soon after a start that another cause is unlikely.
+    explained: bool,
 }
 
 impl CrashEvidence {
@@ -254,8 +258,12 @@
         worker.loss = Some(loss);
         if !worker.slots.is_empty() {
             let suspects = worker.suspects(&loss);
+            let fresh = |s: &Slot| {
+                Worker::is_early(s, &loss) && loss.at.since(s.started) <= EXPLAINED_AGE_MAX
+            };
+            let explained = prompt && worker.slots.iter().any(fresh);
             self.silences.retain(|s| now.since(s.at) <= SILENCE_RETENTION);
-            self.silences.push(Silence { at: now, suspects });
+            self.silences.push(Silence { at: now, suspects, explained });
         }
     }
 
@@ -263,7 +271,8 @@
     /// runs that had just started here: a worker on which none had, or too many workers with others.
     fn has_other_cause(&self, loss: &ContactLoss, suspects: &[JobId]) -> bool {
         let near = |s: &&Silence| {
-            s.at.max(loss.at).since(s.at.min(loss.at)) <= SAME_CAUSE_WINDOW
+            !s.explained
+                && s.at.max(loss.at).since(s.at.min(loss.at)) <= SAME_CAUSE_WINDOW
                 && !s.suspects.iter().any(|j| suspects.binary_search(j).is_ok())
         };
         let others: Vec<&Silence> = self.silences.iter().filter(near).collect();
