--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -336,7 +336,7 @@
 #[test]
 fn new_boot_gets_no_start_before_its_own_entry() {
     let mut bench = Bench::open(&[accelerators(8)]);
-    bench.with(|p, ctx| p.handle_reboot(0, 2, ctx.clock.now));
+    bench.with(|p, ctx| p.handle_reboot(ctx, 0, 2));
     bench.placer.workers[0].fenced = true;
     bench.placer.workers[0].clock = Some((0, bench.now));
     bench.add_job(1, 1, step(1, false, 8));
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -13,7 +13,10 @@
 use super::record::{Breach, JobTrack, Record, SubmitOutcome};
 use super::store::SimStore;
 
+pub use deadly::DeadlyTasks;
+
 mod calls;
+mod deadly;
 mod people;
 mod troubles;
 mod work;
@@ -136,6 +139,19 @@
     Submit(usize, JobId),
     Cancel(usize, JobId),
     Leave(usize, u64),
+    /// A deadly task crashes its worker.
+    Crash {
+        worker: usize,
+        born: u64,
+        task: TaskId,
+        deadly: DeadlyTasks,
+    },
+    /// A worker boots after the crash of an earlier boot.
+    Boot {
+        worker: usize,
+        born: u64,
+        renamed: bool,
+    },
 }
 
 type Reply = Result<bulrushlink_fleet::StoreReply, Fault>;
@@ -365,6 +381,7 @@
             shown_state: None,
             done: Vec::new(),
             unacked: Vec::new(),
+            failed_runs: Vec::new(),
             started: false,
         });
         self.schedule(at, Event::Submit(daemon, id));
@@ -564,6 +581,10 @@
                     self.remove(worker);
                 }
             }
+            Event::Crash { worker, born, task, deadly } => {
+                self.crash_for(worker, born, &task, &deadly);
+            }
+            Event::Boot { worker, born, renamed } => self.boot(worker, born, renamed),
         }
     }
 }
--- a/crates/standin/src/emulator/texts.rs
+++ b/crates/standin/src/emulator/texts.rs
@@ -1,8 +1,13 @@
-//! Builders for JSON bodies of the platform's wire protocol, for tests.
+//! Texts of the platform's wire protocol: builders for tests, and bodies of entries and items.
 
-use bulrushlink_fleet::Resources;
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bulrushlink_fleet::{Resources, WorkerState};
 use serde_json::{Value, json};
 
+use super::keys::KeyValue;
+use super::worker::FleetWorker;
+
 /// What each task needs.
 const TASK_NEED: Resources = Resources { cpu: 1_000, memory: 1_024, accelerators: 1 };
 
@@ -10,13 +15,14 @@
 #[derive(Clone, Debug)]
 pub struct JobText {
     millis: u64,
+    crash: Option<u64>,
     steps: Vec<Value>,
 }
 
 impl JobText {
     /// Creates a job without steps whose tasks run for `millis`.
     pub fn new(millis: u64) -> Self {
-        Self { millis, steps: Vec::new() }
+        Self { millis, crash: None, steps: Vec::new() }
     }
 
     /// Adds a step of `count` tasks with one accelerator each, as a gang if `gang` is set.
@@ -39,6 +45,12 @@
         self
     }
 
+    /// Makes all tasks crash their workers after a time in milliseconds.
+    #[must_use]
+    pub fn crash(self, delay: u64) -> Self {
+        Self { crash: Some(delay), ..self }
+    }
+
     /// Returns the JSON text. The gang size of the first step applies to all tasks.
     pub fn text(&self) -> String {
         let first = self.steps.first();
@@ -46,7 +58,8 @@
             first.filter(|s| s["gang"] == json!(true)).map_or(json!(0), |s| s["count"].clone());
         let Resources { cpu, memory, accelerators } = TASK_NEED;
         let need = format!("cpu={cpu} mem={memory} gpu={accelerators}");
-        let spec = format!("ms={} gang={gang} {need}", self.millis);
+        let crash = self.crash.map(|delay| format!(" crash={delay}")).unwrap_or_default();
+        let spec = format!("ms={} gang={gang} {need}{crash}", self.millis);
         json!({ "spec": spec, "steps": self.steps }).to_string()
     }
 }
@@ -72,6 +85,31 @@
     json!({ "pending": count }).to_string()
 }
 
+/// Parses the time in milliseconds after which a task crashes its worker from a job's spec.
+pub(super) fn crash_delay(spec: &str) -> Option<u64> {
+    spec.split(' ').find_map(|w| w.strip_prefix("crash=")?.parse().ok())
+}
+
+pub(super) fn entry_body(worker: &FleetWorker) -> Value {
+    let (entry, capacity) = (&worker.entry, worker.shown_capacity());
+    json!({
+        "service": entry.endpoint, "address": entry.addr.to_string(),
+        "zone": entry.domain, "version": "v1", "slots": 8,
+        "state": if entry.state == WorkerState::Ready { "ready" } else { "draining" },
+        "coldRemainingMs": 0, "labels": entry.labels, "born": entry.born, "seq": 1,
+        "capacity": {
+            "cpu": capacity.cpu, "memMb": capacity.memory, "gpu": capacity.accelerators,
+        },
+    })
+}
+
+pub(super) fn item_body(item: &KeyValue) -> Value {
+    json!({
+        "key": item.key, "value": STANDARD.encode(&item.bytes), "rev": item.rev,
+        "created": item.created, "lease": item.lease.unwrap_or(0),
+    })
+}
+
 /// Returns a configuration with one queue, `/replay/` at `jobs.example`, and one workspace with the
 /// given API keys.
 pub(crate) fn configuration(version: u64, keys: &[&str]) -> Value {
