Count only crashes at about the same age of a task's runs together

Change: the record keeps each crash with the bounds of the run's age, and a task is given up for crashes that it may have caused together: a task that crashes its workers does so at about the same age. A crash of another cause that came first doesn't hide the later ones.

Tests: crashes_at_different_ages_are_not_counted_together (with the first three ages, the task was given up before) and crashes_at_similar_ages_are_counted_together.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -6,7 +6,7 @@
 
 use crate::edge::{Fault, WorkerState};
 use crate::ids::{Boot, JobId, Run, TaskId};
-use crate::record::{CrashRecord, Outcome};
+use crate::record::{CrashEvidence, CrashRecord, Outcome};
 
 use super::job::Job;
 use super::worker::{ContactLoss, Phase, Slot, Worker};
@@ -32,28 +32,30 @@
 const SAME_CAUSE_WORKERS: usize = 3;
 /// Time for which the silences of workers are kept, longer than a worker takes to boot again.
 const SILENCE_RETENTION: Span = Span(30_000);
+/// Ages that differ by a factor of two and this have different causes.
+const AGE_MARGIN: Span = Span(500);
 /// A task that runs longer than twice the age at which its worker crashed, and this, is cleared.
 const CLEARED_AGE_MIN: Span = Span(3_000);
 /// Crashes at which a task is given up if one of them has no other explanation.
 const CLEAR_CRASHES_MAX: u32 = 2;
 /// Crashes at which a task is given up in any case.
 const CRASHES_MAX: u32 = 3;
+/// Most crashes that are kept of a task.
+const CRASHES_KEPT_MAX: usize = 12;
 /// Crashes at which a task is given up if some of them followed a start that got no reply.
 const UNSURE_CRASHES_MAX: u32 = 4;
 
-/// What is known of a worker's crash with regard to one run.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct CrashEvidence {
-    /// The worker has confirmed the start.
-    pub(crate) confirmed: bool,
-    /// The run had just started.
-    pub(crate) early: bool,
-    /// The run had just started, and no run of another job had.
-    pub(crate) sole: bool,
-    /// Age of the run.
-    pub(crate) age: Span,
-    /// The run was remembered as lost, which happens once to each run.
-    pub(crate) remembered: bool,
+/// How often workers have crashed under a task at about the same age of its runs.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) struct CrashCount {
+    /// Crashes under runs whose start the worker had confirmed.
+    pub(crate) crashes: u32,
+    /// Crashes after starts that got no reply.
+    pub(crate) unsure: u32,
+    /// How many of `crashes` came soon after the start.
+    pub(crate) early: u32,
+    /// How many of `early` came while no run of another job had just started on the worker.
+    pub(crate) sole: u32,
 }
 
 /// The loss of contact with a worker, with the jobs whose runs there had just started.
@@ -68,22 +70,49 @@
 
 impl CrashEvidence {
     /// A crash of which no more is known than that the run was on the worker.
-    const BELATED: Self =
-        Self { confirmed: true, early: false, sole: false, age: Span::ZERO, remembered: false };
-    const REMEMBERED: Self = Self { remembered: true, ..Self::BELATED };
+    const BELATED: Self = Self { confirmed: true, early: false, sole: false, age: None };
+
+    /// Returns true if one task may have caused both crashes: it crashes its workers at about the
+    /// same age.
+    fn is_alike(&self, other: &Self) -> bool {
+        let (Some(a), Some(b)) = (self.age, other.age) else { return true };
+        let twice = |ms: u64| ms.saturating_mul(2).saturating_add(AGE_MARGIN.millis());
+        a.0 <= twice(b.1) && b.0 <= twice(a.1)
+    }
 }
 
-impl CrashRecord {
+impl CrashCount {
+    fn add(&mut self, crash: &CrashEvidence) {
+        self.crashes += u32::from(crash.confirmed);
+        self.unsure += u32::from(!crash.confirmed);
+        self.early += u32::from(crash.confirmed && crash.early);
+        self.sole += u32::from(crash.confirmed && crash.sole);
+    }
+
     /// Returns true if the task has to be given up.
-    fn convicts(&self) -> bool {
+    pub(crate) fn convicts(&self) -> bool {
         (self.early >= CLEAR_CRASHES_MAX && self.sole > 0)
             || self.crashes >= CRASHES_MAX
             || self.crashes + self.unsure >= UNSURE_CRASHES_MAX
     }
+}
+
+impl CrashRecord {
+    /// Counts the crashes that are alike to one of them.
+    fn count_alike(&self, crash: &CrashEvidence) -> CrashCount {
+        let mut count = CrashCount::default();
+        self.crashes.iter().filter(|c| c.is_alike(crash)).for_each(|c| count.add(c));
+        count
+    }
 
     /// Returns true if the task may have caused a crash: one came soon after its start.
     fn is_suspect(&self) -> bool {
-        self.early + self.unsure > 0
+        self.crashes.iter().any(|c| c.early || !c.confirmed)
+    }
+
+    /// Returns the greatest age of a run at a crash.
+    fn age_max(&self) -> Span {
+        Span(self.crashes.iter().filter_map(|c| c.age).map(|(_, most)| most).max().unwrap_or(0))
     }
 }
 
@@ -108,31 +137,32 @@
         self.crash_index(task).is_ok_and(|at| self.state.crashes[at].is_suspect())
     }
 
-    /// Counts a crash of the worker of a run. Returns `None` if the run is already counted, or no
-    /// run of this task.
+    /// Counts a crash of the worker of a run, and returns how often workers have crashed so. Returns
+    /// `None` if the run is already counted, or no run of this task. A run that was `remembered` as
+    /// lost may be older than the latest counted one.
     pub(crate) fn count_crash(
         &mut self,
         task: &TaskId,
         run: Run,
         evidence: &CrashEvidence,
-    ) -> Option<&CrashRecord> {
+        remembered: bool,
+    ) -> Option<CrashCount> {
         if self.is_over() || self.task(task).is_none_or(|t| t.done || run > t.run) {
             return None;
         }
         let record = self.crash_record(task);
-        if run <= record.counted && !evidence.remembered {
+        if run <= record.counted && !remembered {
             return None;
         }
         record.counted = record.counted.max(run);
         record.lost.retain(|(lost, _)| *lost != run);
-        record.crashes += u32::from(evidence.confirmed);
-        record.unsure += u32::from(!evidence.confirmed);
-        record.early += u32::from(evidence.confirmed && evidence.early);
-        record.sole += u32::from(evidence.confirmed && evidence.sole);
-        record.age_ms = record.age_ms.max(evidence.age.millis());
+        if record.crashes.len() == CRASHES_KEPT_MAX {
+            record.crashes.remove(0);
+        }
+        record.crashes.push(*evidence);
+        let count = record.count_alike(evidence);
         self.mark_dirty();
-        let at = self.crash_index(task).ok()?;
-        Some(&self.state.crashes[at])
+        Some(count)
     }
 
     /// Remembers a run that was lost with its lease, in case its worker turns out to have crashed.
@@ -191,7 +221,8 @@
     /// Returns when contact was lost. A worker that is known to have crashed and was never silent
     /// has been lost since its last reply.
     fn contact_loss(&self, now: Moment) -> ContactLoss {
-        self.loss.unwrap_or_else(|| ContactLoss::new(now, self.clock.map(|(_, at)| at)))
+        let heard = self.clock.map(|(_, at)| at);
+        self.loss.unwrap_or_else(|| ContactLoss::new(now, heard, false))
     }
 
     /// Returns true if the worker can't have left as planned when contact was lost. A worker that
@@ -225,11 +256,13 @@
 }
 
 impl ContactLoss {
-    /// `heard` is when the worker last replied; none if the call that failed tells by itself that
-    /// the worker has just failed.
-    fn new(now: Moment, heard: Option<Moment>) -> Self {
+    /// `heard` is when the worker last replied. If the failed call is `prompt`, it tells by itself
+    /// that the worker has just failed.
+    fn new(now: Moment, heard: Option<Moment>, prompt: bool) -> Self {
         let since = now - SUSPECT_AGE_MAX;
-        Self { at: now, suspects_since: heard.map_or(since, |h| h.min(since)) }
+        let lag = heard.map_or(Span::ZERO, |h| now.since(h));
+        let suspects_since = heard.filter(|_| !prompt).map_or(since, |h| h.min(since));
+        Self { at: now, suspects_since, lag }
     }
 }
 
@@ -253,8 +286,8 @@
         if worker.loss.is_some() {
             return;
         }
-        let heard = worker.clock.map(|(_, at)| at).filter(|_| !prompt);
-        let loss = ContactLoss::new(now, heard);
+        let heard = worker.clock.map(|(_, at)| at);
+        let loss = ContactLoss::new(now, heard, prompt);
         worker.loss = Some(loss);
         if !worker.slots.is_empty() {
             let suspects = worker.suspects(&loss);
@@ -312,8 +345,11 @@
                 let age = loss.at.since(slot.started);
                 let is_early = !external && Worker::is_early(slot, &loss);
                 let sole = is_early && suspects == [slot.task.job];
-                let (confirmed, remembered) = (slot.confirmed, false);
-                let evidence = CrashEvidence { confirmed, early: is_early, sole, age, remembered };
+                let confirmed = slot.confirmed;
+                let least = age.millis().saturating_sub(loss.lag.millis());
+                // When an earlier placer started the run isn't known.
+                let range = (slot.phase != Phase::Unheard).then_some((least, age.millis()));
+                let evidence = CrashEvidence { confirmed, early: is_early, sole, age: range };
                 if age <= COUNTED_AGE_MAX && (slot.confirmed || is_early) {
                     runs.push((slot.task, slot.run, evidence));
                 }
@@ -324,22 +360,23 @@
                 "the worker may have left as planned"
             );
         }
-        for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
-            let lost = job.take_lost(|b| *b == boot);
-            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::REMEMBERED)));
-        }
-        self.count_crashes(ctx, &boot, &runs);
+        self.count_crashes(ctx, &boot, &runs, false);
+        self.count_lost(ctx, &boot, |b| *b == boot);
     }
 
     /// Counts the crash of an earlier boot of a worker against the tasks that were lost with it.
     pub(super) fn count_earlier_crash(&mut self, ctx: &mut Context<'_>, boot: &Boot) {
+        self.count_lost(ctx, boot, |b| b.worker == boot.worker && b.born < boot.born);
+    }
+
+    /// Counts a crash against the tasks that are remembered as lost on the boots that match.
+    fn count_lost(&mut self, ctx: &mut Context<'_>, boot: &Boot, matches: impl Fn(&Boot) -> bool) {
         let mut runs = Vec::new();
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
-            let earlier = |b: &Boot| b.worker == boot.worker && b.born < boot.born;
-            let lost = job.take_lost(earlier);
-            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::REMEMBERED)));
+            let lost = job.take_lost(&matches);
+            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::BELATED)));
         }
-        self.count_crashes(ctx, boot, &runs);
+        self.count_crashes(ctx, boot, &runs, true);
     }
 
     /// Counts a crash that was found when a run was restored on a worker that has a later boot.
@@ -350,7 +387,7 @@
         task: TaskId,
         run: Run,
     ) {
-        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::BELATED)]);
+        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::BELATED)], false);
     }
 
     fn count_crashes(
@@ -358,20 +395,22 @@
         ctx: &mut Context<'_>,
         boot: &Boot,
         runs: &[(TaskId, Run, CrashEvidence)],
+        remembered: bool,
     ) {
         for (task, run, evidence) in runs {
             let Ok(j) = self.job_index(task.job) else { continue };
             self.jobs[j].isolate_until = ctx.clock.now + ISOLATION_WAIT_MAX;
-            let Some(record) = self.jobs[j].count_crash(task, *run, evidence) else { continue };
+            let counted = self.jobs[j].count_crash(task, *run, evidence, remembered);
+            let Some(count) = counted else { continue };
             log::info!(
                 event = "crash_counted", task:% = task, run = run.0, worker:% = boot.worker,
-                crashes = record.crashes, unsure = record.unsure, early = record.early, sole = record.sole,
-                suspects = runs.len(), age_ms = evidence.age.millis(); "the worker has crashed under the run"
+                crashes = count.crashes, unsure = count.unsure, early = count.early, sole = count.sole,
+                suspects = runs.len(), age_ms = evidence.age.map_or(-1, |(_, most)| most as i64); "the worker has crashed under the run"
             );
-            if record.convicts() {
+            if count.convicts() {
                 log::warn!(
-                    event = "job_given_up", job:% = task.job, task:% = task, crashes = record.crashes,
-                    unsure = record.unsure; "the task goes on crashing its workers; the job has failed"
+                    event = "job_given_up", job:% = task.job, task:% = task, crashes = count.crashes,
+                    unsure = count.unsure; "the task goes on crashing its workers; the job has failed"
                 );
                 metrics::counter!("bulrushlink_jobs_given_up_total").increment(1);
                 self.jobs[j].finish(Outcome::Failed, ctx.clock.wall);
@@ -408,7 +447,8 @@
             let mut cleared = Vec::new();
             for (task, run, boot) in state.placed_tasks(job.id) {
                 let Ok(at) = job.crash_index(&task) else { continue };
-                let past = CLEARED_AGE_MIN + Span(2 * state.crashes[at].age_ms);
+                let age = state.crashes[at].age_max();
+                let past = CLEARED_AGE_MIN + age + age;
                 let Ok(w) = workers.binary_search_by(|w| w.id().cmp(&boot.worker)) else {
                     continue;
                 };
--- a/crates/fleet/src/placer/job/tests.rs
+++ b/crates/fleet/src/placer/job/tests.rs
@@ -1,4 +1,4 @@
-//! Tests ends that are reported after the placer had given up their runs.
+//! Tests ends that are reported after the placer had given up their runs, and crashes of workers.
 
 use bulrushlink_core::{Moment, Span};
 
@@ -7,7 +7,7 @@
 use crate::edge::EndCause;
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
 use crate::model::{JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step};
-use crate::record::{JobRecord, Outcome, StateRecord};
+use crate::record::{CrashEvidence, JobRecord, Outcome, StateRecord};
 
 /// Failed runs after which the job has failed.
 const ATTEMPTS: u32 = 2;
@@ -120,3 +120,33 @@
     job.open_rounds(1);
     assert_eq!(job.state.rounds.first().map(|r| r.round), Some(3));
 }
+
+/// Counts the crash of a worker under a run of task 0 at an age in milliseconds. Returns true if the
+/// task has to be given up.
+fn count_crash(job: &mut Job, run: u32, age: u64) -> bool {
+    job.plan_start(&TASK, Run(run), Boot { worker: "i-1".parse().expect("a valid name"), born: 1 });
+    let early = age < 1_000;
+    let evidence = CrashEvidence { confirmed: true, early, sole: early, age: Some((age, age)) };
+    job.count_crash(&TASK, Run(run), &evidence, false).is_some_and(|c| c.convicts())
+}
+
+/// Guards against a job that fails because its workers crashed three times for other reasons: a task
+/// that crashes its workers does so at about the same age (a day with deadly tasks on the grown second
+/// site).
+#[test]
+fn crashes_at_different_ages_are_not_counted_together() {
+    let mut job = job(false);
+    let ages = [2_903, 13, 2_818, 9_000, 25_000];
+    assert!((1..).zip(ages).all(|(run, age)| !count_crash(&mut job, run, age)));
+}
+
+/// Guards against a deadly task that is never given up, also if a crash of another cause came first.
+#[test]
+fn crashes_at_similar_ages_are_counted_together() {
+    for ages in [vec![13, 22], vec![2_903, 2_500, 3_400], vec![5_000, 13, 11]] {
+        let mut job = job(false);
+        let given_up: Vec<bool> =
+            (1..).zip(&ages).map(|(run, age)| count_crash(&mut job, run, *age)).collect();
+        assert_eq!(given_up.iter().position(|g| *g), Some(ages.len() - 1), "{ages:?}");
+    }
+}
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -101,6 +101,8 @@
     pub(crate) at: Moment,
     /// Runs that started since then had just started when the worker failed, if it did.
     pub(crate) suspects_since: Moment,
+    /// Time since the worker's last reply.
+    pub(crate) lag: Span,
 }
 
 /// Whether a worker replies to calls of the present epoch.
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -82,6 +82,19 @@
     pub(crate) steps: Vec<StepRecord>,
 }
 
+/// What is known of a worker's crash with regard to one run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct CrashEvidence {
+    /// The worker has confirmed the start.
+    pub(crate) confirmed: bool,
+    /// The run had just started.
+    pub(crate) early: bool,
+    /// The run had just started, and no run of another job had.
+    pub(crate) sole: bool,
+    /// Age of the run in milliseconds, at least and at most; `None` if it isn't known.
+    pub(crate) age: Option<(u64, u64)>,
+}
+
 /// Crashes of workers under a task.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CrashRecord {
@@ -91,16 +104,8 @@
     pub(crate) step: u16,
     /// Index of the task in its step.
     pub(crate) index: u32,
-    /// Number of runs under which a worker has crashed.
-    pub(crate) crashes: u32,
-    /// Number of runs whose start got no reply before the worker crashed.
-    pub(crate) unsure: u32,
-    /// How many of `crashes` came soon after the start.
-    pub(crate) early: u32,
-    /// How many of `early` came while no run of another job had just started on the worker.
-    pub(crate) sole: u32,
-    /// Greatest age of a run at the crash, in milliseconds.
-    pub(crate) age_ms: u64,
+    /// The latest crashes, each under another run, in the order in which they were counted.
+    pub(crate) crashes: Vec<CrashEvidence>,
     /// The latest counted run; a run counts once.
     pub(crate) counted: Run,
     /// Runs whose leases expired without an end. They count if their boot turns out to have crashed.
@@ -110,18 +115,8 @@
 impl CrashRecord {
     /// Returns the record of a task under which no worker has crashed.
     pub(crate) fn new(round: u32, step: u16, index: u32) -> Self {
-        Self {
-            round,
-            step,
-            index,
-            crashes: 0,
-            unsure: 0,
-            early: 0,
-            sole: 0,
-            age_ms: 0,
-            counted: Run::default(),
-            lost: Vec::new(),
-        }
+        let (crashes, lost) = (Vec::new(), Vec::new());
+        Self { round, step, index, crashes, counted: Run::default(), lost }
     }
 }
 
--- a/crates/fleet/src/record/tests.rs
+++ b/crates/fleet/src/record/tests.rs
@@ -38,7 +38,7 @@
 fn earlier_version_reads_a_state_with_crashes() {
     let (workspace, outcome, ended, begun, rounds, finished) = first_state();
     let lost = vec![(Run(2), boot())];
-    let crashes = vec![CrashRecord { crashes: 1, lost, ..CrashRecord::new(2, 0, 0) }];
+    let crashes = vec![CrashRecord { lost, ..CrashRecord::new(2, 0, 0) }];
     let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
     let bytes = encode(&state).expect("encodable");
     assert_eq!(bytes[0], LAYOUT_VERSION);
