Let workers shrink and grow in the soak

Change: Fault::Resize draws the accelerators of a worker, from none to twice as many, in 3 of 29 faults, until the end of the faults or its next change; the order in which a seed draws the others changes. The workers have 16 cores, so that more accelerators can be used. The emulator reports a start beyond the capacity that counts.

--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -23,6 +23,8 @@
 const DAEMONS: usize = 4;
 /// Workers of a soak.
 const WORKERS: usize = 6;
+/// Capacity of a worker, unless a fault has changed it.
+const CAPACITY: Resources = Resources { cpu: 16_000, memory: 65_536, accelerators: 8 };
 /// Callers of a soak.
 const CALLERS: u64 = 6;
 /// Seeds of a run without `SOAK_SEEDS`; a seed that fails because of a defect is added to them.
@@ -46,7 +48,7 @@
     fn open() -> Self {
         let emulator = Emulator::spawn(EmulatorOptions {
             workers: WORKERS,
-            capacity: Resources { cpu: 8_000, memory: 65_536, accelerators: 8 },
+            capacity: CAPACITY,
             bounds: FleetWorkerBounds { lease_max: 6_000, stop: 50 },
         })
         .expect("the emulator starts");
@@ -126,6 +128,9 @@
                 self.emulator.set_clock_rate(worker, clock_rate);
                 self.emulator.reboot(worker);
             }
+            Fault::Resize(worker, accelerators) => {
+                self.emulator.resize(worker, Resources { accelerators, ..CAPACITY });
+            }
             Fault::StoreDown => self.emulator.set_down(true),
             Fault::ExpireLeases => self.emulator.expire_leases(),
             Fault::Compact => self.emulator.compact(),
@@ -140,6 +145,7 @@
             }
             Fault::StoreLink(daemon, _) => self.stores[daemon].set(LinkState::Open),
             Fault::WorkerLink(worker, _) => self.workers[worker].set(LinkState::Open),
+            Fault::Resize(worker, _) => self.emulator.resize(worker, CAPACITY),
             Fault::StoreDown => self.emulator.set_down(false),
             _ => {}
         }
--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -1,7 +1,7 @@
 //! Injected faults, drawn from a seed.
 
-use super::Deployment;
 use super::proxy::LinkState;
+use super::{CAPACITY, Deployment};
 
 /// Longest pause before the next fault; it is short so that most faults overlap.
 const MAX_PAUSE_MS: u64 = 500;
@@ -29,6 +29,8 @@
     WorkerSilent(usize),
     /// Crashes a worker and restarts it with a clock that runs at so many thousandths of real time.
     RestartWorker(usize, u64),
+    /// Changes the accelerators of a worker until the end of the faults.
+    Resize(usize, u64),
     /// Makes the store refuse calls.
     StoreDown,
     /// Expires all leases of the store.
@@ -54,7 +56,7 @@
 /// Draws a random fault.
 pub(crate) fn draw(random: &mut fastrand::Rng, daemons: usize, workers: usize) -> Fault {
     let (daemon, worker) = (random.usize(..daemons), random.usize(..workers));
-    match random.u8(..26) {
+    match random.u8(..29) {
         0..=2 => Fault::Kill(daemon),
         3..=4 => Fault::Terminate(daemon),
         5..=7 => Fault::Suspend(daemon),
@@ -67,6 +69,7 @@
         21..=22 => Fault::StoreDown,
         23 => Fault::ExpireLeases,
         24 => Fault::Compact,
+        25..=27 => Fault::Resize(worker, random.u64(..2 * CAPACITY.accelerators)),
         _ => Fault::KillAll,
     }
 }
@@ -84,7 +87,10 @@
             let fault = draw(random, deployment.daemons(), deployment.workers());
             println!("{now} {fault:?}");
             deployment.inject(fault);
-            ongoing.push((now + random.u64(50..MAX_FAULT_MS), fault));
+            let ended = now + random.u64(50..MAX_FAULT_MS);
+            // A smaller capacity counts after seconds, so it stays until the end or the next change.
+            let lasts = matches!(fault, Fault::Resize(..));
+            ongoing.push((if lasts { end } else { ended }, fault));
             next = now + random.u64(..MAX_PAUSE_MS);
         }
         std::thread::sleep(std::time::Duration::from_millis(10));
