--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -29,7 +29,7 @@
     WorkerSilent(usize),
     /// Crashes a worker and restarts it with a clock that runs at so many thousandths of real time.
     RestartWorker(usize, u64),
-    /// Changes the accelerators of a worker until the fault ends.
+    /// Changes the accelerators of a worker until the end of the faults.
     Resize(usize, u64),
     /// Makes the store refuse calls.
     StoreDown,
@@ -87,7 +87,10 @@
             let fault = draw(random, deployment.daemons(), deployment.workers());
             println!("{now} {fault:?}");
             deployment.inject(fault);
-            ongoing.push((now + random.u64(50..MAX_FAULT_MS), fault));
+            let ended = now + random.u64(50..MAX_FAULT_MS);
+            // A smaller capacity counts after seconds, so it stays until the end or the next change.
+            let lasts = matches!(fault, Fault::Resize(..));
+            ongoing.push((if lasts { end } else { ended }, fault));
             next = now + random.u64(..MAX_PAUSE_MS);
         }
         std::thread::sleep(std::time::Duration::from_millis(10));
