Count a crash whose worker is back at its address after the lease of its runs

Cause: a worker that is back under another identifier is recognised when its address refuses a call to the earlier boot. Once the lease of the runs has lapsed, the worker has no runs, and the placer doesn't call it any more, so that the crash was never counted and the task went on crashing workers. Change: a run that is lost with its lease is remembered with the worker's address. A later boot with that identifier or at that address, also one found when a new placer has loaded the records, counts as a crash.

--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -148,6 +148,7 @@
             let slot = unheard_slot(task, run, need, now);
             self.restore_run(ctx, boot, slot);
         }
+        self.count_earlier_crashes(ctx);
         self.apply_pending_cancels(ctx);
     }
 
@@ -260,10 +261,10 @@
         match self.worker_index(&entry.id) {
             Err(at) => {
                 self.fences += 1;
-                let mut worker = Worker::new(boot.clone(), self.fences, Some(entry), now);
+                self.count_earlier_crash(ctx, &entry);
+                let mut worker = Worker::new(boot, self.fences, Some(entry), now);
                 worker.ready = listed;
                 self.workers.insert(at, worker);
-                self.count_earlier_crash(ctx, &boot);
                 false
             }
             Ok(at) if self.workers[at].boot.born < boot.born => {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -6,8 +6,10 @@
 use bulrushlink_core::{Code, Error, WorkspaceId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 use crate::catalog::Queue;
+use crate::edge::WorkerEntry;
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
 use crate::model::JobSpec;
 
@@ -109,7 +111,26 @@
     /// The latest counted run; a run counts once.
     pub(crate) counted: Run,
     /// Runs whose leases expired without an end. They count if their boot turns out to have crashed.
-    pub(crate) lost: Vec<(Run, Boot)>,
+    pub(crate) lost: Vec<LostRun>,
+}
+
+/// A run whose lease expired without an end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LostRun {
+    pub(crate) run: Run,
+    /// The boot that it was on.
+    pub(crate) boot: Boot,
+    /// Address of that boot; `None` if only a record names the worker.
+    pub(crate) addr: Option<SocketAddr>,
+}
+
+impl LostRun {
+    /// Returns true if a registered worker is a later boot of the run's worker: one with its
+    /// identifier, or with another one at its address.
+    pub(crate) fn is_replaced_by(&self, entry: &WorkerEntry) -> bool {
+        let same = self.boot.worker == entry.id || self.addr == Some(entry.addr);
+        same && self.boot.born < entry.born
+    }
 }
 
 impl CrashRecord {
