Count a crash also if the worker is away for longer than its lease and returns under another identifier

Cause: the runs are released when the lease expires, and the entry without runs is dropped before the worker is back, so that nobody calls its address any more. Change: a lost run is remembered with the worker's address, and counts when a worker with another identifier is listed there.

Test: crash_counts_after_the_lease_has_lapsed, which now has both cases.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -3,10 +3,11 @@
 //! is given up with its job.
 
 use bulrushlink_core::{Moment, Span};
+use std::net::SocketAddr;
 
 use crate::edge::{Fault, WorkerState};
 use crate::ids::{Boot, JobId, Run, TaskId};
-use crate::record::{CrashEvidence, CrashRecord, Outcome};
+use crate::record::{CrashEvidence, CrashRecord, LostRun, Outcome};
 
 use super::job::Job;
 use super::worker::{ContactLoss, Phase, Slot, Worker};
@@ -155,7 +156,7 @@
             return None;
         }
         record.counted = record.counted.max(run);
-        record.lost.retain(|(lost, _)| *lost != run);
+        record.lost.retain(|lost| lost.run != run);
         if record.crashes.len() == CRASHES_KEPT_MAX {
             record.crashes.remove(0);
         }
@@ -166,21 +167,21 @@
     }
 
     /// Remembers a run that was lost with its lease, in case its worker turns out to have crashed.
-    pub(crate) fn remember_lost(&mut self, task: &TaskId, run: Run, boot: &Boot) {
-        if self.is_over() || self.task(task).is_none_or(|t| t.done || t.run != run) {
+    pub(crate) fn remember_lost(&mut self, task: &TaskId, lost: LostRun) {
+        if self.is_over() || self.task(task).is_none_or(|t| t.done || t.run != lost.run) {
             return;
         }
-        self.crash_record(task).lost.push((run, boot.clone()));
+        self.crash_record(task).lost.push(lost);
         self.mark_dirty();
     }
 
-    /// Takes the lost runs on boots that match, with their tasks.
-    fn take_lost(&mut self, matches: impl Fn(&Boot) -> bool) -> Vec<(TaskId, Run)> {
+    /// Takes the lost runs that match, with their tasks.
+    fn take_lost(&mut self, matches: impl Fn(&LostRun) -> bool) -> Vec<(TaskId, Run)> {
         let (id, mut taken) = (self.id, Vec::new());
         for record in &mut self.state.crashes {
             let (round, step, index) = (record.round, record.step, record.index);
-            let lost = record.lost.extract_if(.., |(_, boot)| matches(boot));
-            taken.extend(lost.map(|(run, _)| (TaskId { job: id, round, step, index }, run)));
+            let lost = record.lost.extract_if(.., |lost| matches(lost));
+            taken.extend(lost.map(|l| (TaskId { job: id, round, step, index }, l.run)));
         }
         if !taken.is_empty() {
             self.mark_dirty();
@@ -361,16 +362,30 @@
             );
         }
         self.count_crashes(ctx, &boot, &runs, false);
-        self.count_lost(ctx, &boot, |b| *b == boot);
+        self.count_lost(ctx, &boot, |lost| lost.boot == boot);
     }
 
-    /// Counts the crash of an earlier boot of a worker against the tasks that were lost with it.
-    pub(super) fn count_earlier_crash(&mut self, ctx: &mut Context<'_>, boot: &Boot) {
-        self.count_lost(ctx, boot, |b| b.worker == boot.worker && b.born < boot.born);
+    /// Counts the crash of an earlier boot, under the identifier or at the address of a new one,
+    /// against the tasks that were lost with it.
+    pub(super) fn count_earlier_crash(
+        &mut self,
+        ctx: &mut Context<'_>,
+        boot: &Boot,
+        addr: SocketAddr,
+    ) {
+        self.count_lost(ctx, boot, |lost| match lost.boot.worker == boot.worker {
+            true => lost.boot.born < boot.born,
+            false => lost.addr == Some(addr),
+        });
     }
 
-    /// Counts a crash against the tasks that are remembered as lost on the boots that match.
-    fn count_lost(&mut self, ctx: &mut Context<'_>, boot: &Boot, matches: impl Fn(&Boot) -> bool) {
+    /// Counts a crash against the tasks whose lost runs match.
+    fn count_lost(
+        &mut self,
+        ctx: &mut Context<'_>,
+        boot: &Boot,
+        matches: impl Fn(&LostRun) -> bool,
+    ) {
         let mut runs = Vec::new();
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
             let lost = job.take_lost(&matches);
@@ -428,14 +443,16 @@
             && loss.at.since(slot.started) <= COUNTED_AGE_MAX
             && self.workers[at].was_ready(loss.at);
         if counts && let Ok(j) = self.job_index(slot.task.job) {
-            self.jobs[j].remember_lost(&slot.task, slot.run, boot);
+            let addr = self.workers[at].entry.as_ref().map(|e| e.addr);
+            let lost = LostRun { run: slot.run, boot: boot.clone(), addr };
+            self.jobs[j].remember_lost(&slot.task, lost);
         }
     }
 
     /// Drops the lost runs of a boot that turns out to be alive.
     pub(super) fn forget_lost(&mut self, boot: &Boot) {
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
-            job.take_lost(|b| b == boot);
+            job.take_lost(|lost| lost.boot == *boot);
         }
     }
 
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -236,10 +236,11 @@
         match self.worker_index(&entry.id) {
             Err(at) => {
                 self.fences += 1;
+                let addr = entry.addr;
                 let mut worker = Worker::new(boot.clone(), self.fences, Some(entry), now);
                 worker.ready = listed;
                 self.workers.insert(at, worker);
-                self.count_earlier_crash(ctx, &boot);
+                self.count_earlier_crash(ctx, &boot, addr);
                 false
             }
             Ok(at) if self.workers[at].boot.born < boot.born => {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -6,6 +6,7 @@
 use bulrushlink_core::{Code, Error, WorkspaceId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 use crate::catalog::Queue;
 use crate::ids::{Boot, JobId, Rev, Run, TaskId};
@@ -109,7 +110,17 @@
     /// The latest counted run; a run counts once.
     pub(crate) counted: Run,
     /// Runs whose leases expired without an end. They count if their boot turns out to have crashed.
-    pub(crate) lost: Vec<(Run, Boot)>,
+    pub(crate) lost: Vec<LostRun>,
+}
+
+/// A run whose lease expired without an end.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct LostRun {
+    pub(crate) run: Run,
+    /// The worker boot that had the run.
+    pub(crate) boot: Boot,
+    /// Address of the worker, if it was listed. Another worker there shows that the boot is gone.
+    pub(crate) addr: Option<SocketAddr>,
 }
 
 impl CrashRecord {
--- a/crates/fleet/src/record/tests.rs
+++ b/crates/fleet/src/record/tests.rs
@@ -1,8 +1,8 @@
 //! Tests that daemons of different versions read each other's records.
 
 use super::{
-    CrashRecord, LAYOUT_VERSION, Outcome, RoundRecord, StateRecord, StepRecord, TaskRecord, decode,
-    encode,
+    CrashRecord, LAYOUT_VERSION, LostRun, Outcome, RoundRecord, StateRecord, StepRecord,
+    TaskRecord, decode, encode,
 };
 use crate::ids::{Boot, Run};
 use bulrushlink_core::WorkspaceId;
@@ -37,7 +37,7 @@
 #[test]
 fn earlier_version_reads_a_state_with_crashes() {
     let (workspace, outcome, ended, begun, rounds, finished) = first_state();
-    let lost = vec![(Run(2), boot())];
+    let lost = vec![LostRun { run: Run(2), boot: boot(), addr: Some(([10, 0, 0, 1], 80).into()) }];
     let crashes = vec![CrashRecord { lost, ..CrashRecord::new(2, 0, 0) }];
     let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
     let bytes = encode(&state).expect("encodable");
--- a/crates/lab/tests/fleet/deadly.rs
+++ b/crates/lab/tests/fleet/deadly.rs
@@ -70,13 +70,15 @@
 /// As above, but the leases of the runs expire before the workers are back.
 #[test]
 fn crash_counts_after_the_lease_has_lapsed() {
-    let tasks = DeadlyTasks { downtime: 9_000, ..deadly(None, 20) };
-    let mut lab = open(4, 62, tasks);
-    lab.submit(1_000, 0, DEADLY, "roster", job(vec![single(1, 9_000)]));
-    lab.run(80_000);
-    assert_eq!(lab.state(DEADLY), Some(ShownState::Failed));
-    assert!(lab.deadly_crashes() <= 5, "{}", lab.deadly_crashes());
-    assert_no_violations(&mut lab);
+    for renamed in [false, true] {
+        let tasks = DeadlyTasks { downtime: 9_000, renamed, ..deadly(None, 20) };
+        let mut lab = open(4, 62, tasks);
+        lab.submit(1_000, 0, DEADLY, "roster", job(vec![single(1, 9_000)]));
+        lab.run(80_000);
+        assert_eq!(lab.state(DEADLY), Some(ShownState::Failed), "renamed {renamed}");
+        assert!(lab.deadly_crashes() <= 5, "renamed {renamed}: {}", lab.deadly_crashes());
+        assert_no_violations(&mut lab);
+    }
 }
 
 /// Guards against crashes that are forgotten with the placer, which is killed before or after each
