--- a/tests/platform/configuration.rs
+++ b/tests/platform/configuration.rs
@@ -5,11 +5,9 @@
 use std::time::{Duration, Instant};
 
 use crate::fleet::{DaemonProcess, call, eventually};
-use crate::proxy::{LinkState, Proxy};
+use crate::proxy::{LinkState, NARROW_RATE, Proxy};
 
 const KEY: Option<&str> = Some("key-north");
-/// Rate of the narrowest links of the deployments, 10 Mbit/s, in bytes a second.
-const NARROW_RATE: u64 = 1_250_000;
 /// Number of queues with which a configuration takes 1 MB, the most that the store accepts.
 const IDLE_QUEUES: usize = 4_200;
 /// Time within which a configuration has to be in use: the bound of deployments with such links.
--- a/tests/platform/proxy.rs
+++ b/tests/platform/proxy.rs
@@ -11,6 +11,9 @@
 /// Largest number of bytes forwarded at a time.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Rate of the narrowest links of the deployments, 10 Mbit/s, in bytes a second.
+pub(crate) const NARROW_RATE: u64 = 1_250_000;
+
 /// State of the network link that the proxy emulates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum LinkState {
--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -26,6 +26,8 @@
 const CAPACITY: Resources = Resources { cpu: 16_000, memory: 65_536, accelerators: 8 };
 /// Callers of a soak.
 const CALLERS: u64 = 6;
+/// Version of the first configuration.
+const CONFIGURATION_VERSION: u64 = 7;
 /// Seeds of a run without `SOAK_SEEDS`; a seed that fails because of a defect is added to them.
 const SEEDS: [u64; 2] = [1, 2];
 /// Time for which faults are injected with each seed, unless `SOAK_MS` sets another.
@@ -51,7 +53,7 @@
             bounds: FleetWorkerBounds { lease_max: 6_000, stop: 50 },
         })
         .expect("the emulator starts");
-        emulator.configure(7, &[KEY]);
+        emulator.configure(CONFIGURATION_VERSION, &[KEY]);
         let workers: Vec<Proxy> = (0..WORKERS).map(|w| Proxy::open(emulator.worker(w))).collect();
         for (number, proxy) in workers.iter().enumerate() {
             emulator.advertise(number, proxy.addr());
@@ -127,6 +129,10 @@
                 self.emulator.set_clock_rate(worker, clock_rate);
                 self.emulator.reboot(worker);
             }
+            Fault::Configure(queues) => {
+                let version = CONFIGURATION_VERSION + 1 + self.elapsed_ms();
+                self.emulator.configure_large(version, &[KEY], queues);
+            }
             Fault::Resize(worker, accelerators) => {
                 self.emulator.resize(worker, Resources { accelerators, ..CAPACITY });
             }
--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -1,12 +1,14 @@
 //! Injected faults, drawn from a seed.
 
 use super::{CAPACITY, Deployment};
-use crate::proxy::LinkState;
+use crate::proxy::{LinkState, NARROW_RATE};
 
 /// Longest pause before the next fault; it is short so that most faults overlap.
 const MAX_PAUSE_MS: u64 = 500;
 /// Longest time that a fault lasts.
 const MAX_FAULT_MS: u64 = 2_500;
+/// Unused queues of a large configuration, which then takes 1 MB.
+const LARGE_QUEUES: usize = 4_200;
 
 /// An injected fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -31,6 +33,8 @@
     RestartWorker(usize, u64),
     /// Changes the accelerators of a worker until the end of the faults.
     Resize(usize, u64),
+    /// Writes a new configuration with so many unused queues.
+    Configure(usize),
     /// Makes the store refuse calls.
     StoreDown,
     /// Expires all leases of the store.
@@ -45,8 +49,9 @@
 pub(crate) type Ongoing = (u64, Fault);
 
 fn link_fault(random: &mut fastrand::Rng) -> LinkState {
-    match random.u8(..4) {
+    match random.u8(..5) {
         0 => LinkState::Slow(random.u64(5..400)),
+        4 => LinkState::Narrow(NARROW_RATE),
         1 => LinkState::Reset,
         2 => LinkState::BlockedToServer,
         _ => LinkState::BlockedFromServer,
@@ -56,7 +61,7 @@
 /// Draws a random fault.
 pub(crate) fn draw(random: &mut fastrand::Rng, daemons: usize, workers: usize) -> Fault {
     let (daemon, worker) = (random.usize(..daemons), random.usize(..workers));
-    match random.u8(..29) {
+    match random.u8(..31) {
         0..=2 => Fault::Kill(daemon),
         3..=4 => Fault::Terminate(daemon),
         5..=7 => Fault::Suspend(daemon),
@@ -70,6 +75,7 @@
         23 => Fault::ExpireLeases,
         24 => Fault::Compact,
         25..=27 => Fault::Resize(worker, random.u64(..2 * CAPACITY.accelerators)),
+        28..=29 => Fault::Configure(if random.bool() { LARGE_QUEUES } else { 0 }),
         _ => Fault::KillAll,
     }
 }
