--- a/crates/standin/src/emulator/texts.rs
+++ b/crates/standin/src/emulator/texts.rs
@@ -128,3 +128,18 @@
         "tenants": [{ "name": "north", "apiKeys": keys, "priority": 1, "guaranteed": { "gpu": 8 } }],
     })
 }
+
+/// Returns a configuration as [`configuration`] does, with further queues that nobody uses.
+pub(crate) fn large_configuration(version: u64, keys: &[&str], idle_queues: usize) -> Value {
+    let mut text = configuration(version, keys);
+    let queue = text["routes"][0].clone();
+    let idle = |n| {
+        let mut idle = queue.clone();
+        idle["name"] = json!(format!("idle-{n:06}"));
+        idle["prefix"] = json!(format!("/idle-{n:06}/"));
+        idle
+    };
+    let routes = text["routes"].as_array_mut().expect("the routes are a list");
+    routes.extend((0..idle_queues).map(idle));
+    text
+}
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -15,7 +15,9 @@
 
 use super::crashes::Crashes;
 use super::keys::{CommitRefusal, KeyChange, KeyValues};
-use super::texts::{configuration, crash_delay, entry_body, item_body, parse_spec};
+use super::texts::{
+    configuration, crash_delay, entry_body, item_body, large_configuration, parse_spec,
+};
 use super::worker::{FleetRun, FleetWorker, FleetWorkerBounds};
 use crate::http::{HttpServer, Reply, Service};
 
@@ -126,15 +128,8 @@
     /// Writes a configuration as [`Self::configure`] does, with further queues that nobody uses;
     /// each takes about 250 bytes.
     pub fn configure_large(&self, version: u64, keys: &[&str], idle_queues: usize) {
-        let mut text = configuration(version, keys);
-        let queue = text["routes"][0].clone();
-        for n in 0..idle_queues {
-            let mut idle = queue.clone();
-            idle["name"] = json!(format!("idle-{n:06}"));
-            idle["prefix"] = json!(format!("/idle-{n:06}/"));
-            text["routes"].as_array_mut().expect("the routes are a list").push(idle);
-        }
-        self.lock().keys.put("op/config", text.to_string().into_bytes());
+        let text = large_configuration(version, keys, idle_queues).to_string();
+        self.lock().keys.put("op/config", text.into_bytes());
     }
 
     /// Registers a worker whose entry can't be decoded.
