Count a run that only an earlier placer recorded as unconfirmed

Cause: a placer may be killed between the commit of a start and its sending. A run restored from the record counted as confirmed, so that a crash of its worker could count against a task that was never started there. Change: it counts as a start without a reply until the worker's list shows it; three crashes suffice if two of them are confirmed, else four.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -39,11 +39,13 @@
 const CLEARED_AGE_MIN: Span = Span(3_000);
 /// Crashes at which a task is given up if one of them has no other explanation.
 const CLEAR_CRASHES_MAX: u32 = 2;
-/// Crashes at which a task is given up in any case.
+/// Crashes at which a task is given up if the start of all but one was confirmed.
 const CRASHES_MAX: u32 = 3;
+/// Confirmed ones among them, the least for which a task may be given up.
+const CONFIRMED_CRASHES_MIN: u32 = 2;
 /// Most crashes that are kept of a task.
 const CRASHES_KEPT_MAX: usize = 12;
-/// Crashes at which a task is given up if some of them followed a start that got no reply.
+/// Crashes at which a task is given up in any case.
 const UNSURE_CRASHES_MAX: u32 = 4;
 
 /// How often workers have crashed under a task at about the same age of its runs.
@@ -70,8 +72,10 @@
 }
 
 impl CrashEvidence {
-    /// A crash of which no more is known than that the run was on the worker.
-    const BELATED: Self = Self { confirmed: true, early: false, sole: false, age: None };
+    /// Returns what is known of a crash that was found late.
+    fn belated(confirmed: bool) -> Self {
+        Self { confirmed, early: false, sole: false, age: None }
+    }
 
     /// Returns true if one task may have caused both crashes: it crashes its workers at about the
     /// same age.
@@ -92,9 +96,10 @@
 
     /// Returns true if the task has to be given up.
     pub(crate) fn convicts(&self) -> bool {
+        let all = self.crashes + self.unsure;
         (self.early >= CLEAR_CRASHES_MAX && self.sole > 0)
-            || self.crashes >= CRASHES_MAX
-            || self.crashes + self.unsure >= UNSURE_CRASHES_MAX
+            || (self.crashes >= CONFIRMED_CRASHES_MIN && all >= CRASHES_MAX)
+            || all >= UNSURE_CRASHES_MAX
     }
 }
 
@@ -108,7 +113,7 @@
 
     /// Returns true if the task may have caused a crash: one came soon after its start.
     fn is_suspect(&self) -> bool {
-        self.crashes.iter().any(|c| c.early || !c.confirmed)
+        self.crashes.iter().any(|c| c.early)
     }
 
     /// Returns the greatest age of a run at a crash.
@@ -176,12 +181,12 @@
     }
 
     /// Takes the lost runs that match, with their tasks.
-    fn take_lost(&mut self, matches: impl Fn(&LostRun) -> bool) -> Vec<(TaskId, Run)> {
+    fn take_lost(&mut self, matches: impl Fn(&LostRun) -> bool) -> Vec<(TaskId, LostRun)> {
         let (id, mut taken) = (self.id, Vec::new());
         for record in &mut self.state.crashes {
             let (round, step, index) = (record.round, record.step, record.index);
             let lost = record.lost.extract_if(.., |lost| matches(lost));
-            taken.extend(lost.map(|l| (TaskId { job: id, round, step, index }, l.run)));
+            taken.extend(lost.map(|l| (TaskId { job: id, round, step, index }, l)));
         }
         if !taken.is_empty() {
             self.mark_dirty();
@@ -351,7 +356,8 @@
                 // When an earlier placer started the run isn't known.
                 let range = (slot.phase != Phase::Unheard).then_some((least, age.millis()));
                 let evidence = CrashEvidence { confirmed, early: is_early, sole, age: range };
-                if age <= COUNTED_AGE_MAX && (slot.confirmed || is_early) {
+                let restored = slot.phase == Phase::Unheard;
+                if age <= COUNTED_AGE_MAX && (confirmed || is_early || restored) {
                     runs.push((slot.task, slot.run, evidence));
                 }
             }
@@ -389,7 +395,9 @@
         let mut runs = Vec::new();
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
             let lost = job.take_lost(&matches);
-            runs.extend(lost.into_iter().map(|(t, r)| (t, r, CrashEvidence::BELATED)));
+            runs.extend(
+                lost.into_iter().map(|(t, l)| (t, l.run, CrashEvidence::belated(l.confirmed))),
+            );
         }
         self.count_crashes(ctx, boot, &runs, true);
     }
@@ -402,7 +410,7 @@
         task: TaskId,
         run: Run,
     ) {
-        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::BELATED)], false);
+        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::belated(false))], false);
     }
 
     fn count_crashes(
@@ -438,13 +446,14 @@
     /// Remembers a run that is lost with its lease, unless its worker may have left as planned.
     pub(super) fn remember_lost(&mut self, at: usize, slot: &Slot, boot: &Boot, now: Moment) {
         let loss = self.workers[at].contact_loss(now);
-        let counts = slot.confirmed
+        let counts = (slot.confirmed || slot.phase == Phase::Unheard)
             && slot.was_running(loss.at)
             && loss.at.since(slot.started) <= COUNTED_AGE_MAX
             && self.workers[at].was_ready(loss.at);
         if counts && let Ok(j) = self.job_index(slot.task.job) {
             let addr = self.workers[at].entry.as_ref().map(|e| e.addr);
-            let lost = LostRun { run: slot.run, boot: boot.clone(), addr };
+            let (run, confirmed) = (slot.run, slot.confirmed);
+            let lost = LostRun { run, boot: boot.clone(), addr, confirmed };
             self.jobs[j].remember_lost(&slot.task, lost);
         }
     }
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -325,7 +325,7 @@
         percent: 0,
         moved: now,
         fresh: false,
-        confirmed: true,
+        confirmed: false,
         telling: false,
     }
 }
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -62,7 +62,8 @@
     pub(crate) moved: Moment,
     /// This placer started the run, and not from a checkpoint.
     pub(crate) fresh: bool,
-    /// The worker has confirmed the start, or an earlier placer has recorded it.
+    /// The worker has confirmed the start. An earlier placer may have recorded a run and not sent its
+    /// start.
     pub(crate) confirmed: bool,
     /// The run may still give a sample of its worker's speed; each run gives at most one.
     pub(crate) telling: bool,
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -86,7 +86,7 @@
 /// What is known of a worker's crash with regard to one run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct CrashEvidence {
-    /// The worker has confirmed the start.
+    /// The worker has confirmed the start to the placer that counts the crash.
     pub(crate) confirmed: bool,
     /// The run had just started.
     pub(crate) early: bool,
@@ -121,6 +121,8 @@
     pub(crate) boot: Boot,
     /// Address of the worker, if it was listed. Another worker there shows that the boot is gone.
     pub(crate) addr: Option<SocketAddr>,
+    /// The worker had confirmed the start.
+    pub(crate) confirmed: bool,
 }
 
 impl CrashRecord {
--- a/crates/fleet/src/record/tests.rs
+++ b/crates/fleet/src/record/tests.rs
@@ -37,7 +37,12 @@
 #[test]
 fn earlier_version_reads_a_state_with_crashes() {
     let (workspace, outcome, ended, begun, rounds, finished) = first_state();
-    let lost = vec![LostRun { run: Run(2), boot: boot(), addr: Some(([10, 0, 0, 1], 80).into()) }];
+    let lost = vec![LostRun {
+        run: Run(2),
+        boot: boot(),
+        addr: Some(([10, 0, 0, 1], 80).into()),
+        confirmed: true,
+    }];
     let crashes = vec![CrashRecord { lost, ..CrashRecord::new(2, 0, 0) }];
     let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
     let bytes = encode(&state).expect("encodable");
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -149,7 +149,9 @@
     pub fn reboot(&self, worker: usize) {
         let mut world = self.lock();
         let now = world.now;
-        world.workers[worker].reboot(now);
+        let World { workers, crashes, .. } = &mut *world;
+        crashes.record_crash(&workers[worker]);
+        workers[worker].reboot(now);
         world.publish();
     }
 
