--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -349,7 +349,7 @@
         percent: 0,
         moved: now,
         fresh: false,
-        confirmed: true,
+        confirmed: false,
         telling: false,
     }
 }
