Count a crash whose worker's entry was gone before a call to it failed

Cause: a crash counted only if the worker had been listed as ready within 1 s before contact was lost. A call may take 2.5 s to fail, while the worker is back under another identifier and its entry gone for longer than that. Change: the listing is compared with the time at which the entry went missing, if that was earlier.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -234,8 +234,10 @@
     /// was never listed in this epoch counts as ready.
     fn was_ready(&self, lost: Moment) -> bool {
         let Some(entry) = &self.entry else { return true };
+        // A call may take seconds to fail, while the entry is already gone.
+        let listed_until = self.missing.map_or(lost, |m| m.min(lost));
         entry.state == WorkerState::Ready
-            && self.ready.is_some_and(|at| lost.since(at) <= READY_AGE_MAX)
+            && self.ready.is_some_and(|at| listed_until.since(at) <= READY_AGE_MAX)
     }
 
     /// Returns true if a run had just started when contact was lost.
--- a/crates/lab/tests/fleet/deadly.rs
+++ b/crates/lab/tests/fleet/deadly.rs
@@ -67,6 +67,21 @@
     }
 }
 
+/// As above, but its entry is gone long before a call to it times out: it once counted as one that may
+/// have left as planned.
+#[test]
+fn crash_counts_if_the_worker_is_back_before_a_call_to_it_fails() {
+    for (seed, downtime) in [(75, 500), (76, 790), (77, 1_200)] {
+        let tasks = DeadlyTasks { renamed: true, downtime, ..deadly(None, 530) };
+        let mut lab = open(8, seed, tasks);
+        lab.submit(1_000, 0, DEADLY, "roster", job(vec![single(8, 9_000)]));
+        lab.run(40_000);
+        assert_eq!(lab.state(DEADLY), Some(ShownState::Failed), "downtime {downtime}");
+        assert!(lab.deadly_crashes() <= 3, "downtime {downtime}: {}", lab.deadly_crashes());
+        assert_no_violations(&mut lab);
+    }
+}
+
 /// As above, but the leases of the runs expire before the workers are back, under the same identifier
 /// or at the same address.
 #[test]
