Failing test: a repeated submission transfers the whole large configuration

The store answers a refused commit with all items that it expects, so that the commit of a job that is already stored brings the configuration although that hasn't changed: transfers 1, expected 0.

--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -2,8 +2,8 @@
 
 use bulrushlink_core::{Moment, Span};
 use bulrushlink_fleet::{
-    Answer, CallerCall, CallerVerb, Catalog, Clock, Fault, Input, JobSpec, Limits, Node,
-    OperatorView, Output, Queue, RequestId, Rev, StoreOp, StoreReply, Tag,
+    Answer, CallerCall, CallerVerb, Catalog, Clock, Fault, Input, Item, JobSpec, Limits, Node,
+    OperatorView, Output, Queue, RequestId, Rev, StoreOp, StoreReply, Subject, Tag,
 };
 
 use support::{node, step};
@@ -180,6 +180,68 @@
     assert!(!(later_under_old && earlier_under_new));
 }
 
+/// A submission that is repeated, as its answer was lost, must not cost a transfer of the whole
+/// configuration: the store answers a refused commit with all items that the commit expects.
+#[test]
+fn repeated_submission_does_not_transfer_a_large_configuration() {
+    let mut node = node();
+    let large = Catalog { size: 1_000_000, ..catalog() };
+    let key = "0".repeat(14) + "aa";
+    let (mut now, mut transfers, mut stored, mut accepted) = (0, 0, None, 0);
+    let mut inputs = vec![Input::Tick];
+    while now < 3_000 {
+        let input = inputs.pop().unwrap_or(Input::Tick);
+        now += 5;
+        for output in node.handle(clock(now), input) {
+            match output {
+                Output::Store(tag @ Tag::Catalog(_), op, _) => inputs.push(Input::Store(
+                    tag,
+                    Ok(match op {
+                        StoreOp::Catalog => StoreReply::Operator(OperatorView {
+                            catalog: Some(large.clone()),
+                            evacuated: Vec::new(),
+                        }),
+                        StoreOp::Evacuations => StoreReply::Evacuated(Vec::new()),
+                        _ => StoreReply::Committed(Rev(9)),
+                    }),
+                )),
+                Output::Store(tag @ Tag::Front(..), StoreOp::Commit(commit), _) => {
+                    let refused = stored.is_some();
+                    let (key, value, _) = commit
+                        .writes
+                        .iter()
+                        .find(|w| w.0.ends_with(&key))
+                        .expect("the job")
+                        .clone();
+                    let item = stored.get_or_insert(Item { key, value, rev: Rev(5) }).clone();
+                    let catalog = commit.expect.iter().any(|(s, _)| *s == Subject::Catalog);
+                    transfers += u32::from(refused && catalog);
+                    let catalog = catalog.then(|| large.clone());
+                    inputs.push(Input::Store(
+                        tag,
+                        Ok(match refused {
+                            true => StoreReply::Conflict(vec![item], catalog),
+                            false => StoreReply::Committed(Rev(5)),
+                        }),
+                    ));
+                }
+                Output::Store(tag @ Tag::Front(..), StoreOp::Get(_), _) => {
+                    inputs.push(Input::Store(tag, Ok(StoreReply::Item(stored.clone(), Rev(9)))));
+                }
+                Output::Answer(_, answer) => {
+                    assert_eq!(answer, Answer::Accepted);
+                    accepted += 1;
+                }
+                _ => {}
+            }
+        }
+        if now == 100 || now == 1_000 {
+            inputs.push(Input::Caller(RequestId(now), call(3_000)));
+        }
+    }
+    assert_eq!((accepted, transfers), (2, 0));
+}
+
 /// Counts the listings of the queue's pending markers.
 fn counts(outputs: &[Output], queue: &str) -> usize {
     let listing =
