--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -3,13 +3,15 @@
 use bulrushlink_core::{Moment, Span};
 
 use super::job::Job;
-use super::worker::{Phase, Slot, Worker};
+use super::worker::{HoldCall, Phase, Slot, Worker};
 use super::{Context, Placer, Stage};
 use crate::catalog::{Catalog, Limits, Queue, Workspace};
-use crate::edge::{Clock, Output, StoreOp, StoreReply, WorkerEntry, WorkerOp, WorkerState};
-use crate::ids::{Boot, Epoch, JobId, Rev, TaskId};
+use crate::edge::{
+    Clock, Output, RunReport, StoreOp, StoreReply, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
+};
+use crate::ids::{Boot, Epoch, JobId, Rev, Run, TaskId};
 use crate::model::{JobSpec, Resources, Step};
-use crate::record::{JobRecord, StateRecord};
+use crate::record::{CrashEvidence, CrashRecord, Item, JobRecord, StateRecord, encode, keys};
 use crate::settings::Bounds;
 
 const BOUNDS: Bounds = Bounds {
@@ -380,3 +382,73 @@
         }
     }
 }
+
+/// Returns what is recorded of a task under which workers have crashed at the given ages.
+fn crash_record(ages: &[u64], early: bool) -> CrashRecord {
+    let crash =
+        |age: &u64| CrashEvidence { confirmed: true, early, sole: false, age: Some((*age, *age)) };
+    let crashes = ages.iter().map(crash).collect();
+    CrashRecord { crashes, counted: Run(1), ..CrashRecord::new(0, 0, 0) }
+}
+
+/// A new placer gave up a job while it restored the runs, and put the job's later runs on their
+/// workers afterwards. They were never stopped, and endless ones held their capacity for good.
+#[test]
+fn runs_of_a_job_that_is_given_up_at_a_takeover_are_stopped() {
+    let mut bench = Bench::open(&[accelerators(8), accelerators(8)]);
+    bench.add_job(1, 1, Step { endless: true, ..step(2, false, 4) });
+    let mut job = bench.placer.jobs[0].clone();
+    job.open_rounds(1_800_000_000_000);
+    let boot = |number: u64, born| Boot { worker: entry(number, 1, accelerators(8)).id, born };
+    // The first worker has crashed and booted again under the third run of the deadly task.
+    job.plan_start(&task(1, 0), Run(3), boot(0, 0));
+    job.plan_start(&task(1, 1), Run(1), boot(1, 1));
+    job.state.crashes = vec![crash_record(&[1_500, 1_500], false)];
+    let value = encode(&job.state).expect("the state can be encoded");
+    let item = Item { key: keys::state(JobId(1)), value, rev: Rev(2) };
+    bench.placer.stage = Stage::States;
+    bench.with(|p, ctx| p.states_page_read(ctx, Ok(StoreReply::Page(vec![item], false, Rev(2)))));
+    assert!(bench.placer.jobs[0].is_over());
+
+    let report = RunReport { task: task(1, 1), run: Run(1), saved: String::new(), percent: 100 };
+    bench.now += Span(10);
+    let (now, id) = (bench.now, bench.placer.workers[1].id().clone());
+    bench.placer.workers[1].hold = Some(HoldCall { ordinal: 1, sent: now, acked: 0 });
+    let lists = WorkerReply::Lists { born: Some(1), running: vec![report], ended: Vec::new() };
+    bench.with(|p, ctx| p.hold_answered(ctx, &id, 1, Some(10), Ok(lists)));
+    bench.pass();
+    assert_eq!(bench.closing(), 1);
+}
+
+/// A suspected task got a worker without other runs, and the same placement put other jobs' runs
+/// beside it, which the next crash took along.
+#[test]
+fn suspected_task_gets_no_neighbours_from_the_same_placement() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 0, step(1, false, 1));
+    bench.add_job(2, 1, step(1, false, 1));
+    bench.placer.jobs[0].state.crashes = vec![crash_record(&[20], true)];
+    bench.placer.jobs[0].isolate_until = bench.now + Span(2_000);
+    bench.pass();
+    assert_eq!(bench.commit(), [task(1, 0)]);
+}
+
+/// Crashes weren't counted if a read of the registered workers took longer than half a second: the
+/// latest one that showed the worker as ready was then too old.
+#[test]
+fn crash_counts_if_reads_of_the_workers_are_slow() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    bench.add_job(1, 1, step(1, false, 1));
+    // The read that lists the worker took 600 ms, and the next one is under way for 500 ms.
+    bench.now += Span(1_100);
+    bench.placer.reading.under_way = Some((1, bench.now - Span(500)));
+    bench.pass();
+    assert_eq!(bench.commit(), [task(1, 0)]);
+    bench.now += Span(20);
+    let at = bench.now;
+    bench.with(|p, ctx| {
+        p.record_loss(0, at, true);
+        p.count_worker_crash(ctx, 0);
+    });
+    assert_eq!(bench.placer.jobs[0].state.crashes.len(), 1);
+}
