Stop the runs of a job that is given up while a new placer restores them

A new placer counted a crash as soon as it restored the run; if the job was given up for it, only the runs restored so far were stopped. The others went on under a job shown as failed, endless ones for good. All runs are restored now before crashes are counted. runs_of_a_job_that_is_given_up_at_a_takeover_are_stopped, written by the reviewer, failed before.

--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -144,32 +144,40 @@
             event = "placer_active", epoch:% = self.epoch, jobs = self.jobs.len(),
             runs = runs.len(), took_ms = now.since(self.since).millis(); "all records are loaded; placing starts"
         );
+        let mut replaced = Vec::new();
         for (boot, task, run, need) in runs {
             let slot = unheard_slot(task, run, need, now);
-            self.restore_run(ctx, boot, slot);
+            if !self.restore_run(&boot, slot, now) {
+                replaced.push((boot, task, run));
+            }
+        }
+        // A job that is given up stops its runs, so all of them have to be restored before.
+        for (boot, task, run) in replaced {
+            self.count_restored_crash(ctx, &boot, task, run);
         }
         self.count_earlier_crashes(ctx);
         self.apply_pending_cancels(ctx);
     }
 
-    /// Puts a recorded run on its worker, or clears its place if that boot is known to be gone.
-    fn restore_run(&mut self, ctx: &mut Context<'_>, boot: Boot, slot: Slot) {
-        let now = ctx.clock.now;
+    /// Puts a recorded run on its worker, or clears its place if that boot is known to be gone, for
+    /// which it returns false.
+    fn restore_run(&mut self, boot: &Boot, slot: Slot, now: Moment) -> bool {
         match self.worker_index(&boot.worker) {
-            Ok(at) if self.workers[at].boot == boot => self.workers[at].insert_slot(slot),
+            Ok(at) if self.workers[at].boot == *boot => self.workers[at].insert_slot(slot),
             Ok(_) => {
                 if let Ok(at) = self.job_index(slot.task.job) {
                     self.jobs[at].clear_place(&slot.task, slot.run);
                 }
-                self.count_restored_crash(ctx, &boot, slot.task, slot.run);
+                return false;
             }
             Err(at) => {
                 self.fences += 1;
-                let mut worker = Worker::new(boot, self.fences, None, now);
+                let mut worker = Worker::new(boot.clone(), self.fences, None, now);
                 worker.insert_slot(slot);
                 self.workers.insert(at, worker);
             }
         }
+        true
     }
 
     pub(super) fn read_workers(&mut self, ctx: &mut Context<'_>) {
