--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -110,6 +110,7 @@
                 let assignment: Assignment = unit.waiting.iter().copied().zip(placed).collect();
                 fleet.take_room(&assignment, &shape.step.need);
                 self.plan_starts(ctx, &unit.task(0), &assignment, "placed into free capacity");
+                self.close_guarded(ctx, &assignment, fleet);
                 return;
             }
         }
@@ -118,6 +119,20 @@
         }
     }
 
+    /// Closes the workers of an assignment that must get no other runs, for the rest of a placement.
+    pub(super) fn close_guarded(
+        &self,
+        ctx: &Context<'_>,
+        assignment: &Assignment,
+        fleet: &mut FleetSnapshot,
+    ) {
+        for (_, at) in assignment {
+            if self.workers[*at].is_on_probation(ctx.clock.now) {
+                fleet.close(*at);
+            }
+        }
+    }
+
     /// Chooses workers with free capacity: for a gang, workers for all of its tasks or none.
     fn find_room(&self, unit: &Unit, shape: &Shape, fleet: &mut FleetSnapshot) -> Vec<usize> {
         let (rooms, racks) = fleet.rooms_for(shape, |at| self.is_eligible(at, shape));
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -250,6 +250,11 @@
         }
     }
 
+    /// Keeps further runs away from a worker.
+    pub(super) fn close(&mut self, at: usize) {
+        self.open[at] = false;
+    }
+
     /// Reserves capacity, one `need` on each of the given workers, as it becomes free.
     pub(super) fn add_claim(&mut self, workers: impl Iterator<Item = usize>, need: &Resources) {
         for at in workers {
