Count crashes of workers whose loss shows late

Cause: a loss of contact that shows by a time-out is up to 2.5 s old, and by then the entry of a worker that has come back under another identifier is gone for more than a second. Change: the age of the last listing as ready is taken when the entry was first missing, if that is earlier.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -235,8 +235,10 @@
     /// was never listed in this epoch counts as ready.
     fn was_ready(&self, lost: Moment) -> bool {
         let Some(entry) = &self.entry else { return true };
+        // The loss may show late, by a time-out, when the entry is already gone.
+        let gone = self.missing.map_or(lost, |missing| missing.min(lost));
         entry.state == WorkerState::Ready
-            && self.ready.is_some_and(|at| lost.since(at) <= READY_AGE_MAX)
+            && self.ready.is_some_and(|at| gone.since(at) <= READY_AGE_MAX)
     }
 
     /// Returns true if a run had just started when contact was lost.
