Repeat a lost check of the configuration before requests are refused

A check of a large configuration is a commit, whose reply the store may lose where it would answer a read. One lost check refused all requests that waited for it, among them those that only followed another one, and made the daemon unready.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -69,6 +69,8 @@
     retry: Option<Moment>,
     /// A commit of this request may have taken effect, or may still do so.
     outcome_unknown: bool,
+    /// It waits for the view only because an earlier request does.
+    follows: bool,
     /// The submitted job was not in the store when it was last looked up.
     absent: bool,
     faults: u32,
@@ -115,6 +117,7 @@
             ordinal: 0,
             retry: None,
             outcome_unknown: false,
+            follows: false,
             absent: false,
             faults: 0,
         };
@@ -122,6 +125,7 @@
         // wait is short unless the configuration is large.
         let follows = ctx.view.is_large() && self.awaits_view();
         let keep = if follows { request.await_view(ctx) } else { request.begin(ctx) };
+        request.follows = follows;
         if keep {
             self.requests.push(request);
         }
@@ -157,10 +161,14 @@
         });
     }
 
-    /// Refuses the requests that waited for a fresh view, because the read of it failed.
+    /// Refuses the requests that need a fresh view, because the read of it failed. Those that only
+    /// waited for earlier ones are served.
     pub(crate) fn view_unavailable(&mut self, ctx: &mut Context<'_>) {
-        self.requests
-            .retain_mut(|r| r.stage != Stage::AwaitingView || r.refuse(ctx, "no fresh view"));
+        self.requests.retain_mut(|r| match r.stage {
+            Stage::AwaitingView if r.follows => r.begin(ctx),
+            Stage::AwaitingView => r.refuse(ctx, "no fresh view"),
+            _ => true,
+        });
     }
 
     /// Passes a store reply to its request; a reply to an earlier call is ignored.
@@ -249,6 +257,7 @@
 
     /// Waits for a read of the configuration that begins from now on.
     fn await_view(&mut self, ctx: &mut Context<'_>) -> bool {
+        self.follows = false;
         self.stage = Stage::AwaitingView;
         self.ordinal += 1;
         self.retry = None;
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -49,6 +49,8 @@
     ordinal: u64,
     /// A request waits for a read that begins from now on.
     wanted: bool,
+    /// The latest check of the revision failed, and is being repeated.
+    rechecking: bool,
     /// The latest read failed.
     lost: bool,
 }
@@ -109,6 +111,11 @@
             return;
         }
         self.wanted = false;
+        self.read(now, out);
+    }
+
+    /// Starts a read.
+    fn read(&mut self, now: Moment, out: &mut Vec<Output>) {
         let op = match &self.catalog {
             Some(catalog) if is_large(catalog) => StoreOp::CheckCatalog(catalog.rev),
             _ => StoreOp::Catalog,
@@ -165,7 +172,14 @@
                 self.next = now + RETRY_DELAY;
                 ReadProgress::Failed
             }
+            // A check is a commit, whose reply may be lost although the store is there.
+            Err(Fault::Unknown(_)) if self.is_large() && !self.rechecking && !self.lost => {
+                self.rechecking = true;
+                self.read(now, out);
+                ReadProgress::Unfinished
+            }
             Err(fault) => {
+                self.rechecking = false;
                 if !self.lost {
                     log::warn!(event = "store_lost", cause:% = fault; "configuration read failed");
                 }
@@ -181,7 +195,7 @@
         if self.lost {
             log::info!(event = "store_regained"; "store reachable again");
         }
-        self.lost = false;
+        (self.lost, self.rechecking) = (false, false);
         self.next = began + READ_INTERVAL;
         self.last_read = Some(began);
         if evacuated != self.evacuated {
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -150,6 +150,38 @@
     assert_eq!(creation_commits(&second), 1);
 }
 
+/// A single lost reply to a check must not refuse everybody: the store loses replies to commits now and
+/// then.
+#[test]
+fn lost_reply_to_a_check_is_repeated_before_requests_are_refused() {
+    let mut node = node();
+    let large = Catalog { size: 1_000_000, ..catalog() };
+    let view = OperatorView { catalog: Some(large), evacuated: Vec::new() };
+    let (tag, _) = configuration_call(node.handle(clock(0), Input::Tick)).expect("a read");
+    let outputs = node.handle(clock(5), Input::Store(tag, Ok(StoreReply::Operator(view))));
+    let (tag, _) = configuration_call(outputs).expect("a read of the evacuations");
+    node.handle(clock(10), Input::Store(tag, Ok(StoreReply::Evacuated(Vec::new()))));
+
+    let outputs = node.handle(clock(100), Input::Caller(RequestId(1), call(3_000)));
+    let (tag, _) = configuration_call(outputs).expect("a check");
+    let lost = || Err(Fault::Unknown("no answer in time".to_string()));
+    let outputs = node.handle(clock(900), Input::Store(tag, lost()));
+    assert_eq!(first_answer(&outputs), None);
+    let (tag, op) = configuration_call(outputs).expect("a repeated check");
+    assert_eq!(op, StoreOp::CheckCatalog(Rev(1)));
+    assert!(node.is_ready(Moment(900)));
+
+    // One that only waits for the first is served under the view, which is still valid.
+    let state = CallerCall { verb: CallerVerb::Get, ..call(3_000) };
+    let outputs = node.handle(clock(950), Input::Caller(RequestId(2), state));
+    assert_eq!(outputs.iter().filter(|o| matches!(o, Output::Answer(..))).count(), 0);
+    let outputs = node.handle(clock(1_700), Input::Store(tag, lost()));
+    let answers: Vec<_> = outputs.iter().filter(|o| matches!(o, Output::Answer(..))).collect();
+    assert!(matches!(answers[..], [Output::Answer(RequestId(1), Answer::Unavailable(..))]));
+    let reads = |o: &&Output| matches!(o, Output::Store(Tag::Front(..), StoreOp::Get(_), _));
+    assert_eq!(outputs.iter().filter(reads).count(), 1);
+}
+
 /// Returns the tags of the calls that read the submitted job.
 fn job_reads(outputs: &[Output]) -> Vec<Tag> {
     let read = |o: &Output| match o {
