--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -578,7 +578,7 @@
             Event::Cancel(daemon, id) => self.send_request(daemon, id, true),
             Event::Leave(worker, born) => {
                 if self.workers[worker].entry.born == born {
-                    self.remove(worker);
+                    self.depart(worker);
                 }
             }
             Event::Crash { worker, born, task, deadly } => {
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -53,10 +53,23 @@
     }
 
     pub(super) fn crash(&mut self, worker: usize) {
+        self.record.record_crash(worker);
+        self.lose_runs(worker);
+    }
+
+    /// Takes a worker away that has announced its departure, which is no crash of its tasks.
+    pub(super) fn depart(&mut self, worker: usize) {
+        if self.workers[worker].up {
+            self.lose_runs(worker);
+            self.workers[worker].up = false;
+        }
+    }
+
+    fn lose_runs(&mut self, worker: usize) {
         let gangs: Vec<(TaskId, Run)> =
             self.workers[worker].runs.iter().filter(|r| r.gang).map(|r| (r.task, r.run)).collect();
         self.workers[worker].runs.clear();
-        self.record.record_crash(worker);
+        self.record.record_loss(worker);
         gangs.into_iter().for_each(|(task, run)| self.break_gang(task, run));
     }
 
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -248,11 +248,15 @@
         unacked.filter(listed).for_each(|u| u.fate = EndFate::Lapsed);
     }
 
-    /// Records the crash of a worker, with the loss of its runs and of its list of ends.
+    /// Records the crash of a worker under the tasks that run there.
     pub(super) fn record_crash(&mut self, worker: usize) {
         for (task, ..) in self.live.iter().filter(|(_, _, w)| *w == worker) {
             self.crashes.entry(*task).or_default().0 += 1;
         }
+    }
+
+    /// Records the loss of a worker's runs and of its list of ends.
+    pub(super) fn record_loss(&mut self, worker: usize) {
         self.live.retain(|(_, _, w)| *w != worker);
         for job in &mut self.jobs {
             // A task that was started again since its end no longer counts as done by that end.
