--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -19,7 +19,7 @@
 /// Age of a run up to which a crash of its worker is counted at all.
 const COUNTED_AGE_MAX: Span = Span(30_000);
 /// Time for which a worker with a suspected run that has just started gets no other runs.
-const PROBATION: Span = Span(1_500);
+const ISOLATION_TIME: Span = Span(1_500);
 /// Longest time for which a suspected task waits for a worker without other runs.
 const ISOLATION_WAIT_MAX: Span = Span(2_000);
 /// A worker that was listed as ready this long ago can't have left as planned, as departures are
@@ -38,15 +38,15 @@
 /// A task that runs longer than twice the age at which its worker crashed, and this, is cleared.
 const CLEARED_AGE_MIN: Span = Span(3_000);
 /// Crashes at which a task is given up if one of them has no other explanation.
-const CLEAR_CRASHES_MAX: u32 = 2;
+const UNAMBIGUOUS_CRASHES_MAX: u32 = 2;
 /// Crashes at which a task is given up if the start of all but one was confirmed.
 const CRASHES_MAX: u32 = 3;
 /// Confirmed ones among them, the least for which a task may be given up.
 const CONFIRMED_CRASHES_MIN: u32 = 2;
+/// Crashes at which a task is given up even if no start was confirmed.
+const UNSURE_CRASHES_MAX: u32 = 4;
 /// Most crashes that are kept of a task.
 const CRASHES_KEPT_MAX: usize = 12;
-/// Crashes at which a task is given up in any case.
-const UNSURE_CRASHES_MAX: u32 = 4;
 
 /// How often workers have crashed under a task at about the same age of its runs.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -58,7 +58,7 @@
     /// How many of `crashes` came soon after the start.
     pub(crate) early: u32,
     /// How many of `early` came while no run of another job had just started on the worker.
-    pub(crate) sole: u32,
+    pub(crate) unambiguous: u32,
 }
 
 /// The loss of contact with a worker, with the jobs whose runs there had just started.
@@ -72,9 +72,9 @@
 }
 
 impl CrashEvidence {
-    /// Returns what is known of a crash that was found late.
-    fn belated(confirmed: bool) -> Self {
-        Self { confirmed, early: false, sole: false, age: None }
+    /// Returns what is known of a crash that was found when the age of the run was no longer known.
+    fn of_unknown_age(confirmed: bool) -> Self {
+        Self { confirmed, early: false, unambiguous: false, age: None }
     }
 
     /// Returns true if one task may have caused both crashes: it crashes its workers at about the
@@ -91,13 +91,13 @@
         self.crashes += u32::from(crash.confirmed);
         self.unsure += u32::from(!crash.confirmed);
         self.early += u32::from(crash.confirmed && crash.early);
-        self.sole += u32::from(crash.confirmed && crash.sole);
+        self.unambiguous += u32::from(crash.confirmed && crash.unambiguous);
     }
 
     /// Returns true if the task has to be given up.
-    pub(crate) fn convicts(&self) -> bool {
+    pub(crate) fn must_give_up(&self) -> bool {
         let all = self.crashes + self.unsure;
-        (self.early >= CLEAR_CRASHES_MAX && self.sole > 0)
+        (self.early >= UNAMBIGUOUS_CRASHES_MAX && self.unambiguous > 0)
             || (self.crashes >= CONFIRMED_CRASHES_MIN && all >= CRASHES_MAX)
             || all >= UNSURE_CRASHES_MAX
     }
@@ -111,7 +111,7 @@
         count
     }
 
-    /// Returns true if the task may have caused a crash: one came soon after its start.
+    /// Returns true if the task is to be isolated: a crash came soon after its start.
     fn is_suspect(&self) -> bool {
         self.crashes.iter().any(|c| c.early)
     }
@@ -258,7 +258,7 @@
     }
 
     /// Returns true if the worker must get no other runs because of a suspected one.
-    pub(crate) fn is_on_probation(&self, now: Moment) -> bool {
+    pub(crate) fn is_isolated(&self, now: Moment) -> bool {
         now < self.closed_until && !self.slots.is_empty()
     }
 }
@@ -352,12 +352,13 @@
             for slot in worker.slots.iter().filter(|s| s.was_running(loss.at)) {
                 let age = loss.at.since(slot.started);
                 let is_early = !external && Worker::is_early(slot, &loss);
-                let sole = is_early && suspects == [slot.task.job];
+                let unambiguous = is_early && suspects == [slot.task.job];
                 let confirmed = slot.confirmed;
                 let least = age.millis().saturating_sub(loss.lag.millis());
                 // When an earlier placer started the run isn't known.
                 let range = (slot.phase != Phase::Unheard).then_some((least, age.millis()));
-                let evidence = CrashEvidence { confirmed, early: is_early, sole, age: range };
+                let evidence =
+                    CrashEvidence { confirmed, early: is_early, unambiguous, age: range };
                 let restored = slot.phase == Phase::Unheard;
                 if age <= COUNTED_AGE_MAX && (confirmed || is_early || restored) {
                     runs.push((slot.task, slot.run, evidence));
@@ -398,7 +399,8 @@
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
             let lost = job.take_lost(&matches);
             runs.extend(
-                lost.into_iter().map(|(t, l)| (t, l.run, CrashEvidence::belated(l.confirmed))),
+                lost.into_iter()
+                    .map(|(t, l)| (t, l.run, CrashEvidence::of_unknown_age(l.confirmed))),
             );
         }
         self.count_crashes(ctx, boot, &runs, true);
@@ -412,7 +414,7 @@
         task: TaskId,
         run: Run,
     ) {
-        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::belated(false))], false);
+        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::of_unknown_age(false))], false);
     }
 
     fn count_crashes(
@@ -429,10 +431,10 @@
             let Some(count) = counted else { continue };
             log::info!(
                 event = "crash_counted", task:% = task, run = run.0, worker:% = boot.worker,
-                crashes = count.crashes, unsure = count.unsure, early = count.early, sole = count.sole,
+                crashes = count.crashes, unsure = count.unsure, early = count.early, unambiguous = count.unambiguous,
                 suspects = runs.len(), age_ms = evidence.age.map_or(-1, |(_, most)| most as i64); "the worker has crashed under the run"
             );
-            if count.convicts() {
+            if count.must_give_up() {
                 log::warn!(
                     event = "job_given_up", job:% = task.job, task:% = task, crashes = count.crashes,
                     unsure = count.unsure; "the task goes on crashing its workers; the job has failed"
@@ -511,10 +513,10 @@
     }
 
     /// Keeps other runs away from a worker that gets a run of a suspected task.
-    pub(super) fn guard_suspect(&mut self, at: usize, task: &TaskId, now: Moment) {
+    pub(super) fn isolate_suspect(&mut self, at: usize, task: &TaskId, now: Moment) {
         let suspect = self.job_index(task.job).is_ok_and(|j| self.jobs[j].is_suspect(task));
         if suspect {
-            self.workers[at].closed_until = now + PROBATION;
+            self.workers[at].closed_until = now + ISOLATION_TIME;
         }
     }
 }
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -110,7 +110,7 @@
                 let assignment: Assignment = unit.waiting.iter().copied().zip(placed).collect();
                 fleet.take_room(&assignment, &shape.step.need);
                 self.plan_starts(ctx, &unit.task(0), &assignment, "placed into free capacity");
-                self.close_guarded(ctx, &assignment, fleet);
+                self.close_isolated(ctx, &assignment, fleet);
                 return;
             }
         }
@@ -120,14 +120,14 @@
     }
 
     /// Closes the workers of an assignment that must get no other runs, for the rest of a placement.
-    pub(super) fn close_guarded(
+    pub(super) fn close_isolated(
         &self,
         ctx: &Context<'_>,
         assignment: &Assignment,
         fleet: &mut FleetSnapshot,
     ) {
         for (_, at) in assignment {
-            if self.workers[*at].is_on_probation(ctx.clock.now) {
+            if self.workers[*at].is_isolated(ctx.clock.now) {
                 fleet.close(*at);
             }
         }
@@ -176,7 +176,7 @@
             rack: entry.and_then(|e| e.rack.as_ref()),
             recent_faults: worker.recent_faults(ctx.clock.now),
             band: worker.pace.band(mean_log),
-            open: self.may_start(ctx, at) && !worker.is_on_probation(ctx.clock.now),
+            open: self.may_start(ctx, at) && !worker.is_isolated(ctx.clock.now),
         }
     }
 
@@ -229,7 +229,7 @@
                 confirmed: false,
                 telling: fresh,
             });
-            self.guard_suspect(*at, &task, now);
+            self.isolate_suspect(*at, &task, now);
             places.push(format!("{index}:{}", self.workers[*at].id()));
         }
         let job = &self.jobs[j];
--- a/crates/fleet/src/placer/job/tests.rs
+++ b/crates/fleet/src/placer/job/tests.rs
@@ -126,8 +126,9 @@
 fn count_crash(job: &mut Job, run: u32, age: u64) -> bool {
     job.plan_start(&TASK, Run(run), Boot { worker: "i-1".parse().expect("a valid name"), born: 1 });
     let early = age < 1_000;
-    let evidence = CrashEvidence { confirmed: true, early, sole: early, age: Some((age, age)) };
-    job.count_crash(&TASK, Run(run), &evidence, false).is_some_and(|c| c.convicts())
+    let evidence =
+        CrashEvidence { confirmed: true, early, unambiguous: early, age: Some((age, age)) };
+    job.count_crash(&TASK, Run(run), &evidence, false).is_some_and(|c| c.must_give_up())
 }
 
 /// Guards against a job that fails because its workers crashed three times for other reasons: a task
--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -80,7 +80,7 @@
                     &assignment,
                     "preempted runs have freed the claimed capacity",
                 );
-                self.close_guarded(ctx, &assignment, fleet);
+                self.close_isolated(ctx, &assignment, fleet);
                 started = true;
             } else {
                 fleet.add_claim(assignment.iter().map(|(_, at)| *at), &need);
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -102,7 +102,7 @@
         let tag = PlacerTag::Start(target.worker.clone(), target.fence, *task, run);
         let timeout = call_timeout(ctx);
         self.call_worker(ctx, target, tag, op, timeout);
-        self.guard_suspect(at, task, now);
+        self.isolate_suspect(at, task, now);
         metrics::counter!("bulrushlink_starts_total").increment(1);
     }
 
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -385,8 +385,12 @@
 
 /// Returns what is recorded of a task under which workers have crashed at the given ages.
 fn crash_record(ages: &[u64], early: bool) -> CrashRecord {
-    let crash =
-        |age: &u64| CrashEvidence { confirmed: true, early, sole: false, age: Some((*age, *age)) };
+    let crash = |age: &u64| CrashEvidence {
+        confirmed: true,
+        early,
+        unambiguous: false,
+        age: Some((*age, *age)),
+    };
     let crashes = ages.iter().map(crash).collect();
     CrashRecord { crashes, counted: Run(1), ..CrashRecord::new(0, 0, 0) }
 }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -89,10 +89,10 @@
 pub(crate) struct CrashEvidence {
     /// The worker has confirmed the start to the placer that counts the crash.
     pub(crate) confirmed: bool,
-    /// The run had just started.
+    /// The run had just started, and nothing suggests another cause.
     pub(crate) early: bool,
-    /// The run had just started, and no run of another job had.
-    pub(crate) sole: bool,
+    /// As `early`, and no run of another job had just started.
+    pub(crate) unambiguous: bool,
     /// Age of the run in milliseconds, at least and at most; `None` if it isn't known.
     pub(crate) age: Option<(u64, u64)>,
 }
--- a/crates/fleet/src/view.rs
+++ b/crates/fleet/src/view.rs
@@ -150,7 +150,7 @@
         match result {
             Ok(StoreReply::Operator(OperatorView { catalog, evacuated })) => {
                 self.adopt_read(catalog);
-                // Beside a large configuration, the page may have no room for what follows it.
+                // A page with a large configuration may end before the evacuations.
                 if self.is_large() {
                     self.call_store(began, StoreOp::Evacuations, out);
                     return ReadProgress::Unfinished;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -99,8 +99,7 @@
 
 impl<T> Client<T> {
     /// Starts a call with the given token and deadline, which moves while a long message is being
-    /// transferred; `ready` creates the handler of readiness
-    /// events for a new connection.
+    /// transferred; `ready` creates the handler of readiness events for a new connection.
     ///
     /// Returns the outcome at once if the request can't be sent.
     pub fn call(
--- a/crates/lab/src/fleet/lab/people.rs
+++ b/crates/lab/src/fleet/lab/people.rs
@@ -57,7 +57,8 @@
     }
 
     /// Records a violation for each accepted job that has not ended and for each job that is shown
-    /// as completed with a task that is not done, or as failed without cause. To be called long after the last fault.
+    /// as completed with a task that is not done, or as failed without cause. To be called long
+    /// after the last fault.
     pub fn check_ends(&mut self) {
         let ids: Vec<JobId> = self.record.jobs.iter().map(|j| j.id).collect();
         for id in ids {
