Lab: the members of a gang end as done together

On the platform the members of a gang end as done together, and one such end represents all of them. The lab ends them in the same millisecond now.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -210,8 +210,8 @@
         };
         let key = self.call.key.as_deref();
         match catalog.authorize(&self.call.host, &self.call.path, key) {
-            // A submission under an outdated configuration is refused with the whole new one. Those that
-            // wait for the same check share the transfer.
+            // The store would refuse a submission under an outdated configuration with the whole new
+            // one. Submissions that wait for the same check share the transfer.
             Ok(_)
                 if self.submits()
                     && ctx.view.is_large()
@@ -220,7 +220,7 @@
                 self.await_view(ctx)
             }
             Ok(grant) => match self.first_call(&grant, ctx.clock.wall) {
-                // The store refuses to create a job that exists with the whole configuration too.
+                // If the job exists, the store's refusal of the commit would hold the whole configuration.
                 Ok((Stage::Submitting(id), _)) if ctx.view.is_large() && !self.absent => {
                     self.stage = Stage::LookingUp(id);
                     self.call_store(ctx, StoreOp::Get(keys::job(id)))
--- a/crates/lab/src/fleet/lab/work.rs
+++ b/crates/lab/src/fleet/lab/work.rs
@@ -9,8 +9,10 @@
     pub(super) fn end_run(&mut self, index: usize, run: usize, cause: EndCause) {
         let ended = self.workers[index].end(run, cause);
         self.record.record_end(self.now, (ended.task, ended.run, index), cause);
-        if cause != EndCause::Done && ended.gang {
-            self.break_gang(ended.task, ended.run);
+        if ended.gang {
+            // The members of a gang end as done together.
+            let others = if cause == EndCause::Done { cause } else { EndCause::Broken };
+            self.end_gang(ended.task, ended.run, others);
         }
     }
 
@@ -34,13 +36,18 @@
     }
 
     pub(super) fn break_gang(&mut self, task: TaskId, run: Run) {
+        self.end_gang(task, run, EndCause::Broken);
+    }
+
+    /// Ends the members of a gang's run that are left.
+    fn end_gang(&mut self, task: TaskId, run: Run, cause: EndCause) {
         let key = gang_key(task, run);
         for index in self.gang_workers(task, run).to_vec() {
             let same = |r: &FleetRun| gang_key(r.task, r.run) == key;
             while let Some(found) = self.workers[index].runs.iter().position(same) {
-                let ended = self.workers[index].end(found, EndCause::Broken);
+                let ended = self.workers[index].end(found, cause);
                 let run = (ended.task, ended.run, index);
-                self.record.record_end(self.now, run, EndCause::Broken);
+                self.record.record_end(self.now, run, cause);
             }
         }
     }
