--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -39,10 +39,8 @@
 const CLEARED_AGE_MIN: Span = Span(3_000);
 /// Crashes at which a task is given up if one of them has no other explanation.
 const UNAMBIGUOUS_CRASHES_MAX: u32 = 2;
-/// Crashes at which a task is given up if the start of all but one was confirmed.
+/// Crashes at which a task is given up if the start of at least one was confirmed.
 const CRASHES_MAX: u32 = 3;
-/// Confirmed ones among them, the least for which a task may be given up.
-const CONFIRMED_CRASHES_MIN: u32 = 2;
 /// Crashes at which a task is given up even if no start was confirmed.
 const UNSURE_CRASHES_MAX: u32 = 4;
 /// Most crashes that are kept of a task.
@@ -98,7 +96,7 @@
     pub(crate) fn must_give_up(&self) -> bool {
         let all = self.crashes + self.unsure;
         (self.early >= UNAMBIGUOUS_CRASHES_MAX && self.unambiguous > 0)
-            || (self.crashes >= CONFIRMED_CRASHES_MIN && all >= CRASHES_MAX)
+            || (self.crashes > 0 && all >= CRASHES_MAX)
             || all >= UNSURE_CRASHES_MAX
     }
 }
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -364,6 +364,7 @@
     pub(super) fn release_expired_runs(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.clock.now;
         let lease_max = Span(ctx.bounds.lease_max_ms);
+        let mut remembered = false;
         for at in 0..self.workers.len() {
             let worker = &mut self.workers[at];
             let out_of_contact = worker.silent > 0 || worker.missing.is_some() || !worker.fenced;
@@ -384,8 +385,13 @@
             for slot in slots {
                 self.remember_lost(at, &slot, &boot, now);
                 self.release_lost_run(ctx, &slot, "its lease has expired");
+                remembered = true;
             }
         }
+        if remembered {
+            // The worker's next boot may be listed already.
+            self.count_earlier_crashes(ctx);
+        }
     }
 
     /// Releases a run that is gone and will not start later, and stops the rest of its gang.
