Compare lost runs with the workers at a cost that doesn't grow with workers times jobs

When leases lapse, each registered worker was compared with the lost runs of each job, every 100 ms: with 1,100 workers and hundreds of jobs some milliseconds of a small host each time. Now the lost runs are listed once and looked up by identifier and address; the reviews of suspected tasks visit the crash records instead of all placed tasks.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -3,10 +3,11 @@
 //! is given up with its job.
 
 use bulrushlink_core::{Moment, Span};
+use std::net::SocketAddr;
 
 use crate::edge::{Fault, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Run, TaskId};
-use crate::record::{CrashEvidence, CrashRecord, LostRun, Outcome};
+use crate::record::{CrashEvidence, CrashRecord, LostRun, Outcome, TaskRecord};
 
 use super::job::Job;
 use super::worker::{ContactLoss, Phase, Slot, Worker};
@@ -102,6 +103,10 @@
 }
 
 impl CrashRecord {
+    fn task(&self, job: JobId) -> TaskId {
+        TaskId { job, round: self.round, step: self.step, index: self.index }
+    }
+
     /// Counts the crashes that are alike to one of them.
     fn count_alike(&self, crash: &CrashEvidence) -> CrashCount {
         let mut count = CrashCount::default();
@@ -379,11 +384,30 @@
         self.count_lost(ctx, &boot, |l| l.is_replaced_by(entry));
     }
 
-    /// Counts the crashes of earlier boots of all registered workers, once the records are loaded.
+    /// Counts the crashes of earlier boots of all registered workers.
+    ///
+    /// Load pattern: a failure domain is cut off, and thousands of runs are lost within a second.
     pub(super) fn count_earlier_crashes(&mut self, ctx: &mut Context<'_>) {
-        let entries: Vec<WorkerEntry> =
-            self.workers.iter().filter_map(|w| w.entry.clone()).collect();
-        entries.iter().for_each(|entry| self.count_earlier_crash(ctx, entry));
+        let records = self.jobs.iter().flat_map(|j| &j.state.crashes);
+        let mut lost: Vec<&LostRun> = records.flat_map(|c| &c.lost).collect();
+        if lost.is_empty() {
+            return;
+        }
+        lost.sort_unstable_by(|a, b| (&a.boot, a.addr).cmp(&(&b.boot, b.addr)));
+        lost.dedup_by(|a, b| (&a.boot, a.addr) == (&b.boot, b.addr));
+        let mut by_addr: Vec<(SocketAddr, &WorkerEntry)> =
+            self.workers.iter().filter_map(|w| w.entry.as_ref()).map(|e| (e.addr, e)).collect();
+        by_addr.sort_unstable_by_key(|(addr, _)| *addr);
+        let mut replacing = Vec::new();
+        for run in lost {
+            let same_id = self.worker_index(&run.boot.worker).ok();
+            let same_id = same_id.and_then(|at| self.workers[at].entry.as_ref());
+            let first = by_addr.partition_point(|(addr, _)| Some(*addr) < run.addr);
+            let there = by_addr[first..].iter().take_while(|(addr, _)| Some(*addr) == run.addr);
+            let mut entries = there.map(|(_, entry)| *entry).chain(same_id);
+            replacing.extend(entries.find(|entry| run.is_replaced_by(entry)).cloned());
+        }
+        replacing.iter().for_each(|entry| self.count_earlier_crash(ctx, entry));
     }
 
     /// Counts a crash against the tasks that are remembered as lost, where the runs match.
@@ -473,14 +497,17 @@
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty()) {
             let state = &job.state;
             let mut cleared = Vec::new();
-            for (task, run, boot) in state.placed_tasks(job.id) {
-                let Ok(at) = job.crash_index(&task) else { continue };
-                let age = state.crashes[at].age_max();
+            for record in &state.crashes {
+                let task = record.task(job.id);
+                let Some(TaskRecord { run, place: Some(boot), .. }) = job.task(&task) else {
+                    continue;
+                };
+                let age = record.age_max();
                 let past = CLEARED_AGE_MIN + age + age;
                 let Ok(w) = workers.binary_search_by(|w| w.id().cmp(&boot.worker)) else {
                     continue;
                 };
-                let Some(s) = workers[w].slot_index(&task, run) else { continue };
+                let Some(s) = workers[w].slot_index(&task, *run) else { continue };
                 let slot = &workers[w].slots[s];
                 let runs = slot.phase == Phase::Running && workers[w].silent == 0;
                 if runs && now.since(slot.since) > past {
@@ -497,12 +524,13 @@
         let workers = &self.workers;
         let mut postponed = Vec::new();
         for job in self.jobs.iter_mut().filter(|j| !j.state.crashes.is_empty() && !j.is_over()) {
-            let at_risk = |task: &TaskId, boot: &Boot| {
-                let worker = workers.binary_search_by(|w| w.id().cmp(&boot.worker));
-                job.is_suspect(task)
-                    && worker.is_ok_and(|w| workers[w].silent > 0 || now < workers[w].closed_until)
+            let at_risk = |record: &CrashRecord| {
+                let place = job.task(&record.task(job.id)).and_then(|t| t.place.as_ref());
+                let worker = place.map(|b| workers.binary_search_by(|w| w.id().cmp(&b.worker)));
+                matches!(worker, Some(Ok(w)) if workers[w].silent > 0 || now < workers[w].closed_until)
             };
-            if job.state.placed_tasks(job.id).any(|(task, _, boot)| at_risk(&task, boot)) {
+            let mut suspects = job.state.crashes.iter().filter(|r| r.is_suspect());
+            if suspects.any(at_risk) {
                 job.isolate_until = now + ISOLATION_WAIT_MAX;
                 postponed.push(job.id);
             }
