Lab: processor time of the daemons, and a placer that falls behind its replies

A daemon of the simulation may have a processor: an input costs time, a pass costs time for each worker, run and job, and the others wait unread while calls time out.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -64,6 +64,6 @@
     TASK_VALUE_MAX,
 };
 pub use node::Node;
-pub use placer::PlacerTag;
+pub use placer::{PassStats, PlacerTag};
 pub use record::Item;
 pub use settings::{Bounds, Features, HostShare, NodeSettings};
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -6,7 +6,7 @@
 use crate::front::{self, Front};
 use crate::lead::{Election, LeaderChange};
 use crate::load_view::LoadView;
-use crate::placer::{self, Placer};
+use crate::placer::{self, PassStats, Placer};
 use crate::settings::NodeSettings;
 use crate::view::{ReadProgress, View};
 
@@ -105,6 +105,11 @@
         self.placer.is_some()
     }
 
+    /// Returns the number and size of the placer's passes; both are 0 if another daemon is the placer.
+    pub fn pass_stats(&self) -> PassStats {
+        self.placer.as_ref().map(Placer::pass_stats).unwrap_or_default()
+    }
+
     /// Returns when the node needs its next tick at the latest.
     pub fn due(&self, now: Moment) -> Moment {
         let placer = self.placer.as_ref().map(Placer::due);
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -105,6 +105,15 @@
     Hold(WorkerId, u64),
 }
 
+/// Number and size of a placer's passes, from which a simulation derives their processor time.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct PassStats {
+    /// Number of passes since the election.
+    pub passes: u64,
+    /// Number of workers, runs and unfinished jobs that a pass goes over now.
+    pub visits: u64,
+}
+
 /// Context of a call into the placer: the time, the settings and what the rest of the node knows.
 pub(crate) struct Context<'a> {
     pub(crate) clock: Clock,
@@ -223,6 +232,8 @@
     touched: bool,
     /// When the latest pass began.
     passed: Moment,
+    /// Number of passes so far.
+    passes: u64,
     /// Revision of the configuration by whose ceilings the starts that are not sent yet were planned.
     planned_by: Rev,
     /// Units that the latest placement left waiting, sorted; none without weights and ceilings.
@@ -272,6 +283,7 @@
             stale: true,
             touched: true,
             passed: Moment::default(),
+            passes: 0,
             planned_by: Rev::ABSENT,
             waits: Vec::new(),
             standings: Vec::new(),
@@ -289,6 +301,12 @@
         self.epoch
     }
 
+    pub(crate) fn pass_stats(&self) -> PassStats {
+        let runs: usize = self.workers.iter().map(|w| w.slots.len()).sum();
+        let jobs = self.jobs.iter().filter(|j| !j.is_over()).count();
+        PassStats { passes: self.passes, visits: (self.workers.len() + runs + jobs) as u64 }
+    }
+
     /// Starts loading the records.
     pub(crate) fn start_loading(&mut self, ctx: &mut Context<'_>) {
         self.list_page(ctx, None);
@@ -319,6 +337,7 @@
     fn pass(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.clock.now;
         self.passed = now;
+        self.passes += 1;
         self.touched = false;
         self.advance_acks();
         // A placer that may have a successor gives no orders. It goes on collecting ends, and records
--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId, WorkspaceId};
 use bulrushlink_fleet::{
     Allotment, Bounds, Catalog, Clock, Fault, Features, HostShare, Input, JobId, Limits, Node,
-    NodeSettings, Queue, RequestId, Resources, Rev, Run, ShownState, StoreOp, Tag, TaskId,
+    NodeSettings, Output, Queue, RequestId, Resources, Rev, Run, ShownState, StoreOp, Tag, TaskId,
     WorkerCall, WorkerEntry, WorkerReply, WorkerState, Workspace,
 };
 use bulrushlink_standin::{CeilingLog, FleetWorker};
@@ -14,11 +14,14 @@
 use super::store::SimStore;
 
 pub use deadly::DeadlyTasks;
+use processor::EventLoop;
+pub use processor::{Intake, Processor};
 
 mod calls;
 mod ceilings;
 mod deadly;
 mod people;
+mod processor;
 mod troubles;
 mod work;
 
@@ -104,12 +107,20 @@
     frozen_until: u64,
     /// Inputs that arrived during a pause.
     queued_inputs: Vec<Input>,
+    /// Used only if the simulation has a processor model.
+    event_loop: EventLoop,
     /// The daemon can't reach the store until this time.
     cut_until: u64,
     exited: bool,
 }
 
 enum Event {
+    /// A daemon whose processor was busy sends a call or an answer.
+    Output {
+        daemon: usize,
+        incarnation: u64,
+        output: Output,
+    },
     Store {
         daemon: usize,
         incarnation: u64,
@@ -224,6 +235,8 @@
     record: Record,
     bounds: Bounds,
     features: Features,
+    /// Processor of each daemon; without it, inputs are handled in no time.
+    processor: Option<Processor>,
     quiet: bool,
     /// Wall-clock time spent in the nodes.
     node_time: Duration,
@@ -327,6 +340,7 @@
             record: Record::default(),
             bounds: test_bounds(),
             features: Features::default(),
+            processor: None,
             quiet: true,
             node_time: Duration::ZERO,
             random: random.fork(),
@@ -345,6 +359,7 @@
                 incarnation: 0,
                 frozen_until: 0,
                 queued_inputs: Vec::new(),
+                event_loop: EventLoop::default(),
                 cut_until: 0,
                 exited: false,
             });
@@ -377,6 +392,11 @@
         self.daemons[daemon].node = self.new_node(daemon, 0);
     }
 
+    /// Lets the daemons' handling of inputs take processor time, before anything runs.
+    pub fn use_processor(&mut self, processor: Processor) {
+        self.processor = Some(processor);
+    }
+
     /// Sets the probabilities of faults from now on.
     pub fn set_noise(&mut self, noise: FleetNoise) {
         self.noise = noise;
@@ -504,6 +524,9 @@
     }
 
     fn tick(&mut self, daemon: usize) {
+        if self.processor.is_some() {
+            return self.run_event_loop(daemon);
+        }
         let state = &mut self.daemons[daemon];
         if state.exited || self.now < state.frozen_until {
             return;
@@ -518,6 +541,9 @@
 
     fn deliver(&mut self, daemon: usize, input: Input) {
         let now = self.now;
+        if self.processor.is_some() {
+            return self.daemons[daemon].event_loop.push_request(input);
+        }
         let state = &mut self.daemons[daemon];
         if state.exited {
             return;
@@ -526,18 +552,37 @@
             state.queued_inputs.push(input);
             return;
         }
-        let clock = Clock { now: Moment(now), wall: WALL_CLOCK_ORIGIN_MS + now };
         let incarnation = state.incarnation;
+        for output in self.handle_input(daemon, input) {
+            self.dispatch_output(daemon, incarnation, output);
+        }
+    }
+
+    fn handle_input(&mut self, daemon: usize, input: Input) -> Vec<Output> {
+        let clock = Clock { now: Moment(self.now), wall: WALL_CLOCK_ORIGIN_MS + self.now };
         let began = Instant::now();
-        let outputs = state.node.handle(clock, input);
+        let outputs = self.daemons[daemon].node.handle(clock, input);
         self.node_time += began.elapsed();
-        for output in outputs {
-            self.dispatch_output(daemon, incarnation, output);
+        outputs
+    }
+
+    /// Delivers the reply to a call, or its time-out, to the daemon that has sent it.
+    fn deliver_reply(&mut self, daemon: usize, incarnation: u64, call: u64, input: Input) {
+        let current = self.daemons[daemon].incarnation == incarnation;
+        if self.processor.is_some() && current {
+            self.daemons[daemon].event_loop.push_reply(call, input);
+        } else if self.close_call(call) && current {
+            self.deliver(daemon, input);
         }
     }
 
     fn handle_event(&mut self, event: Event) {
         match event {
+            Event::Output { daemon, incarnation, output } => {
+                if self.daemons[daemon].incarnation == incarnation {
+                    self.dispatch_output(daemon, incarnation, output);
+                }
+            }
             Event::Store { daemon, incarnation, call, tag, op, lost } => {
                 self.handle_store_call(
                     PendingCall { until: 0, daemon, incarnation, call, tag },
@@ -546,9 +591,7 @@
                 );
             }
             Event::StoreReply { daemon, incarnation, call, tag, result } => {
-                if self.close_call(call) && self.daemons[daemon].incarnation == incarnation {
-                    self.deliver(daemon, Input::Store(tag, result));
-                }
+                self.deliver_reply(daemon, incarnation, call, Input::Store(tag, result));
             }
             Event::Worker { daemon, incarnation, call, tag, request, sent, lost } => {
                 self.handle_worker_call(
@@ -558,9 +601,7 @@
                 );
             }
             Event::WorkerReply { daemon, incarnation, call, tag, clock, result } => {
-                if self.close_call(call) && self.daemons[daemon].incarnation == incarnation {
-                    self.deliver(daemon, Input::Worker(tag, clock, result));
-                }
+                self.deliver_reply(daemon, incarnation, call, Input::Worker(tag, clock, result));
             }
             Event::Trouble(trouble) => self.apply_trouble(trouble),
             Event::Submit(daemon, id) => self.send_request(daemon, id, false),
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::Span;
 use bulrushlink_fleet::{Input, Run, TaskId, WorkerState};
 
-use super::{Daemon, Event, FleetLab, Trouble};
+use super::{Daemon, Event, EventLoop, FleetLab, Trouble};
 
 impl FleetLab {
     pub(super) fn apply_trouble(&mut self, trouble: Trouble) {
@@ -98,6 +98,7 @@
             incarnation,
             frozen_until: 0,
             queued_inputs: Vec::new(),
+            event_loop: EventLoop::default(),
             cut_until,
             exited: false,
         };
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -15,6 +15,8 @@
 mod faulty;
 #[path = "fleet/outage.rs"]
 mod outage;
+#[path = "fleet/overload.rs"]
+mod overload;
 #[path = "fleet/preemption.rs"]
 mod preemption;
 #[path = "fleet/shares.rs"]
