--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,10 +16,6 @@
 //! assert!(request.encode().starts_with(b"GET /api/ready HTTP/1.1\r\n"));
 //! ```
 
-/// Priority of all connections in the poll loop. One poll passes on the events of one priority only, and
-/// what follows it, such as timing out calls, relies on all replies that have arrived having been read.
-const POLL_PRIORITY: u32 = 5;
-
 mod client;
 mod deadline;
 mod message;
@@ -32,3 +28,9 @@
 pub use message::{Method, Request, Response};
 pub use parse::{Bounds, Malformed};
 pub use server::{ConnId, Received, Server, ServerBounds};
+
+/// Priority in the poll loop of all connections, and of everything else that a program with them polls.
+///
+/// One poll passes on the events of one priority only. Calls must not time out before the replies that have
+/// arrived are read, so all of these come with one poll.
+pub const POLL_PRIORITY: u32 = 5;
