Keep the runs of a rebooted worker until its leases have expired

Callers saw a task start again while its first run went on, or after it had ended as done and before its worker's lease had lapsed (rule TWICE).

A start may reach the next boot of a worker before the placer knows of that boot. Once the entries show the boot, the run is moved to it, unheard. has_expired_leases measured the time from the beginning of the epoch, so with an epoch older than 11.3 s the run was released at the next review, within 100 ms, unless a reply to a hold came first. A cut worker and an overloaded placer make the hold fail.

The time is now measured from when the placer found the reboot: the boot refuses calls to the earlier one only once it is fenced, and grants leases from their arrival on.

--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -324,6 +324,7 @@
         let boot = Boot { worker: worker.id().clone(), born };
         self.fences += 1;
         let mut rebooted = Worker::new(boot.clone(), self.fences, worker.entry.clone(), now);
+        rebooted.rebooted = Some(now);
         rebooted.faults = std::mem::take(&mut worker.faults);
         for slot in worker.slots.take() {
             let phase = match slot.phase {
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -141,6 +141,9 @@
     pub(crate) missing: Option<Moment>,
     /// This boot has replied to a hold of the present epoch, so it refuses calls of earlier epochs.
     pub(crate) fenced: bool,
+    /// When this placer found that the boot has replaced an earlier one, if it did. Calls to the
+    /// earlier boot may reach this one until it is fenced.
+    pub(crate) rebooted: Option<Moment>,
     /// A reading of its clock, and the local time of the reply that carried it. At that time its
     /// clock had at least that value.
     pub(crate) clock: Option<(u64, Moment)>,
@@ -254,6 +257,7 @@
             missing: entry.is_none().then_some(now),
             entry,
             fenced: false,
+            rebooted: None,
             clock: None,
             reported_clock: None,
             promised: 0,
@@ -343,7 +347,9 @@
     ///
     /// `since` is when the present epoch began, and an earlier placer has last renewed its own lease
     /// before. Until the worker is fenced, that placer may grant the longest leases for
-    /// [`LEADER_LEASE_TTL`] after `since`, and short ones for [`STORE_OUTAGE_MAX`].
+    /// [`LEADER_LEASE_TTL`] after `since`, and short ones for [`STORE_OUTAGE_MAX`]. The same times
+    /// apply to a boot that has replaced an earlier one: it carries out calls to the earlier boot,
+    /// with leases that begin when they arrive.
     pub(crate) fn has_expired_leases(&self, now: Moment, since: Moment, lease_max: Span) -> bool {
         match self.clock {
             Some((clock, at)) if self.fenced => {
@@ -351,6 +357,7 @@
                 clock.saturating_add(elapsed) >= self.promised
             }
             _ => {
+                let since = self.rebooted.map_or(since, |at| since.max(at));
                 let sure = LEADER_LEASE_TTL + max_elapsed(lease_max);
                 let unsure = STORE_OUTAGE_MAX + max_elapsed(lease_max.min(UNSURE_LEASE));
                 now >= since + sure.max(unsure) + LEASE_EXPIRY_MARGIN
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -150,6 +150,24 @@
     }
 }
 
+/// A start may reach the next boot of a worker before the placer knows of that boot. If the worker is out
+/// of reach then, its lease must expire before the run counts as lost: the placer once released it
+/// with the next review, as its epoch had begun long ago.
+#[test]
+fn run_on_an_unheard_boot_is_kept_until_its_lease_has_expired() {
+    for delay in 0..20 {
+        let mut lab = FleetLab::open(3, 3, 27);
+        lab.run(15_000);
+        let single = Step { gang: false, ..step(2, 8, 7_000, vec![]) };
+        lab.submit(15_010 + delay * 25, 1, JobId(1), "roster", job(vec![single]));
+        lab.plan(15_000 + delay * 25, Trouble::Reboot(0));
+        lab.plan(15_030 + delay * 25, Trouble::CutWorker(0, 3_000));
+        lab.run(20_000);
+        assert_eq!(lab.state(JobId(1)), Some(ShownState::Completed), "delay {delay}");
+        assert_no_violations(&mut lab);
+    }
+}
+
 /// The placer must run on a strong host if there is one: the load of hundreds of workers exceeds
 /// the weakest hosts of a deployment. A weak host takes over when the strong one stops.
 #[test]
