--- a/crates/standin/src/emulator/keys.rs
+++ b/crates/standin/src/emulator/keys.rs
@@ -2,6 +2,9 @@
 
 use std::collections::BTreeMap;
 
+/// Size of the values in bytes from which on a page of a listing ends.
+const PAGE_MAX_BYTES: usize = 1_000_000;
+
 /// A key with its value.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct KeyValue {
@@ -79,15 +82,20 @@
         self.values.get(key)
     }
 
-    /// Returns up to `limit` keys with the prefix that sort after `after`, and whether more follow.
+    /// Returns a page of the keys with the prefix that sort after `after`, and whether more follow. It
+    /// has up to `limit` keys, and fewer if their values are large, but at least one.
     pub fn list(&self, prefix: &str, after: Option<&str>, limit: usize) -> (Vec<KeyValue>, bool) {
         let matches =
             |v: &&KeyValue| v.key.starts_with(prefix) && after.is_none_or(|a| v.key.as_str() > a);
-        let mut found: Vec<KeyValue> =
-            self.values.values().filter(matches).take(limit + 1).cloned().collect();
-        let more = found.len() > limit;
-        found.truncate(limit);
-        (found, more)
+        let (mut found, mut bytes) = (Vec::new(), 0);
+        for item in self.values.values().filter(matches) {
+            if found.len() == limit || bytes >= PAGE_MAX_BYTES {
+                return (found, true);
+            }
+            bytes += item.bytes.len();
+            found.push(item.clone());
+        }
+        (found, false)
     }
 
     /// Returns the changes of keys with the prefix after a revision, or `None` if that history has
--- a/crates/standin/src/emulator/wire.rs
+++ b/crates/standin/src/emulator/wire.rs
@@ -106,20 +106,33 @@
         let world = Arc::new(Mutex::new(world));
         let any: SocketAddr = ([127, 0, 0, 1], 0).into();
         let store = HttpServer::bind(any, 4 * THREADS, Box::new(StoreService(world.clone())))?;
-        let mut workers = Vec::new();
-        for index in 0..options.workers {
-            let service = WorkerService { world: world.clone(), index };
-            let server = HttpServer::bind(any, THREADS, Box::new(service))?;
-            let worker =
-                FleetWorker::new(worker_entry(index, server.addr(), options.capacity)?, 0, 1_000);
-            world.lock().expect("no thread panics while holding the lock").workers.push(worker);
-            workers.push(server);
+        let mut emulator = Self { world, store, workers: Vec::new() };
+        for _ in 0..options.workers {
+            emulator.add_worker(options.capacity)?;
         }
-        let emulator = Self { world, store, workers };
-        emulator.lock().publish();
         Ok(emulator)
     }
 
+    /// Starts another worker, which registers itself.
+    ///
+    /// # Errors
+    ///
+    /// `Unreachable` if an address can't be bound.
+    pub fn add_worker(&mut self, capacity: Resources) -> Result<(), Error> {
+        let index = self.workers.len();
+        let any: SocketAddr = ([127, 0, 0, 1], 0).into();
+        let service = WorkerService { world: self.world.clone(), index };
+        let server = HttpServer::bind(any, THREADS, Box::new(service))?;
+        let entry = worker_entry(index, server.addr(), capacity)?;
+        let mut world = self.lock();
+        let now = world.now;
+        world.workers.push(FleetWorker::new(entry, now, 1_000));
+        world.publish();
+        drop(world);
+        self.workers.push(server);
+        Ok(())
+    }
+
     /// Returns the store's address.
     pub fn store(&self) -> SocketAddr {
         self.store.addr()
@@ -145,7 +158,17 @@
 
     /// Registers a worker whose entry can't be decoded.
     pub fn register_undecodable_worker(&self) {
-        self.lock().keys.put("servers/i-rubbish", vec![0xff, 0x00, 0x7b]);
+        self.write("servers/i-rubbish", vec![0xff, 0x00, 0x7b]);
+    }
+
+    /// Writes a key of the store as a writer other than the daemons does.
+    pub fn write(&self, key: &str, value: Vec<u8>) {
+        self.lock().keys.put(key, value);
+    }
+
+    /// Removes a key of the store as a writer other than the daemons does.
+    pub fn remove(&self, key: &str) {
+        self.lock().keys.delete(key);
     }
 
     /// Sets whether the store rejects every call with 503.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 
 mod configuration;
 mod fleet;
+mod odd_entries;
 mod path;
 mod proxy;
 mod soak;
