Retry holds to addresses that answer oddly at the usual interval

An entry of another writer may name an address where something else answers. A reply to a hold without the worker's clock, or of an earlier boot than the entry names, was followed by the next hold in the same pass, and a refusal gave a log line each 250 ms. Both now count as a hold without a reply: it is retried after the usual delay, and the first one of a silence is logged.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -106,19 +106,24 @@
         self.workers[at].hold = None;
         match result {
             Ok(WorkerReply::Lists { born, running, ended }) => {
-                if let Some(born) = born
-                    && born > self.workers[at].boot.born
-                {
-                    self.handle_reboot(ctx, at, born);
-                } else if born.is_some_and(|b| b < self.workers[at].boot.born) {
+                let known = self.workers[at].boot.born;
+                let born = born.unwrap_or(known);
+                if born < known {
+                    // Its lists say nothing about the boot that the entry names.
+                    self.hold_unanswered(at, now, &Fault::NotDone(format!("boot {born} replies")));
                     return;
                 }
+                if born > known {
+                    self.handle_reboot(ctx, at, born);
+                }
                 self.process_lists(ctx, at, call, clock, &running, &ended);
             }
             Ok(WorkerReply::Refused(refusal)) => {
-                log::info!(event = "hold_refused", worker:% = id; "{refusal}");
-                self.step_down_if_fenced(refusal);
+                if self.workers[at].silent == 0 {
+                    log::info!(event = "hold_refused", worker:% = id; "{refusal}");
+                }
                 self.workers[at].hold_next = now + HOLD_RETRY_DELAY;
+                self.step_down_if_fenced(refusal);
                 self.count_silence(at, now, true);
                 if refusal == StartRefusal::OtherBoot {
                     self.handle_replaced(ctx, at);
@@ -127,18 +132,22 @@
             Ok(WorkerReply::Done) => {
                 log::error!(event = "worker_answer", worker:% = id; "reply to a hold without lists")
             }
-            Err(fault) => {
-                let worker = &mut self.workers[at];
-                if worker.silent == 0 {
-                    log::info!(event = "worker_silent", worker:% = id, cause:% = fault; "no reply to a hold");
-                }
-                worker.hold_next = now + HOLD_RETRY_DELAY;
-                self.count_unanswered(at, now, &fault);
-            }
+            Err(fault) => self.hold_unanswered(at, now, &fault),
         }
         self.stale = true;
     }
 
+    /// Schedules the retry of a hold without a usable reply. Only the first one of a silence is logged: the
+    /// entry may be another writer's, and then no hold to its address ever succeeds.
+    fn hold_unanswered(&mut self, at: usize, now: Moment, fault: &Fault) {
+        let worker = &mut self.workers[at];
+        if worker.silent == 0 {
+            log::info!(event = "worker_silent", worker:% = worker.id(), cause:% = fault; "no reply to a hold");
+        }
+        worker.hold_next = now + HOLD_RETRY_DELAY;
+        self.count_unanswered(at, now, fault);
+    }
+
     /// Processes the lists of runs and ends in the reply to a hold.
     fn process_lists(
         &mut self,
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -7,6 +7,7 @@
 use std::io::{BufRead, BufReader, Write};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant};
 
@@ -19,6 +20,8 @@
 pub(crate) struct DaemonProcess {
     child: Child,
     settings: PathBuf,
+    /// Log lines of the present process, without the first one.
+    lines: Arc<AtomicUsize>,
     pub(crate) name: String,
     pub(crate) callers: String,
     pub(crate) ready: String,
@@ -68,20 +71,20 @@
         let file = format!("bulrushlink-{}-{number}.json", std::process::id());
         let settings = std::env::temp_dir().join(file);
         std::fs::write(&settings, text.to_string()).expect("the temporary directory is writable");
-        let (child, line) = start(&settings);
+        let (child, line, lines) = start(&settings);
         let addr = |field: &str| {
             line[field].as_str().expect("the first log line holds the address").to_string()
         };
         let (callers, ready, metrics) = (addr("callers"), addr("ready"), addr("metrics"));
-        Self { child, settings, name, callers, ready, metrics }
+        Self { child, settings, lines, name, callers, ready, metrics }
     }
 
     /// Kills the process and starts it again with the same settings; its ports change.
     pub(crate) fn restart(&mut self) {
         self.child.kill().expect("the child process can be killed");
         self.child.wait().expect("the child process can be awaited");
-        let (child, line) = start(&self.settings);
-        self.child = child;
+        let (child, line, lines) = start(&self.settings);
+        (self.child, self.lines) = (child, lines);
         let addr = |field: &str| {
             line[field].as_str().expect("the first log line holds the address").to_string()
         };
@@ -105,13 +108,19 @@
         .success()
     }
 
+    /// Returns the number of log lines that the present process has written.
+    pub(crate) fn log_lines(&self) -> usize {
+        self.lines.load(Ordering::SeqCst)
+    }
+
     pub(crate) fn is_running(&mut self) -> bool {
         self.child.try_wait().expect("the child process can be awaited").is_none()
     }
 }
 
-/// Starts a daemon and returns its first log line, which holds its addresses.
-fn start(settings: &Path) -> (Child, Value) {
+/// Starts a daemon and returns its first log line, which holds its addresses, and the number of lines
+/// after it.
+fn start(settings: &Path) -> (Child, Value, Arc<AtomicUsize>) {
     let mut child = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"))
         .args(["platform", "--settings"])
         .arg(settings)
@@ -124,14 +133,17 @@
     assert_eq!(first["event"], "start");
     // Drains the log: the daemon never blocks on it but drops lines once the pipe is full.
     let mut file = log_file(&first, child.id());
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = count.clone();
     std::thread::spawn(move || {
         for line in lines.map_while(Result::ok) {
+            counted.fetch_add(1, Ordering::SeqCst);
             if let Some(file) = &mut file {
                 writeln!(file, "{line}").expect("the log file can be written");
             }
         }
     });
-    (child, first)
+    (child, first, count)
 }
 
 /// Opens a file for the log of a daemon in the directory that `SOAK_LOGS` names, if it is set.
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -3,6 +3,10 @@
 use bulrushlink_fleet::Resources;
 use bulrushlink_standin::JobText;
 use serde_json::{Value, json};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use crate::fleet::Fleet;
@@ -13,6 +17,12 @@
 const PAGE_BYTES: usize = 1_000_000;
 /// Time after which an evacuation has to be obeyed, with a margin.
 const EVACUATION_TIME: Duration = Duration::from_secs(3);
+/// Time for which a daemon is watched.
+const WATCH_TIME: Duration = Duration::from_secs(3);
+/// Most calls a second to an address that answers oddly: twice those of a retry each 250 ms.
+const CALLS_PER_S: f64 = 8.0;
+/// Most log lines a second of a daemon that has nothing to do.
+const LINES_PER_S: f64 = 2.0;
 /// Resources of the worker that registers last.
 const CAPACITY: Resources = Resources { cpu: 8_000, memory: 65_536, accelerators: 8 };
 
@@ -113,3 +123,86 @@
     fleet.emulator.remove("op/evacuate/east");
     fleet.wait_state(0, &id(1), "completed");
 }
+
+/// A server that is no worker, gives each request the same answer, and counts the requests.
+struct OddServer {
+    addr: SocketAddr,
+    requests: Arc<AtomicUsize>,
+}
+
+impl OddServer {
+    fn open(status: u16, body: &'static str) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a loopback port is free");
+        let addr = listener.local_addr().expect("a bound listener has an address");
+        let requests = Arc::new(AtomicUsize::new(0));
+        let counted = requests.clone();
+        std::thread::spawn(move || {
+            for stream in listener.incoming().map_while(Result::ok) {
+                let counted = counted.clone();
+                std::thread::spawn(move || serve(stream, status, body, &counted));
+            }
+        });
+        Self { addr, requests }
+    }
+}
+
+/// Answers the requests of a connection until the client closes it.
+fn serve(stream: TcpStream, status: u16, body: &str, requests: &AtomicUsize) -> Option<()> {
+    let mut writer = stream.try_clone().ok()?;
+    let mut reader = BufReader::new(stream);
+    loop {
+        let mut length = 0;
+        loop {
+            let mut line = String::new();
+            reader.read_line(&mut line).ok().filter(|bytes| *bytes > 0)?;
+            let line = line.trim().to_ascii_lowercase();
+            if let Some(value) = line.strip_prefix("content-length:") {
+                length = value.trim().parse().ok()?;
+            }
+            if line.is_empty() {
+                break;
+            }
+        }
+        reader.read_exact(&mut vec![0; length]).ok()?;
+        requests.fetch_add(1, Ordering::SeqCst);
+        let head = format!("HTTP/1.1 {status} Odd\r\nContent-Length: {}\r\n\r\n", body.len());
+        writer.write_all(format!("{head}{body}").as_bytes()).ok()?;
+    }
+}
+
+/// An entry with the address of something that is no worker, or no worker of that boot, was called with
+/// each pass of the placer, hundreds of times a second, or gave a log line with each call.
+#[test]
+fn address_that_answers_oddly_is_called_and_logged_at_a_bounded_rate() {
+    let fleet = Fleet::spawn(1, 1);
+    let nested = Box::leak(format!(r#"{{"clockMs":1,"running":{}"#, "[".repeat(NESTING)).into());
+    let servers: Vec<OddServer> = [
+        (200, "{}"),
+        (200, r#"{"clockMs":1,"born":0}"#),
+        (200, r#"{"clockMs":1e400,"born":1}"#),
+        (200, r#"{"clockMs":1,"running":[["odd",1,"",0]]}"#),
+        (200, nested),
+        (404, r#"{"error":"no such call"}"#),
+        (421, "{}"),
+        (503, ""),
+    ]
+    .map(|(status, body)| OddServer::open(status, body))
+    .into();
+    for (number, server) in servers.iter().enumerate() {
+        let entry = entry_with("address", &format!("\"{}\"", server.addr));
+        fleet.emulator.write(&format!("servers/odd-{number}"), entry);
+    }
+    std::thread::sleep(WATCH_TIME);
+    let requests = || servers.iter().map(|s| s.requests.load(Ordering::SeqCst));
+    let (before, lines) = (requests().collect::<Vec<_>>(), fleet.daemons[0].log_lines());
+    std::thread::sleep(WATCH_TIME);
+    let seconds = WATCH_TIME.as_secs_f64();
+    let rates: Vec<f64> = requests().zip(&before).map(|(n, b)| (n - b) as f64 / seconds).collect();
+    assert!(before.iter().all(|calls| *calls > 0), "not called: {before:?}");
+    assert!(rates.iter().all(|rate| *rate <= CALLS_PER_S), "calls a second: {rates:?}");
+    let line_rate = (fleet.daemons[0].log_lines() - lines) as f64 / seconds;
+    assert!(line_rate <= LINES_PER_S, "{line_rate} log lines a second");
+    let job = JobText::new(50).step(8, false).text();
+    assert_eq!(fleet.submit(0, &id(1), &job).status, 200);
+    fleet.wait_state(0, &id(1), "completed");
+}
