Use a worker again after an entry of a boot that never replied

An entry of another writer under a worker's key, with a later birth time, made all later entries of that worker count as older than the known boot: it got no runs until another daemon became the placer. An earlier boot now replaces one that only an entry names and that has never replied.

--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -237,7 +237,7 @@
         // Workers that have crashed together are compared with each other.
         for entry in &entries {
             if let Ok(at) = self.worker_index(&entry.id)
-                && self.workers[at].boot.born < entry.born
+                && self.workers[at].gives_way_to(entry.born)
             {
                 self.record_loss(at, now, false);
             }
@@ -278,7 +278,7 @@
                 self.workers.insert(at, worker);
                 false
             }
-            Ok(at) if self.workers[at].boot.born < boot.born => {
+            Ok(at) if self.workers[at].gives_way_to(boot.born) => {
                 self.handle_reboot(ctx, at, boot.born);
                 self.workers[at].entry = Some(entry);
                 self.workers[at].ready = listed;
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -16,6 +16,7 @@
 
 mod ceilings;
 mod forecasts;
+mod odd_entries;
 mod preemption;
 mod shares;
 mod silent;
@@ -161,11 +162,15 @@
 
     /// Lets a worker answer a hold that was sent at `sent`, at `clock` on its clock.
     fn report(&mut self, worker: usize, sent: Moment, clock: u64, running: Vec<RunReport>) {
-        let id = self.placer.workers[worker].id().clone();
-        let hold = HoldCall { ordinal: 1, sent, wait: Span::ZERO, acked: 0 };
-        self.placer.workers[worker].hold = Some(hold);
         let lists = WorkerReply::Lists { born: Some(1), running, ended: Vec::new() };
-        self.with(|p, ctx| p.hold_answered(ctx, &id, 1, Some(clock), Ok(lists)));
+        self.answer_hold(worker, sent, Some(clock), lists);
+    }
+
+    fn answer_hold(&mut self, at: usize, sent: Moment, clock: Option<u64>, reply: WorkerReply) {
+        let id = self.placer.workers[at].id().clone();
+        let hold = HoldCall { ordinal: 1, sent, wait: Span::ZERO, acked: 0 };
+        self.placer.workers[at].hold = Some(hold);
+        self.with(|p, ctx| p.hold_answered(ctx, &id, 1, clock, Ok(reply)));
     }
 
     /// Lets the placer decide.
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -286,6 +286,15 @@
         &self.boot.worker
     }
 
+    /// Returns true if an entry with this birth time means that another boot has replaced this one. A later
+    /// one has. An earlier one has if this boot is only named by an entry, which may have been another
+    /// writer's, or by a record without runs: an entry older than a boot that has replied is a late write.
+    pub(crate) fn gives_way_to(&self, born: u64) -> bool {
+        let named = self.entry.as_ref().is_some_and(|e| e.born == self.boot.born);
+        let unheard = self.clock.is_none() && (named || self.slots.is_empty());
+        born > self.boot.born || (born < self.boot.born && unheard)
+    }
+
     pub(crate) fn reachability(&self) -> Reachability {
         match () {
             () if self.silent > 0 => Reachability::Silent,
