Count only workers that have replied for shares and the size of a worker

The capacity of every registered worker counted as the whole of which the workspaces have shares, and as the usual size of a worker in the forecast for admission. An entry of another writer with an absurd capacity, which never gets runs, so turned the shares off and made all tasks look equally small.

--- a/crates/fleet/src/placer/forecast.rs
+++ b/crates/fleet/src/placer/forecast.rs
@@ -65,6 +65,11 @@
 }
 
 impl Forecaster {
+    #[cfg(test)]
+    pub(super) fn latest(&self) -> &LoadForecast {
+        &self.latest
+    }
+
     pub(super) fn accuracy(&self, queue: &str) -> Accuracy {
         let at = self.accuracy.binary_search_by(|(name, _)| name.as_str().cmp(queue));
         at.map_or_else(|_| Accuracy::default(), |at| self.accuracy[at].1)
@@ -298,10 +303,12 @@
         forecast
     }
 
-    /// Returns the size of the fleet of each endpoint, by the registered workers.
+    /// Returns the size of the fleet of each endpoint, by the registered workers. The usual size of a worker
+    /// is that of those that have replied: the entries of others may be another writer's.
     fn fleet_sizes(&self) -> Vec<FleetSize> {
         let mut fleets: Vec<FleetSize> = Vec::new();
-        for entry in self.workers.iter().filter_map(|w| w.entry.as_ref()) {
+        let registered = self.workers.iter().filter_map(|w| Some((w.entry.as_ref()?, w.fenced)));
+        for (entry, heard) in registered {
             let at = match fleets.binary_search_by(|f| f.endpoint.cmp(&entry.endpoint)) {
                 Ok(at) => at,
                 Err(at) => {
@@ -313,6 +320,9 @@
             };
             let fleet = &mut fleets[at];
             fleet.total = fleet.total.plus(&entry.capacity);
+            if !heard {
+                continue;
+            }
             let Resources { cpu, memory, accelerators } = entry.capacity;
             fleet.worker.cpu = fleet.worker.cpu.max(cpu);
             fleet.worker.memory = fleet.worker.memory.max(memory);
--- a/crates/fleet/src/placer/shares.rs
+++ b/crates/fleet/src/placer/shares.rs
@@ -21,7 +21,9 @@
 impl Placer {
     /// Returns the shares of the workspaces; they are empty if the configuration gives no weights.
     pub(super) fn shares(&self, ctx: &Context<'_>, units: &[Unit]) -> Shares {
-        let all = self.workers.iter().fold(Resources::default(), |s, w| s.plus(&w.capacity()));
+        // One that has not replied gets no runs, and its entry may be another writer's.
+        let heard = self.workers.iter().filter(|w| w.fenced);
+        let all = heard.fold(Resources::default(), |sum, w| sum.plus(&w.capacity()));
         let mut shares = ctx.catalog.map_or_else(Shares::default, |c| Shares::new(c, all));
         if shares.is_empty() {
             return shares;
--- a/crates/fleet/src/placer/tests/forecasts.rs
+++ b/crates/fleet/src/placer/tests/forecasts.rs
@@ -129,3 +129,24 @@
     assert_ne!(errors[0], Accuracy::default());
     assert!(errors.iter().all(|e| *e == errors[0]), "{errors:?}");
 }
+
+/// A worker that was registered with an absurd capacity, and never replied, counted as the usual size of a
+/// worker: all tasks seemed to take the same, the least share of one.
+#[test]
+fn capacity_of_a_worker_that_never_replied_does_not_count_for_the_forecast() {
+    let forecast = |odd: bool| {
+        let mut bench = bench_with_backlog(true);
+        let most = crate::model::TASK_VALUE_MAX;
+        let largest = crate::Resources { cpu: most, memory: most, accelerators: most };
+        let capacities = [accelerators(8), accelerators(8), largest].map(|c| (1, c));
+        bench.show(capacities[..if odd { 3 } else { 2 }].to_vec());
+        bench.now += Span(1_000);
+        bench.pass();
+        bench.placer.forecaster.latest().clone()
+    };
+    let waits = |f: &LoadForecast| f.rows.iter().map(|r| r.waits.clone()).collect::<Vec<_>>();
+    let (usual, odd) = (forecast(false), forecast(true));
+    assert!(!usual.rows.is_empty());
+    assert_eq!(waits(&usual), waits(&odd));
+    assert_eq!(usual.fleets[0].worker, odd.fleets[0].worker);
+}
--- a/crates/fleet/src/placer/tests/shares.rs
+++ b/crates/fleet/src/placer/tests/shares.rs
@@ -55,6 +55,21 @@
     }
 }
 
+/// A worker that was registered with an absurd capacity, and never replied, made the shares of what is in use
+/// vanish: no workspace was ever over its share.
+#[test]
+fn capacity_of_a_worker_that_never_replied_does_not_count_for_the_shares() {
+    let mut bench = bench(4, [1.0, 1.0]);
+    let most = crate::model::TASK_VALUE_MAX;
+    let capacities = [accelerators(8); 4].map(|c| (1, c)).into_iter();
+    let odd = Resources { cpu: most, memory: most, accelerators: most };
+    bench.show(capacities.chain([(1, odd)]).collect());
+    add_job(&mut bench, "hot", 1, 0, step(60, false, 1));
+    add_job(&mut bench, "calm", 2, 2, step(60, false, 1));
+    bench.pass();
+    assert_eq!(used_by_both(&bench), [16, 16]);
+}
+
 /// Guards against room that is kept idle for a workspace that doesn't want it.
 #[test]
 fn room_that_a_workspace_does_not_want_is_used() {
