--- a/crates/telemetry/src/json_log.rs
+++ b/crates/telemetry/src/json_log.rs
@@ -5,14 +5,16 @@
 
 use bulrushlink_core::{Code, DaemonId, Error};
 use log::kv::{Key, Value, VisitSource};
-use log::{LevelFilter, Log, Metadata, Record};
+use log::{Level, LevelFilter, Log, Metadata, Record};
 use serde_json::{Map, json};
 use simplelog::{CombinedLogger, Config, SharedLogger};
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::io::Write;
 use std::sync::Mutex;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 use crate::budget::Budget;
+use crate::repeats::Repeats;
 
 /// Prefix of the log targets that use the configured level; other crates are limited
 /// to `warn` and more severe levels.
@@ -26,7 +28,8 @@
 pub enum Sink {
     /// Standard error: every line, with blocking writes.
     Stderr,
-    /// Standard output: rate-limited, with non-blocking writes; dropped lines are counted.
+    /// Standard output: rate-limited, with non-blocking writes; dropped lines are counted. The same error
+    /// is written once in ten seconds.
     Stdout,
 }
 
@@ -36,7 +39,14 @@
     daemon: DaemonId,
     sink: Sink,
     origin: Instant,
-    budget: Mutex<Budget>,
+    limits: Mutex<Limits>,
+}
+
+/// What limits the lines on standard output.
+#[derive(Debug, Default)]
+struct Limits {
+    budget: Budget,
+    repeats: Repeats,
 }
 
 /// Installs the global logger of the process, and a panic hook that logs panics.
@@ -53,8 +63,8 @@
             .and_then(|f| rustix::fs::fcntl_setfl(&stdout, f | rustix::fs::OFlags::NONBLOCK));
         flags.map_err(|e| Error::new(Code::SettingsInvalid, format!("stdout: {e}")))?;
     }
-    let (daemon, origin, budget) = (daemon.clone(), Instant::now(), Mutex::default());
-    let log = Box::new(JsonLog { level, daemon, sink, origin, budget });
+    let (daemon, origin, limits) = (daemon.clone(), Instant::now(), Mutex::default());
+    let log = Box::new(JsonLog { level, daemon, sink, origin, limits });
     CombinedLogger::init(vec![log])
         .map_err(|e| Error::new(Code::SettingsInvalid, format!("the log can't be opened: {e}")))?;
     std::panic::set_hook(Box::new(|panic| log::error!("{panic}")));
@@ -103,8 +113,12 @@
     /// Writes a line, or drops it if the rate limit is exceeded or the reader is too slow.
     fn write_bounded(&self, record: &Record<'_>) {
         // A thread that panicked while holding the lock leaves at worst an inexact count.
-        let mut budget = self.budget.lock().unwrap_or_else(|e| e.into_inner());
+        let mut limits = self.limits.lock().unwrap_or_else(|e| e.into_inner());
+        let Limits { budget, repeats } = &mut *limits;
         let now_ms = self.origin.elapsed().as_millis() as u64;
+        if record.level() == Level::Error && repeats.is_repeated(hash_of(record), now_ms) {
+            return;
+        }
         let Some(dropped) = budget.take(now_ms) else { return };
         let mut line = format_line(record, &self.daemon, dropped).to_string();
         if line.len() >= LINE_MAX_BYTES {
@@ -128,6 +142,17 @@
     }
 }
 
+/// Returns the hash of what a record says, without its time.
+fn hash_of(record: &Record<'_>) -> u64 {
+    let mut fields = Fields(Map::new());
+    // Fields that can't be read are left out, as in the line itself.
+    let _ = record.key_values().visit(&mut fields);
+    let mut hasher = DefaultHasher::new();
+    let fields = serde_json::Value::Object(fields.0).to_string();
+    (record.target(), record.args().to_string(), fields).hash(&mut hasher);
+    hasher.finish()
+}
+
 fn format_line(record: &Record<'_>, daemon: &DaemonId, dropped: u64) -> serde_json::Value {
     // A clock before 1970 is logged as 0.
     let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/crates/telemetry/src/lib.rs
+++ b/crates/telemetry/src/lib.rs
@@ -15,6 +15,7 @@
 mod budget;
 mod json_log;
 mod metrics_page;
+mod repeats;
 #[cfg(test)]
 mod tests;
 
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -210,13 +210,18 @@
         let spawn = |n| DaemonProcess::spawn(format!("d{n}"), &store);
         let daemons = (0..daemons).map(spawn).collect();
         let fleet = Self { emulator, daemons };
-        for daemon in &fleet.daemons {
+        fleet.wait_ready();
+        fleet
+    }
+
+    /// Waits until all daemons are ready.
+    pub(crate) fn wait_ready(&self) {
+        for daemon in &self.daemons {
             eventually("the daemon is ready", || {
                 let answer = call(&daemon.ready, "GET", "/api/ready", None, "")?;
                 (answer.status == 200).then_some(())
             });
         }
-        fleet
     }
 
     /// Submits a job, retrying while the connection fails.
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -104,6 +104,7 @@
         let placer = fleet.placer();
         assert!(fleet.daemons.iter_mut().all(|d| d.is_running()));
         fleet.daemons[placer].restart();
+        fleet.wait_ready();
     }
     assert_eq!(fleet.emulator.violations(), Vec::<String>::new());
 }
@@ -206,3 +207,30 @@
     assert_eq!(fleet.submit(0, &id(1), &job).status, 200);
     fleet.wait_state(0, &id(1), "completed");
 }
+
+/// Odd keys of the operators and among the daemons' own gave an error with each read of them, as did tenants
+/// that can't be used.
+#[test]
+fn odd_keys_are_logged_at_a_bounded_rate() {
+    let fleet = Fleet::spawn(1, 1);
+    let text = fleet.emulator.value("op/config").expect("a configuration");
+    let mut config: Value = serde_json::from_str(&text).expect("the configuration is JSON");
+    let tenants = config["tenants"].as_array_mut().expect("the tenants are a list");
+    tenants.push(json!({ "name": "no name", "apiKeys": [] }));
+    fleet.emulator.write("op/config", config.to_string().into_bytes());
+    for key in ["op/evacuate/", "op/evacuate/no zone", "op/evacuate/\u{e9}", "op/wave/x", "op/odd"]
+    {
+        fleet.emulator.write(key, vec![0xff, 0x00, 0x7b]);
+    }
+    for key in ["pending/replay/odd", "in/job/odd", "in/cancel/odd", "in/odd", "state/odd"] {
+        fleet.emulator.write(&format!("bulrushlink/{key}"), vec![0xff, 0x00, 0x7b]);
+    }
+    std::thread::sleep(WATCH_TIME);
+    let lines = fleet.daemons[0].log_lines();
+    std::thread::sleep(WATCH_TIME);
+    let line_rate = (fleet.daemons[0].log_lines() - lines) as f64 / WATCH_TIME.as_secs_f64();
+    assert!(line_rate <= LINES_PER_S, "{line_rate} log lines a second");
+    let job = JobText::new(50).step(8, false).text();
+    assert_eq!(fleet.submit(0, &id(1), &job).status, 200);
+    fleet.wait_state(0, &id(1), "completed");
+}
