Read the other hosts of a list with an odd one

One host with a port out of range, a number too large or a deeply nested value made the platform's whole host list unreadable: `bulrushlinkd` no longer followed it. Each host is now decoded by itself. While the list has an odd host, its count differs from the hosts that are known, so the next read requests the whole list instead of the changes.

--- a/crates/api/src/platform.rs
+++ b/crates/api/src/platform.rs
@@ -6,7 +6,8 @@
 
 use bulrushlink_core::{DomainId, RackId, RegionId, Span, WorkerId};
 use derive_more::Display;
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Deserializer, Serialize};
+use serde_json::value::RawValue;
 use std::net::SocketAddr;
 
 /// Revision of the store: a counter that grows with every change of any key.
@@ -173,7 +174,9 @@
 /// hosts.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HostList {
-    /// All hosts, or with `since` those added or changed after it; sorted by worker.
+    /// All hosts, or with `since` those added or changed after it; sorted by worker. Those that can't
+    /// be read are left out, as another writer may have added them.
+    #[serde(deserialize_with = "readable_hosts")]
     pub hosts: Vec<Host>,
     /// Revision of this list, for a later query for changes; `None` from a platform that reports no
     /// changes. A revision is never reused for another list.
@@ -190,6 +193,14 @@
     pub count: usize,
 }
 
+/// Decodes the hosts one by one.
+fn readable_hosts<'de, D: Deserializer<'de>>(list: D) -> Result<Vec<Host>, D::Error> {
+    // Each is taken as text first: a deeply nested value, or a number out of range, would otherwise
+    // make the whole list invalid.
+    let hosts = Vec::<Box<RawValue>>::deserialize(list)?;
+    Ok(hosts.iter().filter_map(|host| serde_json::from_str(host.get()).ok()).collect())
+}
+
 impl HostList {
     /// Creates a full list without a revision, so that no changes can be requested after it.
     pub fn full(hosts: Vec<Host>) -> Self {
--- a/crates/daemon/src/hosts.rs
+++ b/crates/daemon/src/hosts.rs
@@ -49,6 +49,8 @@
     all: Vec<Host>,
     /// Revision of the latest host list; `None` if the next read has to be a full one.
     revision: Option<Revision>,
+    /// Number of hosts of the latest full list that can't be read.
+    unreadable: usize,
     /// The workers of this daemon's failure domain, the lost ones included, sorted by worker.
     entries: Vec<Entry>,
     /// The hosts of `entries` without the lost ones, with the effective `leaving` flag.
@@ -74,6 +76,7 @@
             read: RepeatedCall::open(now),
             all: Vec::new(),
             revision: None,
+            unreadable: 0,
             entries: Vec::new(),
             own: Vec::new(),
             generation: 0,
@@ -118,6 +121,11 @@
     }
 
     fn apply_list(&mut self, mut list: HostList, now: Moment) {
+        let unreadable = list.count.saturating_sub(list.hosts.len());
+        if list.since.is_none() && unreadable != self.unreadable {
+            log::warn!(event = "hosts_unread", hosts = unreadable; "number of unreadable hosts in the list has changed");
+            self.unreadable = unreadable;
+        }
         list.hosts.sort_by(|a, b| a.id.cmp(&b.id));
         list.hosts.dedup_by(|a, b| a.id == b.id);
         if list.since.is_some() {
--- a/crates/daemon/src/hosts/tests.rs
+++ b/crates/daemon/src/hosts/tests.rs
@@ -197,3 +197,33 @@
     assert_eq!(fixture.read_list(changes(7, 3)), Some(Revision(7)));
     assert_eq!(fixture.read_list(changes(9, 2)), None, "the number of workers did not match");
 }
+
+/// One odd host, such as one with a port out of range, made the whole list unreadable: the daemon followed
+/// the list no more.
+#[test]
+fn odd_host_leaves_the_others_of_the_list() {
+    let good = serde_json::to_string(&hosts(&["a", "b"])).unwrap();
+    let host = |field: &str, value: &str| {
+        let host = serde_json::to_string(&host("c", "norte", "r1")).unwrap();
+        let at = host.find(&format!("\"{field}\":")).expect("a field of a host");
+        format!("{}\"{field}\":{value},\"was\"{}", &host[..at], &host[at + field.len() + 2..])
+    };
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        host("addr", r#""10.0.0.1:70000""#),
+        host("addr", r#""""#),
+        host("accelerators", "1e400"),
+        host("slots", "-1"),
+        host("id", r#""no id""#),
+        host("rack", &nested),
+        nested.clone(),
+        "null".to_string(),
+    ];
+    for odd in odd {
+        let text = format!("{{\"hosts\":[{odd},{}]}}", good.trim_matches(['[', ']']));
+        let list: HostList = serde_json::from_str(&text).expect("a list");
+        let mut fixture = Fixture::open();
+        fixture.read_list(list);
+        assert_eq!(fixture.own(), not_leaving(&["a", "b"]), "{}", &odd[..odd.len().min(300)]);
+    }
+}
