Read a connection before its call times out

What callers see: nothing by itself; under load a leader may take answering workers for silent ones, and fail to renew its lease although the store has answered.

Cause: the client timed calls out by the clock alone and relied on the event loop to have read all that had arrived. The loop can't promise that: a poll that carries a signal passes on nothing else, and one poll reports at most 2,048 connections, while 1,100 workers may have several connections each (a hold beside starts and stops) beside those of the callers and the store.

Now the client itself reads the connection of a call whose deadline has passed, once, and only a call without a complete response times out. A part of a response that has arrived moves the deadline as usual. So the rule holds whatever the order of events, at the price of one read for each time-out.

Evidence: call_does_not_time_out_while_its_response_lies_unread failed before (all four calls timed out; now only the silent peer's does).

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -2,7 +2,9 @@
 //!
 //! A connection carries one call at a time. A call that times out closes its connection and all
 //! idle connections to the same peer, because existing connections can stop responding for good
-//! while new ones still work. A call doesn't time out while its messages are being transferred.
+//! while new ones still work. A call doesn't time out while its messages are being transferred, nor
+//! while its response lies in the socket's buffer: a process that reads late must not take that for
+//! the silence of its peer.
 
 use bulrushlink_core::{Moment, Span};
 use derive_more::Display;
@@ -259,13 +261,27 @@
         Some(Finished { token, result, stale: no_bytes && conn.completed_calls > 0 })
     }
 
-    /// Times out calls whose deadline has passed, and closes connections that were idle too long.
+    /// Ends the calls whose deadline has passed, and closes connections that were idle too long.
+    ///
+    /// Load pattern: more responses arrive while the process is busy than one poll reports. So each
+    /// of these connections is read first, and only a call without a complete response times out.
     pub fn expire(&mut self, now: Moment) -> Vec<Finished<T>> {
         let mut finished = Vec::new();
         let mut timed_out_peers = Vec::new();
         while let Some((deadline, id)) = self.deadlines.first().copied()
             && deadline <= now
         {
+            if self.connections.get(&id).is_some_and(|c| c.connected && c.pending.is_some()) {
+                if let Some(ended) = self.read(id, now) {
+                    // No time is left to repeat the call.
+                    finished.push(Finished { stale: false, ..ended });
+                    continue;
+                }
+                if self.deadlines.first() != Some(&(deadline, id)) {
+                    // What has arrived has moved the deadline.
+                    continue;
+                }
+            }
             self.deadlines.pop_first();
             let Some(conn) = self.remove(id) else { continue };
             timed_out_peers.push(conn.peer);
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -1,5 +1,14 @@
 use bulrushlink_core::Moment;
+use stakker::{Fwd, Stakker};
+use stakker_mio::mio::{Events, Poll};
+use stakker_mio::{MioPoll, Ready};
+use std::cell::RefCell;
+use std::io::{Read, Write};
+use std::net::{TcpListener, TcpStream};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
+use crate::client::{Client, Finished};
 use crate::deadline::Deadline;
 use crate::message::{Method, Request, Response};
 use crate::parse::{Bounds, Malformed, parse_request, parse_response};
@@ -73,3 +82,68 @@
     (1..=7).for_each(|step| trickle.record(1_000, Moment(step * 100)));
     assert_eq!(trickle.at(), Moment(800));
 }
+
+/// A client whose poll loop stands still unless a test lets it go on.
+struct Caller {
+    poll: MioPoll,
+    client: Client<u32>,
+    events: Rc<RefCell<Vec<(u64, Ready)>>>,
+}
+
+impl Caller {
+    fn open() -> Self {
+        let mut stakker = Stakker::new(Instant::now());
+        let poll = Poll::new().expect("a poll");
+        let poll =
+            MioPoll::new(&mut stakker, poll, Events::with_capacity(16), crate::POLL_PRIORITY)
+                .expect("a poll loop");
+        Self { poll, client: Client::default(), events: Rc::default() }
+    }
+
+    /// Sends a call to a new peer; returns the peer's end once the request has arrived there.
+    fn call(&mut self, token: u32, deadline: Moment) -> TcpStream {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let peer = listener.local_addr().expect("an address");
+        let events = self.events.clone();
+        let ready = |id| Fwd::new(move |ready| events.borrow_mut().push((id, ready)));
+        let request = Request::new(Method::Get, "/").with_header("Host", "h");
+        let failed = self.client.call(&self.poll, ready, peer, &request, (token, deadline));
+        assert_eq!(failed, None);
+        let (mut stream, _) = listener.accept().expect("a connection");
+        stream.set_nonblocking(false).expect("a blocking stream");
+        stream.set_read_timeout(Some(Duration::from_secs(10))).expect("a valid timeout");
+        self.poll.poll(Duration::from_secs(10)).expect("events");
+        for (id, ready) in self.events.take() {
+            assert_eq!(self.client.ready(id, ready, Moment(0)), None);
+        }
+        assert!(stream.read(&mut [0; 512]).expect("the request arrives") > 0);
+        stream
+    }
+}
+
+/// Guards against timing out calls whose responses have arrived and were not read: while the process was
+/// busy, more connections became ready than one poll reports, or the poll reported only a signal. Peers
+/// that had answered counted as silent (issue 34).
+#[test]
+fn call_does_not_time_out_while_its_response_lies_unread() {
+    let mut caller = Caller::open();
+    let mut answering = caller.call(1, Moment(500));
+    let mut slow = caller.call(2, Moment(500));
+    let mut closing = caller.call(3, Moment(500));
+    let _silent = caller.call(4, Moment(500));
+    let body = vec![b' '; 20_000];
+    let response = Response::new(200).with_body("text/plain", body).encode(false);
+    answering.write_all(&response).expect("the response is sent");
+    slow.write_all(&response[..17_000]).expect("a part of the response is sent");
+    closing.write_all(b"HTTP/1.1 200 OK\r\n\r\n").expect("the response is sent");
+    drop(closing);
+    let outcomes = |finished: Vec<Finished<u32>>| {
+        let outcome = |f: Finished<u32>| (f.token, f.result.map(|r| r.status).ok());
+        finished.into_iter().map(outcome).collect::<Vec<_>>()
+    };
+    let ended = outcomes(caller.client.expire(Moment(700)));
+    assert_eq!(ended, [(1, Some(200)), (3, Some(200)), (4, None)]);
+    assert_eq!(caller.client.next_deadline(), Some(Moment(700 + 800)));
+    assert_eq!(outcomes(caller.client.expire(Moment(1_500))), [(2, None)]);
+    assert_eq!((caller.client.next_deadline(), caller.client.len()), (None, 1));
+}
