Read peers' messages while other threads pass on work

What callers see: under steady load a daemon of the older program can miss the heartbeats of its peers, and count them as dead, though they arrive.

Cause: requests of callers and results of calls come from other threads by wake-ups, which had a higher priority in the poll loop than the sockets of the peers. One poll passes on the events of one priority only, so while such work is there at each poll, the sockets are not read.

Now both have one priority, so each poll passes on all that has arrived.

Evidence: poll_that_wakes_up_passes_on_the_messages_of_peers_too failed before (one wake-up, no message). No run of a fleet under such load was made.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,17 +17,18 @@
 use crate::edges::Edges;
 use crate::listener::{bind, bound_addr};
 use crate::node::Node;
-use crate::peer_link::PeerSockets;
+use crate::peer_link::{POLL_PRIORITY, PeerSockets};
 use crate::runtime::NodeActor;
 use crate::settings::Settings;
 use bulrushlink_telemetry::{Sink, open_log};
 
+#[cfg(test)]
+mod tests;
+
 /// The longest sleep of the event loop, in milliseconds.
 const POLL_WAIT_MAX_MS: u64 = 1_000;
 /// The most I/O events taken from the operating system per poll.
 const POLL_EVENTS_MAX: usize = 1_024;
-/// Priority in the poll loop of wake-ups by other threads.
-const WAKE_PRIORITY: u32 = 10;
 
 /// All sockets that a daemon listens on.
 pub(crate) struct Sockets {
@@ -148,15 +149,24 @@
     }
 }
 
+/// Opens the poll loop.
+///
+/// Load pattern: requests of callers and results of calls, which other threads pass on, arrive all the
+/// time. One poll passes on the events of one priority only, so wake-ups by these threads have the
+/// priority of the sockets: with a higher one, the messages of the peers would lie unread, and the peers
+/// seem dead.
+fn open_poll(stakker: &mut Stakker) -> std::io::Result<MioPoll> {
+    let events = Events::with_capacity(POLL_EVENTS_MAX);
+    MioPoll::new(stakker, Poll::new()?, events, POLL_PRIORITY)
+}
+
 /// Runs the event loop until the edges shut it down; passes its control channels to `started` once
 /// the actors run.
 fn run_loop(settings: Settings, sockets: Sockets, started: &Sender<Control>) -> Result<(), Error> {
     let fault = |e: std::io::Error| Error::new(Code::Unreachable, e.to_string());
     let origin = Instant::now();
     let mut stakker = Stakker::new(origin);
-    let poll = Poll::new().map_err(fault)?;
-    let events = Events::with_capacity(POLL_EVENTS_MAX);
-    let miopoll = MioPoll::new(&mut stakker, poll, events, WAKE_PRIORITY).map_err(fault)?;
+    let miopoll = open_poll(&mut stakker).map_err(fault)?;
     let actors = start_actors(&mut stakker, settings, sockets, origin, started)?;
     let mut idle_pending = stakker.run(Instant::now(), false);
     let mut io_pending = false;
--- a/crates/daemon/src/peer_link.rs
+++ b/crates/daemon/src/peer_link.rs
@@ -32,7 +32,7 @@
 /// Interval of checks for stalled connections, and delay before `accept` is retried.
 const SWEEP_INTERVAL_MS: u64 = 500;
 /// Priority of the sockets in the poll loop.
-const POLL_PRIORITY: u32 = 5;
+pub(crate) const POLL_PRIORITY: u32 = 5;
 /// Pause after a full batch of datagrams, so that other work gets its turn.
 const BATCH_PAUSE_MS: u64 = 1;
 /// Datagrams read at a time.
