Lab: an end counts once its worker has listed it, and a test of repeated starts under overload

By the platform's rules an end counts as taken note of 100 ms after its worker has listed it, unless a disturbance is near. The lab's record accepted a second start once the leases had expired, whether or not the worker had listed the end. It now keeps when a reply first lists an end with no trouble within 3 s, and a start of the task over 100 ms later is a breach.

The test slows the daemons down for 8 s, longer than a lease, on 300 workers.

--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -37,6 +37,8 @@
 const ENTRY_TTL_MS: u64 = 4_500;
 /// Time after the answer to a cancellation during which a start may still reach a worker.
 const CANCEL_GRACE_MS: u64 = 3_000;
+/// Longest time by which a late call to a worker is delayed.
+const CALL_DELAY_MAX_MS: u64 = 12_000;
 
 /// Probabilities of faults on each call, from 0 to 1.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
@@ -230,6 +232,8 @@
     /// One-way latency to the store, and until when it is longer than usual.
     store_latency: (u64, u64),
     noise: FleetNoise,
+    /// When each planned trouble begins and ends.
+    troubles: Vec<(u64, u64)>,
     ceilings: CeilingLog,
     random: fastrand::Rng,
     record: Record,
@@ -336,6 +340,7 @@
             silent_until: 0,
             store_latency: (LATENCY_MS, 0),
             noise: FleetNoise::default(),
+            troubles: Vec::new(),
             ceilings: CeilingLog::default(),
             record: Record::default(),
             bounds: test_bounds(),
@@ -399,12 +404,15 @@
 
     /// Sets the probabilities of faults from now on.
     pub fn set_noise(&mut self, noise: FleetNoise) {
+        // Calls that are late now are carried out when the noise has ended.
+        self.troubles.push((self.now, self.now + CALL_DELAY_MAX_MS));
         self.noise = noise;
         self.quiet = noise == FleetNoise::default();
     }
 
     /// Schedules a fault.
     pub fn plan(&mut self, at: u64, trouble: Trouble) {
+        self.troubles.push((at, at + trouble.length()));
         self.schedule(at, Event::Trouble(trouble));
     }
 
--- a/crates/lab/src/fleet/lab/calls.rs
+++ b/crates/lab/src/fleet/lab/calls.rs
@@ -7,7 +7,7 @@
 };
 use bulrushlink_standin::{FleetRun, FleetWorkerBounds};
 
-use super::{CANCEL_GRACE_MS, Event, FleetLab, LATENCY_MS, PendingCall};
+use super::{CALL_DELAY_MAX_MS, CANCEL_GRACE_MS, Event, FleetLab, LATENCY_MS, PendingCall};
 
 impl FleetLab {
     pub(super) fn dispatch_output(&mut self, daemon: usize, incarnation: u64, output: Output) {
@@ -45,7 +45,11 @@
                 self.schedule(now + timeout.millis(), reply);
                 let lost = self.random.f64() < self.noise.worker_lost;
                 let late = self.random.f64() < self.noise.worker_late;
-                let at = if late { now + self.random.u64(2_000..12_000) } else { now + LATENCY_MS };
+                let at = if late {
+                    now + self.random.u64(2_000..CALL_DELAY_MAX_MS)
+                } else {
+                    now + LATENCY_MS
+                };
                 let lost = lost || late;
                 let sent = now;
                 let event = Event::Worker { daemon, incarnation, call, tag, request, sent, lost };
@@ -171,11 +175,21 @@
             self.holds.push((waiting, index, self.workers[index].entry.born));
             return;
         }
+        if matches!(reply, WorkerReply::Lists { .. }) {
+            self.record_lists(index);
+        }
         let result = Ok(reply);
         let reply = Event::WorkerReply { daemon, incarnation, call, tag, clock, result };
         self.schedule(now + LATENCY_MS, reply);
     }
 
+    /// Records that a worker sends its lists, unless a trouble is near.
+    fn record_lists(&mut self, worker: usize) {
+        if !self.is_troubled() {
+            self.record.record_listing(self.now, worker);
+        }
+    }
+
     pub(super) fn answer_waiting_calls(&mut self) {
         let now = self.now;
         let mut due_watches = Vec::new();
@@ -220,6 +234,7 @@
         for (daemon, incarnation, call, tag, index) in due_holds {
             let clock = Some(self.workers[index].clock(now));
             let result = Ok(self.workers[index].lists());
+            self.record_lists(index);
             self.schedule(
                 now + LATENCY_MS,
                 Event::WorkerReply { daemon, incarnation, call, tag, clock, result },
--- a/crates/lab/src/fleet/lab/troubles.rs
+++ b/crates/lab/src/fleet/lab/troubles.rs
@@ -5,7 +5,49 @@
 
 use super::{Daemon, Event, EventLoop, FleetLab, Trouble};
 
+/// Time from a graceful stop of a daemon to its restart.
+const RESTART_MS: u64 = 5_000;
+/// Time before and after a trouble within which it counts as near: a takeover ends within it.
+const TROUBLE_RANGE_MS: u64 = 3_000;
+
+impl Trouble {
+    /// Returns for how long it lasts, in milliseconds.
+    pub(super) fn length(self) -> u64 {
+        match self {
+            Self::Freeze(_, millis)
+            | Self::CutStore(_, millis)
+            | Self::CutWorker(_, millis)
+            | Self::Drain(_, millis)
+            | Self::StoreDown(millis)
+            | Self::StorePaused(millis)
+            | Self::SlowStore(_, millis)
+            | Self::SilenceWatches(millis) => millis,
+            Self::Restart(_) => RESTART_MS,
+            Self::Kill(_)
+            | Self::KillPlacer
+            | Self::Reboot(_)
+            | Self::Remove(_)
+            | Self::LapseLeases
+            | Self::Compact
+            | Self::Failing(..)
+            | Self::Hanging(..)
+            | Self::Slow(..)
+            | Self::Resize(..)
+            | Self::KillAll
+            | Self::Allot(..) => 0,
+        }
+    }
+}
+
 impl FleetLab {
+    /// Returns true if a trouble is near, or calls are lost or late.
+    pub(super) fn is_troubled(&self) -> bool {
+        let (from, until) =
+            (self.now.saturating_sub(TROUBLE_RANGE_MS), self.now + TROUBLE_RANGE_MS);
+        let near = |(began, ended): &(u64, u64)| *began <= until && *ended >= from;
+        !self.quiet || self.troubles.iter().any(near)
+    }
+
     pub(super) fn apply_trouble(&mut self, trouble: Trouble) {
         let now = self.now;
         self.record.add_trace(now, format!("trouble: {trouble:?}"));
@@ -18,7 +60,7 @@
             }
             Trouble::Restart(daemon) => {
                 self.deliver(daemon, Input::Stop);
-                self.schedule(now + 5_000, Event::Trouble(Trouble::Kill(daemon)));
+                self.schedule(now + RESTART_MS, Event::Trouble(Trouble::Kill(daemon)));
             }
             Trouble::Freeze(daemon, millis) => self.daemons[daemon].frozen_until = now + millis,
             Trouble::CutStore(daemon, millis) => self.daemons[daemon].cut_until = now + millis,
@@ -77,7 +119,7 @@
         let gangs: Vec<(TaskId, Run)> =
             self.workers[worker].runs.iter().filter(|r| r.gang).map(|r| (r.task, r.run)).collect();
         self.workers[worker].runs.clear();
-        self.record.record_loss(worker);
+        self.record.record_loss(self.now, worker);
         gangs.into_iter().for_each(|(task, run)| self.break_gang(task, run));
     }
 
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -12,6 +12,9 @@
 /// Crashes of workers under a deadly task after which it may be started only `STARTS_LEFT` times.
 const CRASHES_MAX: u32 = 3;
 const STARTS_LEFT: u32 = 2;
+/// Time after the reply that lists an end at which the placer has taken note of it, by the platform's rules,
+/// if no trouble is near.
+const NOTING_MS: u64 = 100;
 
 /// A violated invariant of the scheduler.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -77,6 +80,15 @@
     task: TaskId,
     worker: usize,
     fate: EndFate,
+    /// When the worker first sent a reply that lists the end with no trouble near.
+    listed: Option<u64>,
+}
+
+impl UnackedEnd {
+    /// Returns true if the placer must have taken note of the end: a reply that it should have read lists it.
+    fn is_noted(&self, now: u64) -> bool {
+        self.listed.is_some_and(|at| now > at + NOTING_MS)
+    }
 }
 
 impl JobTrack {
@@ -176,16 +188,17 @@
             return self.record_violation(now, format!("{task} belongs to no job"));
         };
         job.started = true;
-        // A task may run again if its end was not acknowledged and its worker's leases have expired
-        // or the worker has crashed.
+        // A task may run again if its end was neither acknowledged nor taken note of, and its worker's
+        // leases have expired or the worker has crashed.
+        let noted = job.unacked.iter().any(|u| u.task == task && u.is_noted(now));
         let unreachable = |u: &UnackedEnd| u.task == task && u.fate != EndFate::Listed;
-        if job.unacked.iter().any(unreachable) {
+        if !noted && job.unacked.iter().any(unreachable) {
             job.done.retain(|t| *t != task);
             job.unacked.retain(|u| u.task != task || u.fate != EndFate::Lost);
         }
         let step = &job.spec.steps[usize::from(task.step)];
         let mut texts = Vec::new();
-        if job.done.contains(&task) {
+        if noted || job.done.contains(&task) {
             texts.push(format!("{task} run {run} starts after it was done"));
         }
         for before in &step.after {
@@ -263,7 +276,7 @@
             && !job.done.contains(&task)
         {
             job.done.push(task);
-            job.unacked.push(UnackedEnd { task, worker, fate: EndFate::Listed });
+            job.unacked.push(UnackedEnd { task, worker, fate: EndFate::Listed, listed: None });
             if job.is_done() {
                 job.finished_at = Some(now);
             }
@@ -284,6 +297,13 @@
         }
     }
 
+    /// Records that a worker has sent a reply that lists its ends, with no trouble near.
+    pub(super) fn record_listing(&mut self, now: u64, worker: usize) {
+        let unacked = self.jobs.iter_mut().flat_map(|j| &mut j.unacked);
+        let there = |u: &&mut UnackedEnd| u.worker == worker && u.fate != EndFate::Lost;
+        unacked.filter(there).for_each(|u| u.listed = u.listed.or(Some(now)));
+    }
+
     /// Records that the leases of a worker have expired.
     pub(super) fn record_lapse(&mut self, worker: usize) {
         let unacked = self.jobs.iter_mut().flat_map(|j| &mut j.unacked);
@@ -299,14 +319,17 @@
     }
 
     /// Records the loss of a worker's runs and of its list of ends.
-    pub(super) fn record_loss(&mut self, worker: usize) {
+    pub(super) fn record_loss(&mut self, now: u64, worker: usize) {
         self.live.retain(|(_, _, w)| *w != worker);
         for job in &mut self.jobs {
             // A task that was started again since its end no longer counts as done by that end.
             let done = &job.done;
             job.unacked.retain(|u| u.worker != worker || done.contains(&u.task));
-            let lost = job.unacked.iter_mut().filter(|u| u.worker == worker);
-            lost.for_each(|u| u.fate = EndFate::Lost);
+            for end in job.unacked.iter_mut().filter(|u| u.worker == worker) {
+                end.fate = EndFate::Lost;
+                // The crash itself is a trouble near the reply.
+                end.listed = end.listed.filter(|_| end.is_noted(now));
+            }
         }
     }
 }
--- a/crates/lab/tests/fleet/overload.rs
+++ b/crates/lab/tests/fleet/overload.rs
@@ -114,3 +114,38 @@
 fn load_of_the_slow_passes_fits_the_workers() {
     assert_served(None);
 }
+
+/// Returns a processor on which everything takes this fraction of the time on half a core, in percent.
+fn scaled(percent: u64) -> Processor {
+    let p = Processor::HALF_CORE;
+    Processor { input_us: p.input_us * percent / 100, visit_ns: p.visit_ns * percent / 100 }
+}
+
+/// Guards against a task that is started again after its worker has listed the end of its run: a placer on a host
+/// that was slowed down kept its own lease but read no reply to a hold in time, released the runs of workers that
+/// answered all the time once their leases had expired, and started the tasks again (issue 34).
+#[test]
+fn run_is_not_started_again_after_its_worker_has_listed_its_end() {
+    let mut lab = FleetLab::open(3, 300, 400);
+    lab.use_processor(scaled(30));
+    let steady = (0..80).map(|n| SETTLE_MS + n * 100);
+    let burst = (0..20).map(|_| SETTLE_MS + LOAD_MS / 4);
+    let mut jobs = Vec::new();
+    for (n, at) in (0..).zip(steady.chain(burst)) {
+        let (queue, spec) = kind(n);
+        jobs.push(JobId(n + 1));
+        lab.submit(at, (n % 3) as usize, JobId(n + 1), queue, spec);
+    }
+    lab.run(SETTLE_MS + 3_000);
+    let placer = lab.placer();
+    assert!(placer.is_some(), "no placer before the overload");
+    lab.use_processor(scaled(360));
+    lab.run(8_000);
+    lab.use_processor(scaled(30));
+    lab.run(20_000);
+    let breaches = lab.violations();
+    assert_eq!(breaches.len(), 0, "first: {:?}", breaches.first());
+    assert_eq!(lab.placer(), placer, "the placer was replaced");
+    let undone = jobs.iter().filter(|j| !lab.is_done(**j)).count();
+    assert_eq!(undone, 0, "jobs that are not done");
+}
