Log the contact with the worker where a run counts as lost

`run_lost` and `leases_lapsed` did not tell why a run counts as lost. They now have the worker, the time since its last reply, whether it is fenced, and by how much the end of its latest lease is ahead of its estimated clock. No decision changes: the fence is dropped after the lines are written.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -342,7 +342,7 @@
         }
         let slots = self.workers[at].slots.take();
         for slot in slots {
-            self.release_lost_run(ctx, &slot, "its worker is replaced by another boot");
+            self.release_lost_run(ctx, at, &slot, "its worker is replaced by another boot");
         }
     }
 
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -374,7 +374,7 @@
         let worker = &mut self.workers[at];
         let absent = worker.slots.extract(|s| would_list(s) && !listed(s));
         for slot in absent {
-            self.release_lost_run(ctx, &slot, "the worker does not have the run");
+            self.release_lost_run(ctx, at, &slot, "the worker does not have the run");
         }
     }
 
@@ -393,20 +393,22 @@
                 continue;
             }
             log::info!(
-                event = "leases_lapsed", worker:% = worker.id(), runs = worker.slots.len();
+                event = "leases_lapsed", worker:% = worker.id(), runs = worker.slots.len(),
+                heard_ms = worker.heard_ms(now), fenced = worker.fenced,
+                lease_left_ms = worker.lease_left_ms(now);
                 "no reply from the worker until its leases lapsed"
             );
             self.judge_loss(ctx, at, false);
             let worker = &mut self.workers[at];
-            // The worker has to report its runs before it gets a new one.
-            worker.fenced = false;
             let boot = worker.boot.clone();
             let slots = worker.slots.take();
             for slot in slots {
                 self.remember_lost(at, &slot, &boot, now);
-                self.release_lost_run(ctx, &slot, "its lease has expired");
+                self.release_lost_run(ctx, at, &slot, "its lease has expired");
                 remembered = true;
             }
+            // The worker has to report its runs before it gets a new one.
+            self.workers[at].fenced = false;
         }
         if remembered {
             // The worker's next boot may be listed already.
@@ -414,9 +416,16 @@
         }
     }
 
-    /// Releases a run that is gone and will not start later, and stops the rest of its gang.
-    pub(super) fn release_lost_run(&mut self, ctx: &mut Context<'_>, slot: &Slot, why: &str) {
+    /// Releases a run that its worker has lost and will not start later, and stops the rest of its gang.
+    pub(super) fn release_lost_run(
+        &mut self,
+        ctx: &mut Context<'_>,
+        worker: usize,
+        slot: &Slot,
+        why: &str,
+    ) {
         self.stale = true;
+        let now = ctx.clock.now;
         let Ok(at) = self.job_index(slot.task.job) else { return };
         let job = &mut self.jobs[at];
         let before = job.task(&slot.task).filter(|t| t.run == slot.run);
@@ -424,7 +433,12 @@
         let placed = job.clear_place(&slot.task, slot.run);
         // When the worker was lost isn't known here; the present phase of the run began before.
         job.waiting_since = job.waiting_since.max(slot.since);
-        log::info!(event = "run_lost", task:% = slot.task, run = slot.run.0; "{why}");
+        let worker = &self.workers[worker];
+        log::info!(
+            event = "run_lost", task:% = slot.task, run = slot.run.0, worker:% = worker.id(),
+            heard_ms = worker.heard_ms(now), fenced = worker.fenced,
+            lease_left_ms = worker.lease_left_ms(now); "{why}"
+        );
         let done = job.task(&slot.task).is_some_and(|t| t.done);
         let gang = job.step(&slot.task).is_some_and(|s| s.gang);
         if let Some(boot) = boot.filter(|_| placed && !done) {
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -147,7 +147,7 @@
                 log::info!(event = "start_failed", task:% = task, run = run.0, worker:% = id, cause:% = cause; "the start was not sent");
                 let slot = self.workers[at].slots.remove(s);
                 self.count_silence(at, now, true);
-                self.release_lost_run(ctx, &slot, "the start was not sent");
+                self.release_lost_run(ctx, at, &slot, "the start was not sent");
             }
             Err(fault) => {
                 log::info!(event = "start_unknown", task:% = task, run = run.0, worker:% = id, cause:% = fault; "no reply to the start, which may have been carried out; stopping the run");
@@ -189,7 +189,7 @@
         if let Ok(j) = self.job_index(slot.task.job) {
             self.jobs[j].rest = now + REFUSED_START_BACKOFF;
         }
-        self.release_lost_run(ctx, &slot, "the start was refused");
+        self.release_lost_run(ctx, at, &slot, "the start was refused");
         if refusal == StartRefusal::OtherBoot {
             self.handle_replaced(ctx, at);
         }
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -332,6 +332,18 @@
         self.clock.map(|(clock, at)| clock.saturating_add(now.since(at).millis()))
     }
 
+    /// Returns the time since the reply with the latest clock reading in milliseconds, for the log; -1 if
+    /// this placer has had none.
+    pub(crate) fn heard_ms(&self, now: Moment) -> i64 {
+        self.clock.map_or(-1, |(_, at)| now.since(at).millis() as i64)
+    }
+
+    /// Returns by how much the end of the latest lease is ahead of the estimated clock in milliseconds, for
+    /// the log; 0 without a clock reading.
+    pub(crate) fn lease_left_ms(&self, now: Moment) -> i64 {
+        self.estimated_clock(now).map_or(0, |clock| self.promised as i64 - clock as i64)
+    }
+
     /// Stores the clock reading that came with a reply.
     pub(crate) fn set_clock(&mut self, now: Moment, clock: u64) {
         let elapsed = |at| min_elapsed_ms(now.since(at));
