Reach silent workers with leases before the leases lapse

What callers see: runs on workers that answer are killed by their leases and started again, after the placer has lost contact with many workers for a second or two and with some of them for longer.

Cause: at most 48 holds were in flight to silent workers. Each one to a worker that stays out of reach takes 500 ms until it times out, so with 550 of these the placer came round to a worker only each 6 s, which is as long as a lease.

Now silent workers whose runs may still hold leases have a limit of their own, as large as that of the first holds after a takeover, and 48 is left for those that have nothing to lose.

The price: up to 400 instead of 48 holds in flight to workers out of reach, for the 6 s until their leases have lapsed.

Evidence: workers_that_answer_again_keep_their_runs_while_others_stay_silent, with 1,100 workers cut off for 1.5 s and half of them for longer, failed before: 167 of 550 runs lapsed on workers that answer again.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -34,46 +34,69 @@
 /// The same on a strong host. With fewer in flight, the workers of a failure domain that is cut off
 /// would occupy all of them until they time out, and keep the placer from the others for seconds.
 const FIRST_HOLDS_MAX: usize = 400;
-/// Most holds in flight to silent workers, so that they don't delay the others.
+/// Most holds in flight to silent workers that have no leases to lose, so that they don't delay the
+/// others.
 const SILENT_HOLDS_MAX: usize = 48;
 /// Number of ends at which a worker's list may be truncated.
 const ENDS_LIST_MAX: usize = 500;
 
+/// Limit on holds in flight that a worker without recent replies counts against.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum HoldBudget {
+    /// This epoch has not heard it yet.
+    First,
+    /// It is silent, and its runs may hold leases.
+    Leased,
+    /// It is silent and has nothing to lose.
+    Silent,
+}
+
 impl Placer {
+    /// Sends the holds that are due.
+    ///
+    /// Load pattern: contact with all of 1,100 workers is lost for a second or two, and with half of them
+    /// for longer. Each hold to the latter takes until it times out, so those with runs have as many in
+    /// flight as at a takeover: with fewer, the leases on workers that answer again would lapse before
+    /// their turn.
     pub(super) fn send_holds(&mut self, ctx: &mut Context<'_>) {
-        let unknown_max = if ctx.strong_host { FIRST_HOLDS_MAX } else { FIRST_HOLDS_MAX_WEAK };
-        let mut unknown_budget =
-            unknown_max.saturating_sub(self.holds_inflight(Reachability::Unknown));
-        let mut silent_budget =
-            SILENT_HOLDS_MAX.saturating_sub(self.holds_inflight(Reachability::Silent));
+        let first_max = if ctx.strong_host { FIRST_HOLDS_MAX } else { FIRST_HOLDS_MAX_WEAK };
+        let (now, lease_max) = (ctx.clock.now, Span(ctx.bounds.lease_max_ms));
+        let since = self.since;
+        let budget_of = |w: &Worker| match w.reachability() {
+            Reachability::Answering => None,
+            Reachability::Unknown => Some(HoldBudget::First),
+            Reachability::Silent
+                if !w.slots.is_empty() && !w.has_expired_leases(now, since, lease_max) =>
+            {
+                Some(HoldBudget::Leased)
+            }
+            Reachability::Silent => Some(HoldBudget::Silent),
+        };
+        let mut left = [first_max, first_max, SILENT_HOLDS_MAX];
+        for worker in self.workers.iter().filter(|w| w.hold.is_some()) {
+            if let Some(budget) = budget_of(worker) {
+                let left = &mut left[budget as usize];
+                *left = left.saturating_sub(1);
+            }
+        }
         let mut waiting = Vec::new();
         for at in 0..self.workers.len() {
-            match self.workers[at].reachability() {
-                Reachability::Answering => {
+            match budget_of(&self.workers[at]) {
+                None => {
                     self.send_hold(ctx, at);
                 }
-                Reachability::Unknown | Reachability::Silent => {
-                    waiting.push((self.workers[at].hold_next, at));
-                }
+                Some(budget) => waiting.push((self.workers[at].hold_next, at, budget as usize)),
             }
         }
         // Not all can be sent at once; the workers that have waited longest go first.
         waiting.sort_unstable();
-        for (_, at) in waiting {
-            let budget = match self.workers[at].reachability() {
-                Reachability::Silent => &mut silent_budget,
-                Reachability::Unknown | Reachability::Answering => &mut unknown_budget,
-            };
-            if *budget > 0 && self.send_hold(ctx, at) {
-                *budget -= 1;
+        for (_, at, budget) in waiting {
+            if left[budget] > 0 && self.send_hold(ctx, at) {
+                left[budget] -= 1;
             }
         }
     }
 
-    fn holds_inflight(&self, of: Reachability) -> usize {
-        self.workers.iter().filter(|w| w.hold.is_some() && w.reachability() == of).count()
-    }
-
     /// Sends a hold to a worker if it needs one now; returns true if it was sent.
     fn send_hold(&mut self, ctx: &mut Context<'_>, at: usize) -> bool {
         let ordinal = self.ordinal + 1;
--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -21,6 +21,8 @@
 mod preemption;
 #[path = "fleet/shares.rs"]
 mod shares;
+#[path = "fleet/silence.rs"]
+mod silence;
 #[path = "fleet/times.rs"]
 mod times;
 
