--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -107,12 +107,17 @@
     }
 }
 
+/// A live run with its worker.
+type LiveRun = (TaskId, Run, usize);
+
 /// The record of a simulation.
 #[derive(Default)]
 pub(super) struct Record {
     pub(super) jobs: Vec<JobTrack>,
     /// Live runs with their workers.
-    pub(super) live: Vec<(TaskId, Run, usize)>,
+    pub(super) live: Vec<LiveRun>,
+    /// What the live runs of each workspace occupy.
+    used: BTreeMap<WorkspaceId, Resources>,
     pub(super) violations: Vec<Breach>,
     pub(super) starts: u64,
     /// Work of runs that ended early without a checkpoint, in core-seconds; an accelerator counts as 8 cores.
@@ -145,11 +150,31 @@
 
     /// Returns what the live runs of a workspace occupy.
     pub(super) fn used_by(&self, workspace: &WorkspaceId) -> Resources {
-        let needs = self.live.iter().filter_map(|(task, ..)| {
-            let job = self.jobs.iter().find(|j| j.id == task.job && j.workspace == *workspace)?;
-            Some(job.spec.steps[usize::from(task.step)].need)
-        });
-        needs.fold(Resources::default(), |sum, need| sum.plus(&need))
+        self.used.get(workspace).copied().unwrap_or_default()
+    }
+
+    /// Returns the workspace of a task and what it occupies, unless its job is unknown.
+    fn usage_of(&self, task: &TaskId) -> Option<(WorkspaceId, Resources)> {
+        let job = self.jobs.iter().find(|j| j.id == task.job)?;
+        Some((job.workspace.clone(), job.spec.steps[usize::from(task.step)].need))
+    }
+
+    fn add_live(&mut self, run: LiveRun) {
+        if let Some((workspace, need)) = self.usage_of(&run.0) {
+            let used = self.used.entry(workspace).or_default();
+            *used = used.plus(&need);
+        }
+        self.live.push(run);
+    }
+
+    fn remove_live(&mut self, is_gone: impl Fn(&LiveRun) -> bool) {
+        let gone: Vec<LiveRun> = self.live.extract_if(.., |run| is_gone(run)).collect();
+        for (task, ..) in gone {
+            if let Some((workspace, need)) = self.usage_of(&task) {
+                let used = self.used.entry(workspace).or_default();
+                *used = used.minus(&need);
+            }
+        }
     }
 
     pub(super) fn job(&mut self, id: JobId) -> Option<&mut JobTrack> {
@@ -170,7 +195,7 @@
             let text = format!("{task} run {run} starts on {worker} while {other:?} lives");
             self.record_violation(now, text);
         }
-        self.live.push((task, run, worker));
+        self.add_live((task, run, worker));
         self.check_starts_after_crashes(now, &task);
         let Some(job) = self.jobs.iter_mut().find(|j| j.id == task.job) else {
             return self.record_violation(now, format!("{task} belongs to no job"));
@@ -242,7 +267,7 @@
         cause: EndCause,
     ) {
         self.add_trace(now, format!("{task} run {run} ends on {worker}: {cause}"));
-        self.live.retain(|l| *l != (task, run, worker));
+        self.remove_live(|l| *l == (task, run, worker));
         if cause == EndCause::Alone {
             self.gang_timeouts += 1;
         }
@@ -300,7 +325,7 @@
 
     /// Records the loss of a worker's runs and of its list of ends.
     pub(super) fn record_loss(&mut self, worker: usize) {
-        self.live.retain(|(_, _, w)| *w != worker);
+        self.remove_live(|(_, _, w)| *w == worker);
         for job in &mut self.jobs {
             // A task that was started again since its end no longer counts as done by that end.
             let done = &job.done;
