Look up once for each step what its runs have in common when preemptible runs are listed

Each run looked up its job about ten times, its queue three times, and blended the learned run times of its step anew.

--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -5,14 +5,14 @@
 
 use bulrushlink_core::{Moment, Span, WorkerId};
 
-use crate::ids::{JobId, Run, TaskId};
-use crate::model::Resources;
+use crate::ids::{JobId, TaskId};
+use crate::model::{Resources, Step};
 use crate::plan::{Eviction, evict};
-use crate::policy::{Demand, Quotas, Shares, Stake, Verdict, is_in_time, judge};
+use crate::policy::{Demand, Model, Quotas, Shares, Stake, Verdict, is_in_time, judge};
 
 use super::decide::{Assignment, Placement};
 use super::field::{FleetSnapshot, Shape};
-use super::groups::{Claimant, Group, Preemptibility, Reach};
+use super::groups::{Claimant, Group, Preemptibility, Reach, RunKey};
 use super::job::Job;
 use super::units::Unit;
 use super::worker::{Phase, Slot};
@@ -415,8 +415,7 @@
     /// Lists the runs that could be stopped; the members of a gang form one group, as they end
     /// together.
     fn preemptible_groups(&self, ctx: &Context<'_>, guaranteed: &[JobId]) -> Vec<Group> {
-        let now = ctx.clock.now;
-        let mut runs: Vec<((TaskId, Run), usize, usize)> = Vec::new();
+        let mut runs: Vec<(RunKey, usize, usize)> = Vec::new();
         for (at, worker) in self.workers.iter().enumerate() {
             for (s, slot) in worker.slots.iter().enumerate() {
                 if !matches!(slot.phase, Phase::Planned(_)) {
@@ -427,94 +426,130 @@
         }
         runs.sort_unstable();
         let mean_log = self.mean_speed();
-        let group = |members: &[((TaskId, Run), usize, usize)]| {
-            let (key, at, s) = members[0];
-            let first = &self.workers[at].slots[s];
-            let cost = self.preemption_cost(ctx, first, self.is_gang(&first.task));
-            let mut group = Group::new(key, self.preemptibility(ctx, first, guaranteed), cost);
-            // The members of a gang end together.
-            let learned = self.learned_remaining(ctx, at, first, mean_log);
-            if let Some(stake) = self.stake(ctx, first, learned) {
-                group.set_stake(stake);
-            }
-            let job = self.job_index(key.0.job).ok().map(|j| &self.jobs[j]);
-            group.set_saves(job.and_then(|j| j.step(&key.0)).is_some_and(|s| s.saves));
-            for (_, at, s) in members {
-                let slot = &self.workers[*at].slots[*s];
-                let leaving = matches!(slot.phase, Phase::Closing { .. });
-                let left = slot.remaining(now).or(learned);
-                let ending = left.is_some_and(|left| left <= NEAR_END_MAX);
-                group.add(*at, slot.need, leaving, ending);
-                let left = left.unwrap_or_else(|| self.estimated_end(slot, now));
-                group.expect_end(if leaving { Span::ZERO } else { left });
-            }
-            group
+        let same_step = |((a, _), ..): &(RunKey, usize, usize), ((b, _), ..): &(RunKey, _, _)| {
+            (a.job, a.step) == (b.job, b.step)
         };
-        runs.chunk_by(|a, b| a.0 == b.0).map(group).collect()
+        let mut groups = Vec::new();
+        for runs in runs.chunk_by(same_step) {
+            let facts = self.step_facts(ctx, &runs[0].0.0, guaranteed);
+            let members = runs.chunk_by(|a, b| a.0 == b.0);
+            groups.extend(members.map(|m| self.group(ctx, m, &facts, mean_log)));
+        }
+        groups
     }
 
-    /// Returns for whom a run may be stopped.
-    fn preemptibility(
+    /// Returns the group of some runs, which are those of one gang or a single one.
+    fn group(
         &self,
         ctx: &Context<'_>,
-        slot: &Slot,
-        guaranteed: &[JobId],
-    ) -> Preemptibility {
-        match self.job_index(slot.task.job) {
-            Ok(_) if guaranteed.binary_search(&slot.task.job).is_ok() => Preemptibility::Never,
-            // A gang that was stopped once has little time left to be repeated again.
-            Ok(j) if ctx.features.timely_preemption && self.jobs[j].was_preempted(&slot.task) => {
-                Preemptibility::ForGuaranteed
-            }
-            Ok(j) => Preemptibility::ForMoreUrgent(self.jobs[j].queue(ctx.catalog).priority),
-            Err(_) => Preemptibility::Never,
+        members: &[(RunKey, usize, usize)],
+        facts: &StepFacts<'_>,
+        mean_log: f64,
+    ) -> Group {
+        let now = ctx.clock.now;
+        let (key, at, s) = members[0];
+        let first = &self.workers[at].slots[s];
+        let cost = facts.cost(ctx, first);
+        let mut group = Group::new(key, facts.preemptibility(ctx, &first.task), cost);
+        // The members of a gang end together.
+        let known = facts.job.zip(facts.step).zip(facts.model.as_ref());
+        let learned = known.and_then(|((job, step), model)| {
+            self.remaining_by(ctx, (at, mean_log), (job, step, model), first)
+        });
+        if let Some(stake) = facts.stake(first, cost, now, learned) {
+            group.set_stake(stake);
         }
+        group.set_saves(facts.step.is_some_and(|s| s.saves));
+        let estimate = facts.step.map_or(0, |step| step.estimate.millis());
+        for (_, at, s) in members {
+            let slot = &self.workers[*at].slots[*s];
+            let leaving = matches!(slot.phase, Phase::Closing { .. });
+            let left = slot.remaining(now).or(learned);
+            let ending = left.is_some_and(|left| left <= NEAR_END_MAX);
+            group.add(*at, slot.need, leaving, ending);
+            // By its caller's estimate, if it hasn't progressed enough to tell.
+            let estimated = || Span(estimate.saturating_sub(now.since(slot.started).millis()));
+            let left = left.unwrap_or_else(estimated);
+            group.expect_end(if leaving { Span::ZERO } else { left });
+        }
+        group
+    }
+
+    /// Returns what the runs of a step have in common.
+    fn step_facts(&self, ctx: &Context<'_>, task: &TaskId, guaranteed: &[JobId]) -> StepFacts<'_> {
+        let job = self.job_index(task.job).ok().map(|j| &self.jobs[j]);
+        let step = job.and_then(|j| j.step(task));
+        let priority = job.map(|j| j.queue(ctx.catalog).priority);
+        let leeway = job.map_or(0.0, |j| j.leeway(j.queue(ctx.catalog)));
+        let guaranteed = guaranteed.binary_search(&task.job).is_ok();
+        let model = job.zip(step).and_then(|(job, step)| self.learned_work(ctx, job, step));
+        StepFacts { job, step, priority, leeway, guaranteed, model }
     }
+}
+
+/// What the runs of a step have in common that decides whether they are stopped.
+///
+/// Load pattern: thousands of runs of a few hundred steps, listed in each placement with an urgent gang that
+/// finds no room.
+struct StepFacts<'a> {
+    /// `None` if the job is unknown.
+    job: Option<&'a Job>,
+    step: Option<&'a Step>,
+    /// Priority of the job's queue.
+    priority: Option<u32>,
+    leeway: f64,
+    /// The job is within its workspace's guarantee.
+    guaranteed: bool,
+    /// The learned distribution of the step's work.
+    model: Option<Model>,
+}
 
-    /// Returns how long a run still takes by its caller's estimate, if it hasn't progressed enough to tell.
-    fn estimated_end(&self, slot: &Slot, now: Moment) -> Span {
-        let need = self.job_index(slot.task.job).ok().and_then(|j| self.jobs[j].step(&slot.task));
-        let estimate = need.map_or(0, |step| step.estimate.millis());
-        Span(estimate.saturating_sub(now.since(slot.started).millis()))
+impl StepFacts<'_> {
+    fn is_urgent(&self) -> bool {
+        self.priority == Some(0)
     }
 
-    fn is_urgent(&self, ctx: &Context<'_>, id: JobId) -> bool {
-        self.job_index(id).is_ok_and(|j| self.jobs[j].queue(ctx.catalog).priority == 0)
+    /// Returns for whom a run may be stopped.
+    fn preemptibility(&self, ctx: &Context<'_>, task: &TaskId) -> Preemptibility {
+        let (Some(job), Some(priority)) = (self.job, self.priority) else {
+            return Preemptibility::Never;
+        };
+        match () {
+            () if self.guaranteed => Preemptibility::Never,
+            // A gang that was stopped once has little time left to be repeated again.
+            () if ctx.features.timely_preemption && job.was_preempted(task) => {
+                Preemptibility::ForGuaranteed
+            }
+            () => Preemptibility::ForMoreUrgent(priority),
+        }
     }
 
     /// Estimates the work that is lost if a run, or its whole gang, is stopped, in core-seconds.
-    fn preemption_cost(&self, ctx: &Context<'_>, slot: &Slot, is_gang: bool) -> f64 {
-        let now = ctx.clock.now;
-        let Ok(j) = self.job_index(slot.task.job) else { return 0.0 };
-        let Some(step) = self.jobs[j].step(&slot.task) else { return 0.0 };
-        let tasks = if is_gang { step.tasks } else { 1 };
+    fn cost(&self, ctx: &Context<'_>, slot: &Slot) -> f64 {
+        let Some(step) = self.step else { return 0.0 };
+        let tasks = if step.gang { step.tasks } else { 1 };
         // A run that writes checkpoints writes one more when it is stopped.
         let since = match slot.saved.is_empty() || !ctx.features.timely_preemption {
             true => slot.started,
             false => slot.saved_at,
         };
-        let lost = if step.saves { 0.0 } else { now.since(since).secs_f64() };
+        let lost = if step.saves { 0.0 } else { ctx.clock.now.since(since).secs_f64() };
         let weight = cores(&slot.need);
-        let weight =
-            if self.is_urgent(ctx, slot.task.job) { weight * URGENT_COST_FACTOR } else { weight };
+        let weight = if self.is_urgent() { weight * URGENT_COST_FACTOR } else { weight };
         (lost + RESTART_COST_S) * weight * f64::from(tasks)
     }
 
-    /// Returns what is at stake if a run, or its whole gang, is stopped; `learned` is the time for which it
-    /// goes on by the learned run times.
-    fn stake(&self, ctx: &Context<'_>, slot: &Slot, learned: Option<Span>) -> Option<Stake> {
-        let now = ctx.clock.now;
-        let job = &self.jobs[self.job_index(slot.task.job).ok()?];
-        let step = job.step(&slot.task)?;
-        let cost = self.preemption_cost(ctx, slot, step.gang);
-        let urgent = self.is_urgent(ctx, slot.task.job);
+    /// Returns what is at stake if a run, or its whole gang, is stopped at `cost`; `learned` is the time for
+    /// which it goes on by the learned run times.
+    fn stake(&self, slot: &Slot, cost: f64, now: Moment, learned: Option<Span>) -> Option<Stake> {
+        let step = self.step?;
         let ran = now.since(slot.started);
         // A run that has taken longer than estimated may take as long again.
         let estimated =
             if ran < step.estimate { (slot.started + step.estimate).since(now) } else { ran };
         Some(Stake {
-            lost: if urgent { cost / URGENT_COST_FACTOR } else { cost },
-            leeway: job.leeway(job.queue(ctx.catalog)),
+            lost: if self.is_urgent() { cost / URGENT_COST_FACTOR } else { cost },
+            leeway: self.leeway,
             left: slot.remaining(now).or(learned).unwrap_or(estimated),
         })
     }
--- a/crates/fleet/src/placer/times.rs
+++ b/crates/fleet/src/placer/times.rs
@@ -9,7 +9,7 @@
 use crate::edge::{EndCause, EndReport};
 use crate::ids::{Run, TaskId};
 use crate::model::Step;
-use crate::policy::{Forecast, Sample, Shape, StepKey};
+use crate::policy::{Forecast, Model, Sample, Shape, StepKey};
 
 use super::job::Job;
 use super::pace::WorkerPace;
@@ -114,15 +114,35 @@
         slot: &Slot,
         mean_log: f64,
     ) -> Option<Span> {
-        if !ctx.features.learned_times || !slot.timed || slot.phase != Phase::Running {
+        let job = &self.jobs[self.job_index(slot.task.job).ok()?];
+        let step = job.step(&slot.task)?;
+        let model = self.learned_work(ctx, job, step)?;
+        self.remaining_by(ctx, (at, mean_log), (job, step, &model), slot)
+    }
+
+    /// Returns the learned distribution of a step's work; `None` if it has none that counts.
+    pub(super) fn learned_work(&self, ctx: &Context<'_>, job: &Job, step: &Step) -> Option<Model> {
+        if !ctx.features.learned_times || step.endless {
             return None;
         }
-        let job = &self.jobs[self.job_index(slot.task.job).ok()?];
-        let step = job.step(&slot.task).filter(|s| !s.endless)?;
+        self.times.model(&job.times_key(step), step.estimate)
+    }
+
+    /// Returns the time that a run of a step is expected to go on by the distribution of the step's work.
+    pub(super) fn remaining_by(
+        &self,
+        ctx: &Context<'_>,
+        (at, mean_log): (usize, f64),
+        (job, step, model): (&Job, &Step, &Model),
+        slot: &Slot,
+    ) -> Option<Span> {
+        if !slot.timed || slot.phase != Phase::Running {
+            return None;
+        }
+        let saved_work = slot.saved_work?;
         let pace = self.run_pace(ctx, (at, mean_log), job, step, &slot.task);
-        let ran = scale(ctx.clock.now.since(slot.started), pace) + slot.saved_work?;
-        let remaining = self.times.remaining(&job.times_key(step), step.estimate, ran)?;
-        Some(scale(remaining, 1.0 / pace))
+        let ran = scale(ctx.clock.now.since(slot.started), pace) + saved_work;
+        Some(scale(model.remaining(step.estimate, ran), 1.0 / pace))
     }
 
     /// Learns from the end of a run, before the end is applied to its job. The report is `timely` if the
--- a/crates/fleet/src/policy.rs
+++ b/crates/fleet/src/policy.rs
@@ -22,7 +22,7 @@
 pub(crate) use quota::Quotas;
 pub(crate) use reserve::{Reserve, Usage};
 pub(crate) use retry::{LostWork, Place, Retries};
-pub(crate) use run_time::{Forecast, RunTimes, Sample, Shape, StepKey, TimesRecord};
+pub(crate) use run_time::{Forecast, Model, RunTimes, Sample, Shape, StepKey, TimesRecord};
 pub(crate) use share::{Owner, Shares};
 pub(crate) use tolerance::{Risk, Tolerance, doubt};
 pub(crate) use widths::Widths;
--- a/crates/fleet/src/policy/run_time.rs
+++ b/crates/fleet/src/policy/run_time.rs
@@ -145,7 +145,7 @@
 }
 
 /// The distribution of a step's work by all that is known.
-struct Model {
+pub(crate) struct Model {
     /// Quantiles of the work in milliseconds.
     work: Table,
     /// Weight of what is learned against the estimate, from 0 to 1.
@@ -198,23 +198,11 @@
         Forecast { median: span(median), high: span(high), source: Source::Learned, ..guess }
     }
 
-    /// Returns the work that is expected to remain of a run that has done `ran`; `None` unless it has been
-    /// learned.
-    pub(crate) fn remaining(&self, key: &StepKey<'_>, estimate: Span, ran: Span) -> Option<Span> {
-        let model = self.known(key).model(estimate).filter(|m| m.trust > 0.0)?;
-        let below = model.work.fraction_below(log(ran));
-        let beyond = |work: Span| Span(work.millis().saturating_sub(ran.millis()));
-        let learned = if below > KNOWN_FRACTION_MAX {
-            // Nothing is known of such runs. In long-tailed distributions, half of the runs that have
-            // come this far take as long again.
-            ran
-        } else {
-            beyond(span(model.work.quantile((1.0 + below) / 2.0)))
-        };
-        // A run that has outlasted the estimate has shown that it was wrong.
-        let trust = if estimate > ran { f64::from(model.trust) } else { 1.0 };
-        let (learned, estimated) = (learned.millis() as f64, beyond(estimate).millis() as f64);
-        Some(Span((learned * trust + estimated * (1.0 - trust)) as u64))
+    /// Returns the distribution of a step's work; `None` unless it counts against the estimate.
+    pub(crate) fn model(&self, key: &StepKey<'_>, estimate: Span) -> Option<Model> {
+        let known = self.known(key);
+        // Most lookups end here while the estimates are good.
+        if known.trust > 0.0 { known.model(estimate) } else { None }
     }
 
     /// Returns the number of groups.
@@ -266,6 +254,26 @@
     }
 }
 
+impl Model {
+    /// Returns the work that is expected to remain of a run that has done `ran`, of a step with the caller's
+    /// estimate.
+    pub(crate) fn remaining(&self, estimate: Span, ran: Span) -> Span {
+        let below = self.work.fraction_below(log(ran));
+        let beyond = |work: Span| Span(work.millis().saturating_sub(ran.millis()));
+        let learned = if below > KNOWN_FRACTION_MAX {
+            // Nothing is known of such runs. In long-tailed distributions, half of the runs that have
+            // come this far take as long again.
+            ran
+        } else {
+            beyond(span(self.work.quantile((1.0 + below) / 2.0)))
+        };
+        // A run that has outlasted the estimate has shown that it was wrong.
+        let trust = if estimate > ran { f64::from(self.trust) } else { 1.0 };
+        let (learned, estimated) = (learned.millis() as f64, beyond(estimate).millis() as f64);
+        Span((learned * trust + estimated * (1.0 - trust)) as u64)
+    }
+}
+
 /// What is known of a step, from coarse to fine.
 struct Known<'a> {
     /// What the workspaces of the queue have in common.
--- a/crates/fleet/src/policy/run_time/tests.rs
+++ b/crates/fleet/src/policy/run_time/tests.rs
@@ -18,6 +18,14 @@
     StepKey { queue: "bulk", workspace: Some(workspace), shape: SHAPE }
 }
 
+impl RunTimes {
+    /// Returns the work that is expected to remain of a run that has done `ran`; `None` unless it has been
+    /// learned.
+    fn remaining(&self, key: &StepKey<'_>, estimate: Span, ran: Span) -> Option<Span> {
+        Some(self.model(key, estimate)?.remaining(estimate, ran))
+    }
+}
+
 /// A task with a caller's estimate and its true work.
 type Task = (Span, Span);
 
