Evict without allocations for each worker, and look only at workers that have changed

For each task of a gang, the search went over the victims of all workers, even if no group or only single runs were evicted, and it allocated three lists for each worker.

--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -389,9 +389,10 @@
         self.rooms_for(shape, eligible);
         let groups = self.groups.iter().flatten().enumerate();
         for (number, group) in groups.filter(|(_, g)| g.ends_in <= within) {
+            let shared = group.members.len() > 1;
             for member in &group.members {
                 let cost = group.ends_in.secs_f64();
-                let victim = Victim { need: member.need, group: number, cost };
+                let victim = Victim { need: member.need, group: number, cost, shared };
                 self.rooms[member.worker].victims.push(victim);
             }
         }
@@ -408,12 +409,13 @@
         self.rooms_for(shape, eligible);
         for (number, group) in self.groups.iter().flatten().enumerate() {
             let yields = group.yields_to(claimant);
+            let shared = group.members.len() > 1;
             let group_cost = group.cost + group.position as f64 * POSITION_COST;
             for member in &group.members {
                 let leaving = member.leaving || group.ending;
                 let cost = if leaving { 0.0 } else { group_cost };
                 if yields || leaving {
-                    let victim = Victim { need: member.need, group: number, cost };
+                    let victim = Victim { need: member.need, group: number, cost, shared };
                     self.rooms[member.worker].victims.push(victim);
                 }
             }
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -22,6 +22,8 @@
     pub(crate) group: usize,
     /// Work lost if the whole group is stopped, in core-seconds.
     pub(crate) cost: f64,
+    /// The group may have runs on other workers too.
+    pub(crate) shared: bool,
 }
 
 /// Snapshot of a worker for placement.
--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -18,12 +18,23 @@
     pub(crate) cost: f64,
 }
 
-/// A worker for the next task, with the groups that have to be evicted for it to fit.
-#[derive(Clone, Debug)]
+/// A worker for the next task.
+#[derive(Clone, Copy, Debug)]
 struct Fit {
     room: usize,
-    groups: Vec<usize>,
+    /// Work lost by the stops that it takes, in core-seconds.
     cost: f64,
+    doubt: u32,
+    /// Free accelerators.
+    free: u64,
+}
+
+impl Fit {
+    /// Compares which worker is to be preferred; the lowest goes first.
+    fn compare(&self, other: &Self) -> std::cmp::Ordering {
+        let costs = self.cost.total_cmp(&other.cost);
+        costs.then(self.doubt.cmp(&other.doubt)).then(self.free.cmp(&other.free))
+    }
 }
 
 /// State of a greedy search: the groups evicted and the tasks placed so far.
@@ -38,9 +49,15 @@
     used: Vec<u64>,
     /// Work lost so far, in core-seconds.
     cost: f64,
+    /// Victims of the worker looked at last that aren't evicted yet; kept to reuse its allocation.
+    left: Vec<&'a Victim>,
+    /// Groups that have to be evicted for one more task to fit on that worker.
+    groups: Vec<usize>,
+    /// Those of them that may have runs on other workers.
+    shared: Vec<usize>,
 }
 
-impl Search<'_> {
+impl<'a> Search<'a> {
     /// Returns the resources that must be free on a worker for one more task to fit.
     fn required(&self, room: usize) -> Resources {
         let tasks = self.used[room] + 1;
@@ -58,11 +75,15 @@
         self.evicted.binary_search(&group).is_ok()
     }
 
-    /// Returns a cheap way to fit one more task on a worker: evicts victims in order of cost, then
-    /// removes those that turn out not to be needed.
-    fn find_fit(&self, room: usize) -> Option<Fit> {
-        let worker = &self.rooms[room];
-        let tasks_max = self.step.per_worker.map_or(u64::MAX, u64::from);
+    /// Finds a cheap way to fit one more task on a worker: evicts victims in order of cost, then removes
+    /// those that turn out not to be needed. The groups to evict are left in `groups`.
+    ///
+    /// Load pattern: this looks at each run of a thousand full workers for each urgent gang, so it
+    /// allocates nothing for a worker.
+    fn find_fit(&mut self, room: usize) -> Option<Fit> {
+        let (rooms, step) = (self.rooms, self.step);
+        let worker = &rooms[room];
+        let tasks_max = step.per_worker.map_or(u64::MAX, u64::from);
         if !worker.usable
             || worker.band < self.band_min
             || self.used[room] + u64::from(worker.siblings) >= tasks_max
@@ -71,28 +92,40 @@
         }
         let required = self.required(room);
         let mut free = self.free_after_evictions(room);
-        let mut taken: Vec<&Victim> = Vec::new();
+        self.groups.clear();
+        self.shared.clear();
+        let mut cost = 0.0;
         if !free.fits(&required) {
-            let mut left: Vec<&Victim> =
-                worker.victims.iter().filter(|v| !self.is_evicted(v.group)).collect();
-            left.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.group.cmp(&b.group)));
-            for victim in left {
+            let evicted = &self.evicted;
+            let stays = |v: &&'a Victim| evicted.binary_search(&v.group).is_err();
+            self.left.clear();
+            self.left.extend(worker.victims.iter().filter(stays));
+            self.left.sort_by(|a, b| a.cost.total_cmp(&b.cost).then(a.group.cmp(&b.group)));
+            let mut taken = 0;
+            for victim in &self.left {
                 if free.fits(&required) {
                     break;
                 }
                 free = free.plus(&victim.need);
-                taken.push(victim);
+                taken += 1;
+            }
+            if !free.fits(&required) {
+                return None;
+            }
+            for victim in needed_victims(&self.left[..taken], free, &required) {
+                cost += victim.cost;
+                self.groups.push(victim.group);
+                if victim.shared {
+                    self.shared.push(victim.group);
+                }
             }
         }
-        if !free.fits(&required) {
-            return None;
-        }
-        Some(prune_victims(room, taken, free, &required))
+        Some(Fit { room, cost, doubt: worker.doubt, free: worker.free.accelerators })
     }
 
-    /// Places the next task on the worker of `fit` and evicts the groups of `fit`.
+    /// Places the next task on the worker of `fit`, and evicts the groups in `groups`.
     fn apply(&mut self, fit: &Fit) {
-        for group in &fit.groups {
+        for group in &self.groups {
             if let Err(at) = self.evicted.binary_search(group) {
                 self.evicted.insert(at, *group);
             }
@@ -108,28 +141,23 @@
     room.claimed.plus(&room.excess)
 }
 
-/// Removes the victims that need not be evicted after all, the most costly first, and returns the
-/// fit with the remaining ones.
-fn prune_victims(
-    room: usize,
-    taken: Vec<&Victim>,
+/// Removes the victims that need not be evicted after all, the most costly first, and returns one victim of
+/// each remaining group.
+fn needed_victims<'a>(
+    taken: &[&'a Victim],
     mut free: Resources,
     required: &Resources,
-) -> Fit {
-    let mut fit = Fit { room, groups: Vec::new(), cost: 0.0 };
+) -> impl Iterator<Item = &'a Victim> {
     // Members of a gang are adjacent here, as they have the same cost and group.
-    let groups = taken.chunk_by(|a, b| a.group == b.group).rev();
-    for group in groups {
+    taken.chunk_by(|a, b| a.group == b.group).rev().filter_map(move |group| {
         let need = group.iter().fold(Resources::default(), |sum, v| sum.plus(&v.need));
         let rest = free.minus(&need);
-        if rest.fits(required) {
-            free = rest;
-        } else {
-            fit.groups.push(group[0].group);
-            fit.cost += group[0].cost;
+        if !rest.fits(required) {
+            return Some(group[0]);
         }
-    }
-    fit
+        free = rest;
+        None
+    })
 }
 
 /// Searches greedily for a placement of a whole gang that loses little work by stopping victims.
@@ -173,23 +201,31 @@
     candidates: &[usize],
     band_min: i8,
 ) -> Option<Eviction> {
-    let used = vec![0; rooms.len()];
-    let mut search = Search { rooms, step, band_min, evicted: Vec::new(), used, cost: 0.0 };
+    let mut search = Search {
+        rooms,
+        step,
+        band_min,
+        evicted: Vec::new(),
+        used: vec![0; rooms.len()],
+        cost: 0.0,
+        left: Vec::new(),
+        groups: Vec::new(),
+        shared: Vec::new(),
+    };
     let mut fits: Vec<Option<Fit>> = candidates.iter().map(|room| search.find_fit(*room)).collect();
-    let key = |f: &Fit| (f.cost, rooms[f.room].doubt, rooms[f.room].free.accelerators);
     let mut placed = Vec::new();
     while placed.len() < count {
-        let cheapest = fits.iter().flatten().min_by(|a, b| {
-            let (a, b) = (key(a), key(b));
-            a.0.total_cmp(&b.0).then(a.1.cmp(&b.1)).then(a.2.cmp(&b.2))
-        })?;
-        let chosen = cheapest.clone();
+        let cheapest = *fits.iter().flatten().min_by(|a, b| a.compare(b))?;
+        // Nothing on the worker has changed since, so this gives the same fit, with its groups.
+        let chosen = search.find_fit(cheapest.room)?;
         search.apply(&chosen);
         placed.push(chosen.room);
         // Only the chosen worker and the workers of the evicted gangs have changed.
+        let shared = search.shared.clone();
+        let shares = |v: &Victim| shared.contains(&v.group);
         for (fit, room) in fits.iter_mut().zip(candidates) {
-            let shares = |v: &Victim| chosen.groups.contains(&v.group);
-            if *room == chosen.room || rooms[*room].victims.iter().any(shares) {
+            let changed = || !shared.is_empty() && rooms[*room].victims.iter().any(shares);
+            if *room == chosen.room || changed() {
                 *fit = search.find_fit(*room);
             }
         }
--- a/crates/fleet/src/plan/tests.rs
+++ b/crates/fleet/src/plan/tests.rs
@@ -69,7 +69,7 @@
 }
 
 fn victim(accelerators: u64, group: usize, cost: f64) -> Victim {
-    Victim { need: need(accelerators), group, cost }
+    Victim { need: need(accelerators), group, cost, shared: true }
 }
 
 /// Guards against fragmentation: small tasks on empty workers would leave no whole worker for a
@@ -266,7 +266,7 @@
 /// runs took beyond its capacity.
 #[test]
 fn excess_on_a_worker_that_has_shrunk_is_not_freed() {
-    let victim = |group| Victim { need: need(4), group, cost: 1.0 };
+    let victim = |group| Victim { need: need(4), group, cost: 1.0, shared: true };
     let mut shrunk = Room { excess: need(4), ..worker(0, 0) };
     shrunk.victims = vec![victim(0), victim(1)];
     let groups = |room: &Room, accelerators| {
