Search jobs by a dense list of their identifiers, and look up their queues once in a placement

Each placement looks up the jobs of all runs, and the search read job records all over memory; with timely_preemption it also looked up the queue of each run by its name.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -22,6 +22,7 @@
 use flush::Flight;
 use forecast::Forecaster;
 use job::Job;
+use jobs::Jobs;
 use reclaim::Claim;
 use snapshot::SnapshotState;
 use waits::Wait;
@@ -37,6 +38,7 @@
 mod holds;
 mod inbox;
 mod job;
+mod jobs;
 mod load;
 mod pace;
 mod reclaim;
@@ -196,8 +198,7 @@
     /// When this daemon was elected, which began the epoch.
     since: Moment,
     stage: Stage,
-    /// Sorted by identifier.
-    jobs: Vec<Job>,
+    jobs: Jobs,
     /// Sorted by identifier.
     workers: Vec<Worker>,
     /// Cancellations that were read before their jobs, or before all records were loaded.
@@ -261,7 +262,7 @@
             epoch,
             since: now,
             stage: Stage::Inbox,
-            jobs: Vec::new(),
+            jobs: Jobs::default(),
             workers: Vec::new(),
             cancels: Vec::new(),
             claims: Vec::new(),
@@ -448,7 +449,7 @@
     }
 
     fn job_index(&self, id: JobId) -> Result<usize, usize> {
-        self.jobs.binary_search_by_key(&id, |j| j.id)
+        self.jobs.position(id)
     }
 
     fn worker_index(&self, id: &WorkerId) -> Result<usize, usize> {
@@ -460,7 +461,7 @@
     fn advance_acks(&mut self) {
         let jobs = &self.jobs;
         let stored = |id: JobId| {
-            let at = jobs.binary_search_by_key(&id, |j| j.id).ok()?;
+            let at = jobs.position(id).ok()?;
             Some(jobs[at].stored)
         };
         for worker in &mut self.workers {
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -73,8 +73,9 @@
         }
         let mut fleet = std::mem::take(&mut self.field);
         let mean_log = self.mean_speed();
-        fleet
-            .start_placement((0..self.workers.len()).map(|at| self.worker_view(ctx, at, mean_log)));
+        let priorities = self.priorities(ctx);
+        let view = |at| self.worker_view(ctx, at, mean_log, &priorities);
+        fleet.start_placement((0..self.workers.len()).map(view));
         let (quotas, shares) = (self.quotas(ctx), Shares::default());
         let mut placement = Placement { fleet, quotas, shares, guaranteed };
         if self.start_claimed_gangs(ctx, &mut placement) {
@@ -318,7 +319,7 @@
     fn observe_widths(&mut self, now: Moment, units: &[Unit]) {
         let jobs = &self.jobs;
         let waiting = units.iter().filter_map(|unit| {
-            let at = jobs.binary_search_by_key(&unit.job, |j| j.id).ok()?;
+            let at = jobs.position(unit.job).ok()?;
             let step = &jobs[at].spec.steps[usize::from(unit.step)];
             Some((step.need.accelerators, unit.waiting.len()))
         });
@@ -340,8 +341,14 @@
     }
 
     /// Returns the state of a worker at the start of a placement; `mean_log` is the mean of the
-    /// logarithms of the learned speeds.
-    fn worker_view(&self, ctx: &Context<'_>, at: usize, mean_log: f64) -> WorkerView<'_> {
+    /// logarithms of the learned speeds, and `priorities` are those of the jobs.
+    fn worker_view(
+        &self,
+        ctx: &Context<'_>,
+        at: usize,
+        mean_log: f64,
+        priorities: &[u32],
+    ) -> WorkerView<'_> {
         let worker = &self.workers[at];
         let entry = worker.entry.as_ref();
         let breaker = entry.filter(|_| ctx.features.breaker);
@@ -352,7 +359,7 @@
             excess: worker.excess(),
             capacity: worker.capacity(),
             rack: entry.and_then(|e| e.rack.as_ref()),
-            usage: self.usage(ctx, worker),
+            usage: self.usage(ctx, worker, priorities),
             doubt: doubt(breaker, worker.recent_faults(ctx.clock.now)),
             band: worker.pace.band(mean_log),
             open: self.may_start(ctx, at) && !worker.is_isolated(ctx.clock.now),
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -325,7 +325,7 @@
         }
         let elapsed = now.since(slot.started).secs_f64();
         let Some(rate) = pace::rate(report.percent, elapsed) else { return };
-        let Ok(j) = self.jobs.binary_search_by_key(&report.task.job, |j| j.id) else { return };
+        let Ok(j) = self.jobs.position(report.task.job) else { return };
         let Some(step) = self.jobs[j].paces.get_mut(usize::from(report.task.step)) else { return };
         slot.telling = false;
         step.learn(&mut worker.pace, rate);
@@ -342,7 +342,7 @@
     fn stop_orphan(&mut self, ctx: &mut Context<'_>, at: usize, report: &RunReport) {
         let now = ctx.clock.now;
         let worker = &mut self.workers[at];
-        let job = self.jobs.binary_search_by_key(&report.task.job, |j| j.id);
+        let job = self.jobs.position(report.task.job);
         let step = job.ok().and_then(|j| self.jobs[j].step(&report.task));
         let all = worker.entry.as_ref().map_or(Resources::default(), |e| e.capacity);
         log::info!(
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -135,7 +135,7 @@
     fn activate(&mut self, ctx: &mut Context<'_>) {
         self.stage = Stage::Active;
         let mut runs = Vec::new();
-        for job in &self.jobs {
+        for job in self.jobs.iter() {
             for (task, run, boot) in job.state.placed_tasks(job.id) {
                 let need = job.spec.steps[usize::from(task.step)].need;
                 runs.push((boot.clone(), task, run, need));
@@ -332,7 +332,7 @@
                 // The first report of the new boot tells whether it has the run.
                 Phase::Starting | Phase::Running | Phase::Unheard => Phase::Unheard,
             };
-            if let Ok(j) = self.jobs.binary_search_by_key(&slot.task.job, |j| j.id) {
+            if let Ok(j) = self.jobs.position(slot.task.job) {
                 self.jobs[j].move_to_boot(&slot.task, slot.run, &boot);
             }
             let moved_clock = None;
--- a/crates/fleet/src/placer/reserve.rs
+++ b/crates/fleet/src/placer/reserve.rs
@@ -22,9 +22,22 @@
 }
 
 impl Placer {
+    /// Returns the priorities of the jobs' queues, in the order of the jobs; none if the setting is off.
+    pub(super) fn priorities(&self, ctx: &Context<'_>) -> Vec<u32> {
+        if !ctx.features.timely_preemption {
+            return Vec::new();
+        }
+        self.jobs.iter().map(|j| j.queue(ctx.catalog).priority).collect()
+    }
+
     /// Returns what the runs on a worker occupy, and the accelerators of those that can't be stopped
-    /// cheaply.
-    pub(super) fn usage(&self, ctx: &Context<'_>, worker: &Worker) -> (Usage, u64) {
+    /// cheaply; `priorities` are those of the jobs.
+    pub(super) fn usage(
+        &self,
+        ctx: &Context<'_>,
+        worker: &Worker,
+        priorities: &[u32],
+    ) -> (Usage, u64) {
         let mut usage = Usage::default();
         let mut settled = 0;
         if !ctx.features.timely_preemption {
@@ -32,7 +45,7 @@
         }
         for slot in worker.slots.iter() {
             let accelerators = slot.need.accelerators;
-            match self.stay_of_run(ctx, slot) {
+            match self.stay_of_run(ctx, slot, priorities) {
                 Some(Stay::Urgent) => usage.urgent += accelerators,
                 Some(Stay::Lent) => usage.lent += accelerators,
                 Some(Stay::Settled) => settled += accelerators,
@@ -43,15 +56,14 @@
     }
 
     /// Returns how a run counts; `None` if it is being stopped.
-    fn stay_of_run(&self, ctx: &Context<'_>, slot: &Slot) -> Option<Stay> {
+    fn stay_of_run(&self, ctx: &Context<'_>, slot: &Slot, priorities: &[u32]) -> Option<Stay> {
         if matches!(slot.phase, Phase::Closing { .. }) {
             return None;
         }
-        let job = &self.jobs[self.job_index(slot.task.job).ok()?];
-        let step = job.step(&slot.task)?;
-        let priority = job.queue(ctx.catalog).priority;
+        let at = self.job_index(slot.task.job).ok()?;
+        let step = self.jobs[at].step(&slot.task)?;
         let left = slot.remaining(ctx.clock.now).unwrap_or(step.estimate);
-        Some(self.stay(priority, step, left))
+        Some(self.stay(priorities[at], step, left))
     }
 
     fn stay(&self, priority: u32, step: &Step, left: Span) -> Stay {
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -3,6 +3,7 @@
 use bulrushlink_core::{Moment, Span};
 
 use super::job::Job;
+use super::jobs::Jobs;
 use super::worker::{HoldCall, Phase, Slot, Worker};
 use super::{Context, Placer, Stage};
 use crate::catalog::{Allotment, Catalog, Limits, Queue, Workspace};
@@ -34,6 +35,16 @@
     reclaim_ms: 3_400,
 };
 
+impl Jobs {
+    fn push(&mut self, job: Job) {
+        self.insert(self.len(), job);
+    }
+
+    fn clear(&mut self) {
+        self.retain(|_| false);
+    }
+}
+
 fn accelerators(accelerators: u64) -> Resources {
     Resources { cpu: 32_000, memory: 65_536, accelerators }
 }
