Stop runs of a job only on workers that may have some

Each victim, and each end of a gang member, walked over all runs of all workers to stop one run or gang. Workers now keep a set of 64 bits for the jobs of their runs, and the others are passed over; the same runs are stopped in the same order.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -267,7 +267,7 @@
             step && (gang || t.index == task.index)
         };
         self.claims.retain(|c| !c.is_for(task));
-        self.stop_runs(ctx, same, "an earlier run has completed the task");
+        self.stop_runs_of(ctx, task.job, same, "an earlier run has completed the task");
     }
 
     fn log_if_completed(&self, ctx: &Context<'_>, id: JobId) {
--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -332,7 +332,7 @@
             }
             self.stop_gang(ctx, &task, run, why);
         } else {
-            self.stop_runs(ctx, |s| s.task == task && s.run == run, why);
+            self.stop_runs_of(ctx, task.job, |s| s.task == task && s.run == run, why);
         }
     }
 
--- a/crates/fleet/src/placer/slots.rs
+++ b/crates/fleet/src/placer/slots.rs
@@ -8,17 +8,22 @@
 use std::fmt;
 use std::ops::{Deref, DerefMut};
 
-use crate::ids::{Run, TaskId};
+use crate::ids::{JobId, Run, TaskId};
 use crate::model::Resources;
 
 use super::worker::{Phase, Slot};
 
+/// Multiplier of a multiplicative hash: 2^64 divided by the golden ratio.
+const JOB_HASH_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+
 /// The runs that occupy capacity of a worker, sorted by task and run.
 #[derive(Clone, Default)]
 pub(crate) struct Slots {
     list: Vec<Slot>,
     /// Sum of what the runs need.
     used: Resources,
+    /// The bit of each job that has a run here; see [`job_bit`].
+    jobs: u64,
     /// Runs may have changed since `next_stop` and `closing` were determined.
     changed: bool,
     /// Earliest time at which a stop has to be sent; `None` if there is no such run.
@@ -38,9 +43,15 @@
         self.list.binary_search_by_key(&(*task, run), |s| (s.task, s.run))
     }
 
+    /// Returns false if no run of a job is here, in most cases without looking at the runs.
+    pub(crate) fn may_have(&self, job: JobId) -> bool {
+        self.jobs & job_bit(job) != 0
+    }
+
     /// Adds a run, or replaces it if it is already there.
     pub(crate) fn insert(&mut self, slot: Slot) {
         self.changed = true;
+        self.jobs |= job_bit(slot.task.job);
         match self.position(&slot.task, slot.run) {
             Ok(at) => {
                 self.used = self.used.minus(&self.list[at].need).plus(&slot.need);
@@ -58,6 +69,7 @@
         let slot = self.list.remove(at);
         self.changed = true;
         self.used = self.used.minus(&slot.need);
+        self.jobs = job_bits(&self.list);
         slot
     }
 
@@ -68,6 +80,7 @@
         }
         let (extracted, kept): (Vec<Slot>, Vec<Slot>) = self.take().into_iter().partition(matches);
         self.used = kept.iter().fold(Resources::default(), |sum, s| sum.plus(&s.need));
+        self.jobs = job_bits(&kept);
         self.list = kept;
         self.changed = true;
         extracted
@@ -104,6 +117,16 @@
     }
 }
 
+/// Returns the bit that stands for a job in a set of jobs, one of 64.
+fn job_bit(job: JobId) -> u64 {
+    // The upper bits of the product depend on all bits of the identifier.
+    1 << (job.0.wrapping_mul(JOB_HASH_FACTOR) >> (u64::BITS - 6))
+}
+
+fn job_bits(slots: &[Slot]) -> u64 {
+    slots.iter().fold(0, |bits, s| bits | job_bit(s.task.job))
+}
+
 impl Deref for Slots {
     type Target = [Slot];
 
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -5,6 +5,7 @@
 use crate::edge::{Fault, StartRefusal, WorkerOp, WorkerReply};
 use crate::ids::{JobId, Run, TaskId};
 
+use super::slots::Slots;
 use super::worker::{Phase, Slot};
 use super::{Context, Placer, PlacerTag};
 
@@ -213,13 +214,13 @@
             let t = &s.task;
             (t.job, t.round, t.step, s.run) == (task.job, task.round, task.step, run)
         };
-        self.stop_runs(ctx, member, why);
+        self.stop_runs_of(ctx, task.job, member, why);
     }
 
     /// Stops all runs of a job and drops its claims.
     pub(super) fn stop_job(&mut self, ctx: &mut Context<'_>, id: JobId) {
         self.claims.retain(|c| c.job != id);
-        self.stop_runs(ctx, |s| s.task.job == id, "the job has ended");
+        self.stop_runs_of(ctx, id, |_| true, "the job has ended");
     }
 
     /// Marks the matching runs for stopping; those whose start has not been sent are withdrawn.
@@ -228,11 +229,36 @@
         ctx: &mut Context<'_>,
         matches: impl Fn(&Slot) -> bool,
         why: &str,
+    ) {
+        self.stop_runs_on(ctx, |_| true, matches, why);
+    }
+
+    /// The same for the runs of one job.
+    ///
+    /// Load pattern: thousands of runs end in a second, hundreds of them as victims and members of gangs, and
+    /// each such end or victim stops other runs. So only workers that may have runs of the job are looked at.
+    pub(super) fn stop_runs_of(
+        &mut self,
+        ctx: &mut Context<'_>,
+        job: JobId,
+        matches: impl Fn(&Slot) -> bool,
+        why: &str,
+    ) {
+        let of_job = |s: &Slot| s.task.job == job && matches(s);
+        self.stop_runs_on(ctx, |slots| slots.may_have(job), of_job, why);
+    }
+
+    fn stop_runs_on(
+        &mut self,
+        ctx: &mut Context<'_>,
+        may_match: impl Fn(&Slots) -> bool,
+        matches: impl Fn(&Slot) -> bool,
+        why: &str,
     ) {
         let now = ctx.clock.now;
         let (mut withdrawn, mut stopping) = (Vec::new(), Vec::new());
         for (at, worker) in self.workers.iter_mut().enumerate() {
-            if !worker.slots.iter().any(&matches) {
+            if !may_match(&worker.slots) || !worker.slots.iter().any(&matches) {
                 continue;
             }
             for slot in worker.slots.iter_mut().filter(|s| matches(s)) {
@@ -359,7 +385,7 @@
             if gang {
                 self.stop_gang(ctx, &task, run, why);
             } else {
-                self.stop_runs(ctx, |s| s.task == task && s.run == run, why);
+                self.stop_runs_of(ctx, task.job, |s| s.task == task && s.run == run, why);
             }
         }
     }
@@ -394,8 +420,9 @@
             if self.is_gang(&task) {
                 self.stop_gang(ctx, &task, run, "a gang member makes no progress");
             } else {
-                self.stop_runs(
+                self.stop_runs_of(
                     ctx,
+                    task.job,
                     |s| s.task == task && s.run == run,
                     "the run makes no progress",
                 );
