--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -76,6 +76,15 @@
     pub(super) open: bool,
 }
 
+/// The workers that have an endpoint and a label.
+#[derive(Clone)]
+struct Eligible {
+    endpoint: String,
+    label: Option<String>,
+    /// Whether each worker has them.
+    workers: Vec<bool>,
+}
+
 /// The workers during one placement, and the shapes that were found to have no room. The placer's
 /// dump shows it as `Field`, with `no_room` as `full` and `no_eviction` as `fixed`.
 #[derive(Clone, Default)]
@@ -84,6 +93,8 @@
     racks: Racks,
     /// Whether each worker may get new runs.
     open: Vec<bool>,
+    /// Workers with the endpoints and labels of the shapes so far; a placement has few different ones.
+    eligible: Vec<Eligible>,
     /// Less than half of the capacity of the workers that may get new runs was in use at the start
     /// of the placement.
     mostly_idle: bool,
@@ -122,6 +133,7 @@
         self.no_eviction.clear();
         self.too_costly.clear();
         self.open.clear();
+        self.eligible.clear();
         self.usage = Usage::default();
         self.doubtful = false;
         let (mut count, mut racks_changed) = (0, false);
@@ -360,6 +372,18 @@
         found.into_iter().map(|(number, group)| (number, group.staying())).collect()
     }
 
+    /// Returns the position in `eligible` of the workers with the endpoint and the label of a shape.
+    fn known_eligible(&mut self, shape: &Shape, eligible: impl Fn(usize) -> bool) -> usize {
+        let (endpoint, label) = (&shape.endpoint, &shape.step.label);
+        let same = |e: &Eligible| e.endpoint == *endpoint && e.label == *label;
+        self.eligible.iter().position(same).unwrap_or_else(|| {
+            let workers = (0..self.rooms.len()).map(eligible).collect();
+            let (endpoint, label) = (endpoint.clone(), label.clone());
+            self.eligible.push(Eligible { endpoint, label, workers });
+            self.eligible.len() - 1
+        })
+    }
+
     /// Returns the workers, with those marked as usable that may run the shape; `eligible` returns
     /// true if the worker at a position has the endpoint and the label that the shape requires.
     pub(super) fn rooms_for(
@@ -367,11 +391,13 @@
         shape: &Shape,
         eligible: impl Fn(usize) -> bool,
     ) -> (&mut [Room], &Racks) {
+        let known = self.known_eligible(shape, eligible);
+        let eligible = &self.eligible[known].workers;
         for (at, room) in self.rooms.iter_mut().enumerate() {
             let trusted = !shape.trusted || room.doubt == 0;
             let vacant = room.free == room.capacity && room.claimed == Resources::default();
             let trusted = trusted && shape.tolerance.admits(room.doubt, vacant);
-            room.usable = self.open[at] && trusted && (vacant || !shape.alone) && eligible(at);
+            room.usable = self.open[at] && trusted && (vacant || !shape.alone) && eligible[at];
             (room.siblings, room.nearness) = (0, 0);
             room.victims.clear();
         }
