Read the lists of a new boot only under its own fence

A hold that was sent to an earlier boot of a worker and is answered by the next one has the fence and the acknowledgement of the earlier boot. Its reply marked the new boot as fenced, so that runs which it did not list were released although their starts could still reach it, and set the number of acknowledged ends, so that the new boot's ends stayed unacknowledged until there were as many. The placer now handles the reboot, drops these lists, and sends a hold with the new fence.

Before the change:

reboots.rs:60: assertion failed: !worker.fenced reboots.rs:76: assertion `left == right` failed left: 40 right: 0

`stop_of_an_earlier_boot_does_not_release_the_run_on_the_next_one` passes before it too; it guards what a reboot does with runs that are being stopped.

Not covered: the acknowledgement in that hold may make the new boot forget ends.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -138,7 +138,10 @@
                     return;
                 }
                 if born > known {
+                    // The call had the fence of the earlier boot, so this one is not fenced yet, and starts
+                    // may reach it after these lists. It reports again to a hold of its own.
                     self.handle_reboot(ctx, at, born);
+                    return;
                 }
                 self.process_lists(ctx, at, call, clock, &running, &ended);
             }
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -18,6 +18,7 @@
 mod forecasts;
 mod odd_entries;
 mod preemption;
+mod reboots;
 mod shares;
 mod silent;
 mod snapshot;
