Drop a deposed placer before the next input of the turn

Since a tick follows all inputs of a turn, and a placer that a reply has deposed was dropped with the tick. Until then it went on with the inputs behind that reply: it sent starts and made a last pass for an epoch that was over. The fences of the workers and the condition of each commit refuse these, so callers saw nothing of it; they cost calls and processor time in the middle of a takeover.

--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -81,6 +81,8 @@
             }
             Input::Stop => self.stop(clock, &mut out),
         }
+        // The inputs that follow in the same turn must not make a deposed placer act.
+        self.drop_deposed(clock);
         out
     }
 
@@ -195,11 +197,16 @@
         let change = self.election.tick(clock.now, out);
         self.apply_leader_change(clock, change, out);
         self.with_placer(clock, out, |p, s| p.tick(s));
+        self.drop_deposed(clock);
+        self.exit_if_done(clock, out);
+    }
+
+    /// Drops the placer if a reply has shown that another daemon is the leader.
+    fn drop_deposed(&mut self, clock: Clock) {
         if self.placer.as_ref().is_some_and(|p| p.deposed) {
             self.election.step_down(clock.now);
             self.placer = None;
         }
-        self.exit_if_done(clock, out);
     }
 
     fn apply_leader_change(
