--- a/crates/fleet/src/plan/evict.rs
+++ b/crates/fleet/src/plan/evict.rs
@@ -24,6 +24,7 @@
     room: usize,
     /// Work lost by the stops that it takes, in core-seconds.
     cost: f64,
+    /// Recent faults of the worker.
     doubt: u32,
     /// Free accelerators.
     free: u64,
