--- a/review/standin.py
+++ b/review/standin.py
@@ -144,7 +144,12 @@
         self.sorted = []
         self.leases = {}
         self.history = []
-        self.commits = 0
+        # History up to this revision is gone.
+        self.compacted = 0
+        # Until this time the store answers every call with 503, and its leases pause.
+        self.busy_until = 0
+        # Called with the keys that a commit removes.
+        self.on_remove = lambda keys: None
         self.server = HttpServer(self.handle)
         self.addr = f"127.0.0.1:{self.server.port}"
         threading.Thread(target=self.expire_loop, daemon=True).start()
@@ -156,6 +161,20 @@
                 for lease in [i for i, (end, _) in self.leases.items() if end <= now_ms()]:
                     self.end_lease(lease)
 
+    def set_busy(self, seconds):
+        """Answers every call with 503 for a while; the leases pause meanwhile."""
+        with self.cond:
+            self.busy_until = now_ms() + int(seconds * 1000)
+            for lease, (end, ttl) in self.leases.items():
+                self.leases[lease] = (end + int(seconds * 1000), ttl)
+            self.cond.notify_all()
+
+    def compact(self):
+        """Forgets the history and cuts the watches that wait."""
+        with self.cond:
+            self.compacted, self.history = self.rev, []
+            self.cond.notify_all()
+
     def end_lease(self, lease):
         self.leases.pop(lease, None)
         for key in [k for k, i in self.items.items() if i["lease"] == lease]:
@@ -203,6 +222,8 @@
         query = {k: v[0] for k, v in urllib.parse.parse_qs(url.query, True).items()}
         parsed = json.loads(body) if body else {}
         with self.cond:
+            if now_ms() < self.busy_until:
+                return 503, {}
             if url.path == "/api/kv-key":
                 item = self.items.get(query["key"])
                 return (200, {**item, "asOf": self.rev}) if item else (404, {"asOf": self.rev})
@@ -245,7 +266,13 @@
     def watch(self, query):
         prefix, after = query.get("prefix", ""), int(query.get("after", "0"))
         until = time.monotonic() + min(int(query.get("waitMs", "0")), 30_000) / 1000
+        compacted = self.compacted
         while True:
+            if now_ms() < self.busy_until:
+                return 503, {}
+            if after < self.compacted:
+                # A watch that waits is cut, a new one learns that its history is gone.
+                return (None, None) if compacted < self.compacted else (410, {})
             at = bisect.bisect_right(self.history, after, key=lambda h: h[0])
             events = [e for _, k, e in self.history[at:] if k.startswith(prefix)]
             left = until - time.monotonic()
@@ -267,17 +294,18 @@
         if any(w.get("lease") and w["lease"] not in self.leases for w in writes):
             return 404, {}
         self.rev += 1
-        self.commits += 1
         for w in writes:
             self.write(w["key"], base64.b64decode(w["value"]), w.get("lease") or 0)
         for key in remove:
             self.delete(key)
+        self.on_remove(remove)
         self.cond.notify_all()
         return 200, {"rev": self.rev}
 
 
 class Worker:
-    """A sound worker. The text of a job holds `ms=N`, the time that each of its tasks takes."""
+    """A sound worker. The text of a job holds `ms=N`, the time that each of its tasks takes, or `lasts` for
+    tasks that run until they are stopped."""
 
     def __init__(self, store, record, number, zone, service="dispatch", gpu=8):
         self.store, self.record = store, record
@@ -289,8 +317,8 @@
         self.up = False
         self.boots = 0
         self.state = "ready"
-        # All ends of all boots.
-        self.all_ends = []
+        # All starts and ends of all boots.
+        self.all_starts, self.all_ends = [], []
         self.boot()
 
     def boot(self):
@@ -350,7 +378,7 @@
                         self.end(key, "lapsed")
                     elif run["stop"] is not None and clock >= run["stop"]:
                         self.end(key, "stopped")
-                    elif clock >= run["started"] + run["length"]:
+                    elif run["length"] and clock >= run["started"] + run["length"]:
                         self.end(key, "done")
             if time.monotonic() - beat >= HEARTBEAT_S:
                 beat = time.monotonic()
@@ -400,7 +428,8 @@
                     self.lock.wait(until - time.monotonic())
                 if not self.up:
                     return None, None
-                percent = lambda r: min(99, (self.clock() - r["started"]) * 100 // r["length"])
+                part = lambda r: min(99, (self.clock() - r["started"]) * 100 // r["length"])
+                percent = lambda r: part(r) if r["length"] else 100
                 rows = [[t, n, "", percent(r), 0] for (t, n), r in sorted(self.running.items())]
                 return 200, said(running=rows, finished=self.ended[:500])
         return 404, {}
@@ -415,8 +444,10 @@
         if call["deadlineMs"] <= self.clock():
             return 409, said(reason="late")
         self.extend(call["deadlineMs"])
-        length = int(re.search(r"ms=(\d+)", call["spec"]).group(1))
+        found = re.search(r"ms=(\d+)", call["spec"])
+        length = int(found.group(1)) if found else None
         self.running[(task, run)] = {"started": self.clock(), "length": length, "stop": None}
+        self.all_starts.append((time.monotonic(), task, run))
         self.record(f"worker {self.id} starts {task} run {run}")
         return 200, said()
 
@@ -602,6 +633,11 @@
                     found.extend((worker, t, r) for t, r in worker.running)
         return found
 
+    def starts(self):
+        """Lists all starts so far in their order: task, run and worker."""
+        found = sorted((at, t, r, w.id) for w in self.workers for at, t, r in w.all_starts)
+        return [(t, r, w) for _, t, r, w in found]
+
     def close(self):
         for daemon in self.daemons:
             daemon.kill()
