--- a/review/standin.py
+++ b/review/standin.py
@@ -307,11 +307,11 @@
     """A sound worker. The text of a job holds `ms=N`, the time that each of its tasks takes, or `lasts` for
     tasks that run until they are stopped."""
 
-    def __init__(self, store, record, number, zone, service="dispatch", gpu=8):
+    def __init__(self, store, record, number, zone, service="dispatch", rack=None):
         self.store, self.record = store, record
         self.id, self.zone, self.service = f"i-{number:04x}", zone, service
-        self.rack = f"r1-{number // 8}"
-        self.capacity = {"cpu": 32000, "memMb": 131072, "gpu": gpu}
+        self.rack = rack or f"r1-{number // 8}"
+        self.capacity = {"cpu": 32000, "memMb": 131072, "gpu": 8}
         self.lock = threading.Condition()
         self.port = 0
         self.up = False
@@ -544,11 +544,11 @@
 HOST = "jobs.example"
 
 
-def route(name, prefix, priority=1, attempts=4, anonymous=False):
+def route(name, prefix, service="dispatch"):
     return {
         "name": name, "host": HOST, "prefix": prefix, "type": "unsafe", "timeoutMs": 3000,
-        "targetDurationMs": 1000, "priority": priority, "service": "dispatch",
-        "attempts": attempts, "stretch": 3.0, "allowAnonymous": anonymous,
+        "targetDurationMs": 1000, "priority": 1, "service": service,
+        "attempts": 4, "stretch": 3.0, "allowAnonymous": False,
     }
 
 
@@ -556,9 +556,9 @@
     return {
         "version": version, "routes": routes,
         "services": [{
-            "name": "dispatch", "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
+            "name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
             "tls": False, "coldStartS": 0.0, "coldPerS": 0.0, "rejectsOverload": False,
-            "standby": False}],
+            "standby": False} for name in sorted({r["service"] for r in routes})],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000},
         "tenants": [{"name": n, "apiKeys": k, "priority": 1, "guaranteed": {"gpu": 8}}
@@ -575,11 +575,14 @@
         self.store = Store()
         self.daemons, self.workers = [], []
 
-    def open(self, daemons=3, workers=8):
+    def open(self, daemons=3, workers=8, routes=None, place=None):
+        """Starts the deployment; `place` returns the service and the rack of each worker."""
         zones = ["quito-norte", "quito-sur", "cuenca"]
-        self.store.put("op/config", config(7, [route("replay", "/replay/")], {"north": ["key-north"]}))
+        routes = routes or [route("replay", "/replay/")]
+        place = place or (lambda n: ("dispatch", None))
+        self.store.put("op/config", config(7, routes, {"north": ["key-north"]}))
         for n in range(workers):
-            self.workers.append(Worker(self.store, self.record, n, zones[n % 3]))
+            self.workers.append(Worker(self.store, self.record, n, zones[n % 3], *place(n)))
         ports = free_ports(3 * daemons)
         for n in range(daemons):
             self.daemons.append(Daemon(
