Review case 3: guaranteed jobs never begin

Seen by review/3/run.sh: with all accelerators taken by another tenant's lasting tasks, no guaranteed job begins in 20 s; with tasks of 100 s, one without a gang doesn't. With the accelerators idle (TROUBLE=0) all begin within a second.

--- a/review/standin.py
+++ b/review/standin.py
@@ -307,10 +307,10 @@
     """A sound worker. The text of a job holds `ms=N`, the time that each of its tasks takes, or `lasts` for
     tasks that run until they are stopped."""
 
-    def __init__(self, store, record, number, zone, service="dispatch", rack=None):
+    def __init__(self, store, record, number, zone):
         self.store, self.record = store, record
-        self.id, self.zone, self.service = f"i-{number:04x}", zone, service
-        self.rack = rack or f"r1-{number // 8}"
+        self.id, self.zone, self.service = f"i-{number:04x}", zone, "dispatch"
+        self.rack = f"r1-{number // 8}"
         self.capacity = {"cpu": 32000, "memMb": 131072, "gpu": 8}
         self.lock = threading.Condition()
         self.port = 0
@@ -544,10 +544,10 @@
 HOST = "jobs.example"
 
 
-def route(name, prefix, service="dispatch"):
+def route(name, prefix, priority=1):
     return {
         "name": name, "host": HOST, "prefix": prefix, "type": "unsafe", "timeoutMs": 3000,
-        "targetDurationMs": 1000, "priority": 1, "service": service,
+        "targetDurationMs": 1000, "priority": priority, "service": "dispatch",
         "attempts": 4, "stretch": 3.0, "allowAnonymous": False,
     }
 
@@ -556,9 +556,9 @@
     return {
         "version": version, "routes": routes,
         "services": [{
-            "name": name, "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
+            "name": "dispatch", "healthPath": "/health", "maxConnections": 64, "protocol": "h1",
             "tls": False, "coldStartS": 0.0, "coldPerS": 0.0, "rejectsOverload": False,
-            "standby": False} for name in sorted({r["service"] for r in routes})],
+            "standby": False}],
         "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000,
                    "idleTimeoutMs": 15000},
         "tenants": [{"name": n, "apiKeys": k, "priority": 1, "guaranteed": {"gpu": 8}}
@@ -575,14 +575,13 @@
         self.store = Store()
         self.daemons, self.workers = [], []
 
-    def open(self, daemons=3, workers=8, routes=None, place=None):
-        """Starts the deployment; `place` returns the service and the rack of each worker."""
+    def open(self, daemons=3, workers=8, routes=None, keys=None):
+        """Starts the deployment; `keys` holds the keys of each tenant."""
         zones = ["quito-norte", "quito-sur", "cuenca"]
-        routes = routes or [route("replay", "/replay/")]
-        place = place or (lambda n: ("dispatch", None))
-        self.store.put("op/config", config(7, routes, {"north": ["key-north"]}))
+        routes, keys = routes or [route("replay", "/replay/")], keys or {"north": ["key-north"]}
+        self.store.put("op/config", config(7, routes, keys))
         for n in range(workers):
-            self.workers.append(Worker(self.store, self.record, n, zones[n % 3], *place(n)))
+            self.workers.append(Worker(self.store, self.record, n, zones[n % 3]))
         ports = free_ports(3 * daemons)
         for n in range(daemons):
             self.daemons.append(Daemon(
@@ -614,8 +613,8 @@
         answer = self.request(daemon, "POST", prefix + job, key, json.dumps(body))
         return answer[0] if answer else None
 
-    def state(self, daemon, job, prefix="/replay/", key="key-north"):
-        answer = self.request(daemon, "GET", prefix + job, key)
+    def state(self, daemon, job, prefix="/replay/"):
+        answer = self.request(daemon, "GET", prefix + job)
         return json.loads(answer[1])["state"] if answer and answer[0] == 200 else answer
 
     def wait_state(self, daemon, job, wanted, limit):
