--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,4 +1,4 @@
-"""Jobs whose worker crashes three times: one that ends by itself, and one that runs until it is cancelled."""
+"""A gang that belongs on one rack of a nearly idle service, while another service is busy."""
 
 import os
 import sys
@@ -9,79 +9,80 @@
 sys.dont_write_bytecode = True
 import standin  # noqa: E402
 
-# One of 8 workers, for 2 s: a share of 0.125, less than the 0.15 of `srv_crash`.
-DOWN_S = 2.0
-TASK_MS = 6000
-ATTEMPTS = 4
-# A crash comes when the task has run for this long.
-AGES_S = (2.5, 3.0, 3.5)
-ENDING, LASTING = f"{0xC000:016x}", f"{0xC001:016x}"
+# Service `review` has three racks of four workers, service `dispatch` twelve workers.
+RACKS, RACK_WORKERS, BUSY_WORKERS = 3, 4, 12
+ROUTES = [standin.route("review", "/review/", service="review"), standin.route("replay", "/replay/")]
+GANG_TASKS = 3
+LONG_MS = 100_000
+GANG = f"{0xE000:016x}"
 
 
-def find_run(fleet, job):
-    """Returns the worker, the task and the run of a job's task, or None if nothing of it runs."""
-    return next(((w, t, r) for w, t, r in fleet.running() if t.startswith(job)), None)
+def place(number):
+    """Returns the service and the rack of a worker."""
+    if number < RACKS * RACK_WORKERS:
+        return "review", f"r2-{number // RACK_WORKERS}"
+    return "dispatch", f"r1-{number // 8}"
 
 
-def wait_run(fleet, job, limit):
-    """Waits until the job's task runs, or the job is over, in which case it returns None."""
-    end = time.monotonic() + limit
-    while time.monotonic() < end:
-        found = find_run(fleet, job)
-        if found or fleet.state(0, job) in ("failed", "completed"):
-            return found
-        time.sleep(0.1)
-    raise standin.CouldNotRun(f"the task of {job} did not start")
+def used(fleet, service):
+    """Returns the accelerators in use on each worker of a service."""
+    found = {w.id: 0 for w in fleet.workers if w.service == service}
+    for worker, task, _ in fleet.running():
+        if worker.service == service:
+            found[worker.id] += fleet.gpus[task.split(".")[0]]
+    return found
 
 
-def crash_workers(fleet, job):
-    """Crashes the worker of the job's task three times, and starts it again each time."""
-    for age in AGES_S:
-        found = wait_run(fleet, job, 15)
-        if not found:
-            return
-        time.sleep(age)
-        worker, task, run = found
-        if (task, run) in worker.running:
-            worker.crash()
-            time.sleep(DOWN_S)
-            worker.boot()
+def submit(fleet, job, steps, prefix):
+    fleet.gpus[job] = steps[0]["gpu"]
+    body = {"spec": f"ms={steps[0]['estRuntimeMs']}", "steps": steps}
+    if fleet.submit(0, job, body, prefix) != 200:
+        raise standin.CouldNotRun(f"job {job} was not accepted")
 
 
-def count_failed(fleet, job):
-    """Counts the ends `failed` of the job's runs that workers have listed."""
-    ends = [e for w in fleet.workers for e in w.all_ends]
-    return sum(task.startswith(job) and how == "failed" for _, task, _, how, _ in ends)
+def wait_used(fleet, service, total):
+    end = time.monotonic() + 15
+    while sum(used(fleet, service).values()) < total:
+        if time.monotonic() > end:
+            raise standin.CouldNotRun(f"the runs on {service} did not start")
+        time.sleep(0.1)
 
 
 def case(fleet, trouble):
-    broken = []
-    ending = {"spec": f"ms={TASK_MS}", "steps": [standin.step(1, TASK_MS)]}
-    if fleet.submit(0, ENDING, ending) != 200:
-        raise standin.CouldNotRun("the job was not accepted")
-    if trouble:
-        crash_workers(fleet, ENDING)
-    state, failed = fleet.wait_state(1, ENDING, ("failed", "completed"), 30), count_failed(fleet, ENDING)
-    fleet.record(f"{ENDING} is {state} after {failed} ends `failed`")
-    if state == "failed" and failed < ATTEMPTS:
-        broken.append(f"LOST: job {ENDING} is shown as failed after {failed} ends `failed`; its queue has "
-                      f"{ATTEMPTS} attempts")
-    elif state != "completed":
-        raise standin.CouldNotRun(f"the job is {state}")
-
-    lasting = {"spec": "lasts", "steps": [{**standin.step(1, 1000), "longRunning": True}]}
-    if fleet.submit(0, LASTING, lasting) != 200:
-        raise standin.CouldNotRun("the lasting job was not accepted")
+    fleet.gpus = {}
+    # Two workers of each rack of `review` have a run on one of their 8 accelerators.
+    for rack in range(RACKS):
+        step = {**standin.step(2, LONG_MS), "maxPerServer": 1, "affinity": f"r2-{rack}"}
+        submit(fleet, f"{0xE100 + rack:016x}", [step], "/review/")
+    wait_used(fleet, "review", 2 * RACKS)
     if trouble:
-        crash_workers(fleet, LASTING)
-    # RULES.md: a task that lasts has to run again 6 s after its last run, and 3 s of tolerance.
-    time.sleep(9)
-    state, runs = fleet.state(1, LASTING), find_run(fleet, LASTING)
-    fleet.record(f"{LASTING} is {state}; running: {runs is not None}")
-    if state == "failed" or not runs:
-        broken.append(f"LOST: job {LASTING}, which nobody has cancelled, is shown as {state} and has nothing "
-                      f"running {'' if runs else '9 s after its last run '}on idle workers")
-    return broken
-
-
-standin.run(HERE, case)
+        # Large jobs come to the other service and take all of its workers.
+        for n in range(BUSY_WORKERS):
+            submit(fleet, f"{0xE200 + n:016x}", [standin.step(1, LONG_MS, gpu=8)], "/replay/")
+        wait_used(fleet, "dispatch", 8 * BUSY_WORKERS)
+    gang = {**standin.step(GANG_TASKS, 2000, gang=True, gpu=8), "sameRack": True}
+    submit(fleet, GANG, [gang], "/review/")
+    # The traffic ends here. RULES.md: jobs are asked for finish_s after its end.
+    time.sleep(standin.FINISH_S)
+    in_use = used(fleet, "review")
+    whole = sum(gpus == 0 for gpus in in_use.values())
+    share = sum(in_use.values()) / (8 * len(in_use))
+    started = [s for s in fleet.starts() if s[0].startswith(GANG)]
+    for _ in range(60):
+        time.sleep(0.5)
+        started = [s for s in fleet.starts() if s[0].startswith(GANG)]
+        if started:
+            break
+    state = fleet.state(1, GANG, "/review/")
+    fleet.record(f"the gang is {state}; {whole} workers of its service without runs, {share:.0%} of its "
+                 f"accelerators in use; starts {started}")
+    if not started and whole >= 2 * GANG_TASKS and share < 0.5:
+        return [f"LOST: job {GANG}, which has {GANG_TASKS} tasks, is {state} and has nothing running "
+                f"{standin.FINISH_S + 30:.0f} s after the end of the traffic, with room for {whole} such tasks "
+                f"and {share:.0%} of its service in use"]
+    if not started:
+        raise standin.CouldNotRun("the gang has no room")
+    return []
+
+
+standin.run(HERE, case, routes=ROUTES, place=place, workers=RACKS * RACK_WORKERS + BUSY_WORKERS)
