--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -33,6 +33,7 @@
 //! assert!(job.check().is_ok());
 //! ```
 
+mod activity;
 mod catalog;
 mod edge;
 mod front;
@@ -48,6 +49,7 @@
 mod settings;
 mod view;
 
+pub use activity::{Activity, Part};
 pub use catalog::{
     Allotment, BadAllotment, Catalog, Ceiling, Denial, Grant, Limits, Queue, Workspace,
 };
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -2,6 +2,7 @@
 
 use bulrushlink_core::{Moment, Span};
 
+use crate::activity::{Activity, Part};
 use crate::edge::{Clock, Fault, Input, Output, StoreReply, Tag};
 use crate::front::{self, Front};
 use crate::lead::{Election, LeaderChange};
@@ -31,6 +32,7 @@
     stopping: Option<Moment>,
     /// [`Output::Exit`] has been returned.
     exited: bool,
+    activity: Activity,
 }
 
 impl Node {
@@ -47,9 +49,16 @@
             placer: None,
             stopping: None,
             exited: false,
+            activity: Activity::default(),
         }
     }
 
+    /// Lets the node show what it is doing.
+    #[must_use]
+    pub fn with_activity(self, activity: Activity) -> Self {
+        Self { activity, ..self }
+    }
+
     /// Processes an input, does what is due, and returns the calls and answers to send.
     pub fn handle(&mut self, clock: Clock, input: Input) -> Vec<Output> {
         let mut out = self.receive(clock, input);
@@ -63,6 +72,12 @@
     /// after the last one, so that none waits for work that is done once for all of them.
     pub fn receive(&mut self, clock: Clock, input: Input) -> Vec<Output> {
         let mut out = Vec::new();
+        self.activity.enter(match &input {
+            Input::Caller(..) => Part::Request,
+            Input::Store(..) => Part::StoreReply,
+            Input::Worker(..) => Part::WorkerReply,
+            Input::Tick | Input::CallerGone(_) | Input::Stop => Part::Other,
+        });
         match input {
             Input::Tick => {}
             Input::Caller(id, call) => {
@@ -83,6 +98,7 @@
         }
         // The inputs that follow in the same turn must not make a deposed placer act.
         self.drop_deposed(clock);
+        self.activity.enter(Part::Other);
         out
     }
 
@@ -198,6 +214,7 @@
         self.apply_leader_change(clock, change, out);
         self.with_placer(clock, out, |p, s| p.tick(s));
         self.drop_deposed(clock);
+        self.activity.enter(Part::Other);
         self.exit_if_done(clock, out);
     }
 
@@ -255,6 +272,7 @@
             holds_lease: self.election.holds_lease(clock.now),
             extends_leases: self.election.extends_leases(clock.now),
             strong_host: self.settings.host.is_strong(),
+            activity: &self.activity,
             out,
         };
         f(placer, &mut ctx);
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -8,6 +8,7 @@
 
 use bulrushlink_core::{DomainId, Moment, Span, WorkerId};
 
+use crate::activity::{Activity, Part};
 use crate::catalog::Catalog;
 use crate::edge::{
     Clock, Fault, Output, StoreOp, StoreReply, Tag, WorkerCall, WorkerOp, WorkerReply,
@@ -132,6 +133,8 @@
     pub(crate) extends_leases: bool,
     /// The host has the processor time that hundreds of workers need.
     pub(crate) strong_host: bool,
+    /// Shows what the placer is doing.
+    pub(crate) activity: &'a Activity,
     pub(crate) out: &'a mut Vec<Output>,
 }
 
@@ -324,6 +327,7 @@
         self.watch(ctx);
         self.poll_pending(ctx);
         if ctx.clock.now.since(self.reviewed) >= REVIEW_INTERVAL && ctx.extends_leases {
+            ctx.activity.enter(Part::Review);
             self.reviewed = ctx.clock.now;
             self.review(ctx);
             self.stale = true;
@@ -343,6 +347,7 @@
         self.advance_acks();
         // A placer that may have a successor gives no orders. It goes on collecting ends, and records
         // them if its lease turns out to be valid.
+        ctx.activity.enter(Part::Holds);
         if ctx.extends_leases {
             self.send_stops(ctx);
         }
@@ -351,8 +356,11 @@
             let units = self.place_units(ctx) as u64;
             self.decide_next = now + Span(units / DECIDE_UNITS_PER_MS);
         }
+        ctx.activity.enter(Part::Commit);
         self.flush(ctx);
+        ctx.activity.enter(Part::Forecast);
         self.write_forecast(ctx);
+        ctx.activity.enter(Part::Holds);
         self.send_holds(ctx);
         self.sweep(ctx);
         self.write_times(ctx);
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -2,6 +2,7 @@
 
 use bulrushlink_core::{Moment, Span};
 
+use crate::activity::Part;
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::Step;
 use crate::plan::{Packing, Room, SpeedPreference, place_gang, place_singles};
@@ -63,6 +64,7 @@
         for job in self.jobs.iter_mut().filter(|j| !j.is_over()) {
             job.open_rounds(ctx.clock.wall);
         }
+        ctx.activity.enter(Part::Rank);
         self.withdraw_starts_over_ceilings(ctx);
         let guaranteed = self.guaranteed_jobs(ctx);
         let mut units = self.units(ctx, &guaranteed);
@@ -82,6 +84,7 @@
             units = self.units(ctx, &placement.guaranteed);
         }
         units.sort_by(Unit::compare);
+        ctx.activity.enter(Part::Place);
         if ctx.features.timely_preemption {
             self.observe_widths(ctx.clock.now, &units);
             self.observe_urgent(ctx, &units, &placement.fleet);
@@ -132,6 +135,7 @@
         placement: &mut Placement,
     ) -> usize {
         let claim = self.claims.iter().position(|c| c.is_for(&unit.task(0)));
+        ctx.activity.work_on(unit.job);
         let Some(step) = self.step_of(&unit).cloned() else { return 0 };
         if !self.fit_to_ceiling(ctx, &mut unit, claim, placement)
             || !self.fit_to_reserve(ctx, &mut unit, &step, &placement.fleet)
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -2,6 +2,7 @@
 
 use bulrushlink_core::{Moment, Span};
 
+use crate::activity::Part;
 use crate::edge::{Fault, StoreOp, StoreReply, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Rev};
 use crate::record::{Item, JobRecord, StateRecord, decode, keys};
@@ -134,6 +135,7 @@
     /// Starts placing. Recorded runs occupy their workers until the workers have reported.
     fn activate(&mut self, ctx: &mut Context<'_>) {
         self.stage = Stage::Active;
+        ctx.activity.enter(Part::Restore);
         let mut runs = Vec::new();
         for job in self.jobs.iter() {
             for (task, run, boot) in job.state.placed_tasks(job.id) {
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -6,6 +6,7 @@
 use super::jobs::Jobs;
 use super::worker::{HoldCall, Phase, Slot, Worker};
 use super::{Context, Placer, Stage};
+use crate::activity::Activity;
 use crate::catalog::{Allotment, Catalog, Limits, Queue, Workspace};
 use crate::edge::{
     Clock, Output, RunReport, StoreOp, StoreReply, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
@@ -104,6 +105,7 @@
     catalog: Catalog,
     features: Features,
     now: Moment,
+    activity: Activity,
     out: Vec<Output>,
 }
 
@@ -132,7 +134,8 @@
         let catalog =
             Catalog { version, rev, size: 500, queues, workspaces: vec![workspace], limits };
         let features = Features::default();
-        let mut bench = Self { placer, catalog, features, now, out: Vec::new() };
+        let activity = Activity::default();
+        let mut bench = Self { placer, catalog, features, now, activity, out: Vec::new() };
         bench.show(capacities.iter().map(|c| (1, *c)).collect());
         bench
     }
@@ -148,6 +151,7 @@
             holds_lease: true,
             extends_leases: true,
             strong_host: true,
+            activity: &self.activity,
             out: &mut self.out,
         };
         f(&mut self.placer, &mut ctx)
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -88,6 +88,7 @@
         let mut units = Vec::new();
         let orphaned_tasks = self.orphaned_tasks();
         for job in self.jobs.iter().filter(|j| !j.is_over() && ctx.clock.now >= j.rest) {
+            ctx.activity.work_on(job.id);
             let is_guaranteed = guaranteed.binary_search(&job.id).is_ok();
             for round in &job.state.rounds {
                 let steps = 0..round.steps.len();
