Compute the longest chains of a job's steps in one pass

Cause: the placer estimated the longest chain from each waiting step by visiting every path, 4^16 of them. Evidence: `turn_stuck` named part=rank and this job on all three daemons.

The chains are now computed from the last step to the first, in time proportional to the steps and their dependencies; those by the callers' estimates once for each job, those by learned run times once for each job and placement. Admission's own function for the same length is gone.

`staged_jobs_are_placed_in_time` failed before: "stages of 4: not done after 5s".

--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -197,6 +197,28 @@
         if self.steps.iter().enumerate().all(ordered) { Ok(()) } else { Err(BadSpec::Order) }
     }
 
+    /// Returns, for each step, the duration of the longest chain of steps that begins with it, given the
+    /// duration of each step. Takes time in proportion to the steps and their dependencies.
+    pub(crate) fn chains(&self, duration: impl Fn(&Step) -> Span) -> Vec<Span> {
+        let mut chains = vec![Span::ZERO; self.steps.len()];
+        for (number, step) in self.steps.iter().enumerate().rev() {
+            // Steps depend on earlier ones only, so the longest chain after this step is known by now.
+            let chain = chains[number] + duration(step);
+            chains[number] = chain;
+            for before in &step.after {
+                if let Some(known) = chains.get_mut(usize::from(*before)) {
+                    *known = chain.max(*known);
+                }
+            }
+        }
+        chains
+    }
+
+    /// Returns the duration of the longest chain of steps, given the duration of each step.
+    pub(crate) fn longest_chain(&self, duration: impl Fn(&Step) -> Span) -> Span {
+        self.chains(duration).into_iter().max().unwrap_or_default()
+    }
+
     /// Returns the number of rounds.
     pub fn rounds(&self) -> u32 {
         self.schedule.map_or(1, |s| s.rounds)
@@ -207,3 +229,6 @@
         self.schedule.map_or(0, |s| s.due(round))
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -52,6 +52,10 @@
     pub(super) expected: Option<(Moment, Span)>,
     /// When runs of the job's workspace were last stopped for it because of the workspace's ceiling.
     pub(crate) ceiling_stops: Option<Moment>,
+    /// Duration of the longest chain that begins with each step, by the caller's estimates.
+    pub(super) chains: Vec<Span>,
+    /// The longest of them.
+    longest_chain: Span,
     /// Learned rates of the steps' tasks, in order of the steps.
     pub(super) paces: Vec<StepPace>,
     /// Rounds and steps whose gangs were stopped for more urgent work in this epoch.
@@ -89,6 +93,8 @@
         accepted: Moment,
     ) -> Self {
         let marked = !state.begun && record.spec.schedule.is_none();
+        let chains = record.spec.chains(|s| s.estimate);
+        let longest_chain = chains.iter().copied().max().unwrap_or_default();
         let paces = vec![StepPace::default(); record.spec.steps.len()];
         Self {
             id,
@@ -109,6 +115,8 @@
             isolate_until: Moment::default(),
             expected: None,
             ceiling_stops: None,
+            chains,
+            longest_chain,
             paces,
             preempted: Vec::new(),
             refusal: None,
@@ -195,31 +203,9 @@
         }
     }
 
-    /// Estimates the duration of the longest chain of steps that begins with a step, given the duration
-    /// of each step.
-    pub(crate) fn longest_chain_from(
-        &self,
-        step: usize,
-        duration: &impl Fn(&Step) -> Span,
-    ) -> Span {
-        let steps = &self.spec.steps;
-        let follows = |s: &Step| s.after.iter().any(|a| usize::from(*a) == step);
-        let later = (step + 1..steps.len()).filter(|n| follows(&steps[*n]));
-        let rest = later.map(|n| self.longest_chain_from(n, duration)).max().unwrap_or(Span::ZERO);
-        duration(&steps[step]) + rest
-    }
-
-    /// Estimates the duration of the longest chain of all steps, by the caller's estimates.
-    fn longest_chain(&self) -> Span {
-        let is_first = |s: &usize| self.spec.steps[*s].after.is_empty();
-        let first_steps = (0..self.spec.steps.len()).filter(is_first);
-        let chains = first_steps.map(|s| self.longest_chain_from(s, &|s| s.estimate));
-        chains.max().unwrap_or(Span::ZERO)
-    }
-
     /// Returns how much delay the job's queue allows for each second of its estimated run time.
     pub(crate) fn leeway(&self, queue: &Queue) -> f64 {
-        leeway(self.allowed_time(queue), self.longest_chain())
+        leeway(self.allowed_time(queue), self.longest_chain)
     }
 
     /// Records that a gang was stopped for other work.
@@ -237,8 +223,7 @@
 
     /// Returns the time that the job may take under its queue, which its caller's estimates determine.
     pub(crate) fn allowed_time(&self, queue: &Queue) -> Span {
-        let chain = self.longest_chain();
-        Span((chain.millis() as f64 * queue.stretch) as u64) + queue.target
+        Span((self.longest_chain.millis() as f64 * queue.stretch) as u64) + queue.target
     }
 
     /// Returns the run number that follows those of all earlier runs of the gang's members.
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -18,6 +18,7 @@
 
 mod ceilings;
 mod forecasts;
+mod large_jobs;
 mod odd_entries;
 mod preemption;
 mod reboots;
@@ -158,7 +159,14 @@
     }
 
     fn add_job(&mut self, id: u64, priority: u32, step: Step) {
-        let spec = JobSpec { text: String::new(), steps: vec![step], schedule: None };
+        self.add_spec(
+            id,
+            priority,
+            JobSpec { text: String::new(), steps: vec![step], schedule: None },
+        );
+    }
+
+    fn add_spec(&mut self, id: u64, priority: u32, spec: JobSpec) {
         let workspace = Some("north".parse().expect("valid name"));
         let record =
             JobRecord { spec, queue: queue(priority), workspace: workspace.clone(), accepted: 0 };
--- /dev/null
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -0,0 +1,67 @@
+//! Jobs of the largest sizes and of all shapes of dependencies: the work for one must not grow faster than
+//! its size.
+
+use std::sync::mpsc;
+use std::time::Duration;
+
+use super::{Bench, accelerators, step};
+use crate::ids::JobId;
+use crate::model::{JOB_STEPS_MAX, JobSpec, Step};
+use crate::settings::Features;
+
+/// Time for what takes milliseconds if it grows with the size of the job. The leader's lease lasts 1.5 s,
+/// and this build of the tests isn't optimized.
+const TIME_LIMIT: Duration = Duration::from_secs(5);
+
+/// Runs a closure on a thread of its own, and fails if it takes longer than [`TIME_LIMIT`].
+fn in_time(name: &str, run: impl FnOnce() + Send + 'static) {
+    let (done, ended) = mpsc::channel();
+    std::thread::spawn(move || {
+        run();
+        done.send(())
+    });
+    match ended.recv_timeout(TIME_LIMIT) {
+        Ok(()) => {}
+        Err(mpsc::RecvTimeoutError::Timeout) => panic!("{name}: not done after {TIME_LIMIT:?}"),
+        Err(mpsc::RecvTimeoutError::Disconnected) => panic!("{name}: see the panic above"),
+    }
+}
+
+/// Returns as many steps of one task as a job may have; `after` returns what a step waits for.
+fn steps(after: impl Fn(u16) -> Vec<u16>) -> Vec<Step> {
+    let numbers = 0..JOB_STEPS_MAX as u16;
+    numbers.map(|n| Step { after: after(n), ..step(1, false, 1) }).collect()
+}
+
+/// Returns what step `n` waits for if steps are in stages of `width`, each of which waits for all of the
+/// stage before.
+fn stage_before(n: u16, width: u16) -> Vec<u16> {
+    let first = n / width * width;
+    (first.saturating_sub(width)..first).collect()
+}
+
+/// Guards against a placer that visits each path through the steps of a job: 16 stages of 4 steps had 4^16
+/// of them, and every daemon hung, one after the other (review case 1, LOST).
+#[test]
+fn staged_jobs_are_placed_in_time() {
+    let shapes = [
+        ("stages of 4", steps(|n| stage_before(n, 4))),
+        ("stages of 16", steps(|n| stage_before(n, 16))),
+        ("each after all before", steps(|n| (0..n).collect())),
+        ("a chain", steps(|n| n.checked_sub(1).into_iter().collect())),
+    ];
+    let features = [Features::default(), Features { learned_times: true, ..Features::default() }];
+    for (features, (name, steps)) in features.iter().flat_map(|f| shapes.iter().map(|s| (*f, s))) {
+        let steps = steps.clone();
+        in_time(name, move || {
+            let mut bench = Bench::open(&[accelerators(8)]);
+            bench.features = features;
+            let spec = JobSpec { text: String::new(), steps, schedule: None };
+            assert_eq!(spec.check(), Ok(()));
+            bench.add_spec(1, 1, spec);
+            bench.pass();
+            let first = bench.commit();
+            assert!(first.iter().all(|t| t.job == JobId(1)) && !first.is_empty());
+        });
+    }
+}
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -1,6 +1,7 @@
 //! Lists what waits to be placed, and which jobs are within the guarantees of their workspaces.
 
 use bulrushlink_core::{Span, WorkspaceId};
+use std::cell::OnceCell;
 
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::Step;
@@ -90,10 +91,11 @@
         for job in self.jobs.iter().filter(|j| !j.is_over() && ctx.clock.now >= j.rest) {
             ctx.activity.work_on(job.id);
             let is_guaranteed = guaranteed.binary_search(&job.id).is_ok();
+            let chains = OnceCell::new();
             for round in &job.state.rounds {
                 let steps = 0..round.steps.len();
                 let waiting = steps.filter_map(|n| {
-                    let expected = |s: &Step| self.expected_work(ctx, job, s);
+                    let expected = || self.expected_times(ctx, job, &chains, n);
                     waiting_unit(ctx, job, (round, n), is_guaranteed, &orphaned_tasks, expected)
                 });
                 if job.state.crashes.is_empty() {
@@ -108,6 +110,25 @@
         units
     }
 
+    /// Returns the expected run time of a step's tasks, and that of the longest chain that begins with the
+    /// step. The chains of the job are computed once, in `chains`.
+    fn expected_times(
+        &self,
+        ctx: &Context<'_>,
+        job: &Job,
+        chains: &OnceCell<Vec<Span>>,
+        number: usize,
+    ) -> (Span, Span) {
+        let expected = |s: &Step| self.expected_work(ctx, job, s);
+        let own = expected(&job.spec.steps[number]);
+        let chain = match job.spec.steps.len() {
+            1 => own,
+            _ if !ctx.features.learned_times => job.chains[number],
+            _ => chains.get_or_init(|| job.spec.chains(expected))[number],
+        };
+        (own, chain)
+    }
+
     /// Lists, sorted, the tasks of which a worker still has an orphaned run: one that is being
     /// stopped, while the task's record names no worker. It has to be gone before the next run of
     /// the task starts.
@@ -128,14 +149,14 @@
 }
 
 /// Returns the waiting tasks of a step, if the step may start; `expected` returns the expected run time
-/// of a step's tasks.
+/// of the step's tasks, and that of the longest chain that begins with the step.
 fn waiting_unit(
     ctx: &Context<'_>,
     job: &Job,
     (round, number): (&RoundRecord, usize),
     guaranteed: bool,
     orphaned_tasks: &[TaskId],
-    expected: impl Fn(&Step) -> Span,
+    expected: impl Fn() -> (Span, Span),
 ) -> Option<Unit> {
     let (step, record) = (&job.spec.steps[number], &round.steps[number]);
     if !step.after.iter().all(|s| round.steps[usize::from(*s)].is_done()) {
@@ -155,15 +176,13 @@
         return None;
     }
     let queue = job.queue(ctx.catalog);
-    // The forecast of the step itself is needed twice.
-    let own = expected(step);
-    let chain = |s: &Step| if std::ptr::eq(s, step) { own } else { expected(s) };
+    let (own, needed) = expected();
     let input = RankInput {
         guaranteed,
         priority: queue.priority,
         due: job.due(round.round, ctx.clock),
         allowed: job.allowed_time(queue),
-        needed: job.longest_chain_from(number, &chain),
+        needed,
         cost: own.secs_f64() * (waiting.len() as u64 * step.need.accelerators) as f64,
     };
     Some(Unit {
--- a/crates/fleet/src/policy/admission.rs
+++ b/crates/fleet/src/policy/admission.rs
@@ -190,19 +190,9 @@
     step.estimate
 }
 
-/// Returns the length of the longest chain of steps.
-fn longest_chain(spec: &JobSpec, length: impl Fn(&Step) -> Span) -> Span {
-    let mut ends: Vec<Span> = Vec::with_capacity(spec.steps.len());
-    for step in &spec.steps {
-        let before = step.after.iter().filter_map(|a| ends.get(usize::from(*a))).max();
-        ends.push(before.copied().unwrap_or_default() + length(step));
-    }
-    ends.into_iter().max().unwrap_or_default()
-}
-
 /// Returns the time that a queue allows a job, by its caller's estimates.
 pub(crate) fn allowed_time(spec: &JobSpec, queue: &Queue) -> Span {
-    let chain = longest_chain(spec, |s| s.estimate);
+    let chain = spec.longest_chain(|s| s.estimate);
     Span((chain.millis() as f64 * queue.stretch) as u64) + queue.target
 }
 
@@ -226,7 +216,7 @@
     }
     let row = forecast.row(&queue.name, workspace.map(|w| &w.name))?;
     let wait = forecast_wait(job, forecast)?;
-    let chain = longest_chain(spec, run_time);
+    let chain = spec.longest_chain(run_time);
     if job.age + wait + chain <= useful {
         return None;
     }
