Look at the done tasks and met dependencies of a job once

Callers would see a leader that is always busy: once the first step of a job is done, each placement went over all of its tasks for each dependency on it, and each end over all done tasks of the round. A body of 256 KiB has room for 120,000 entries in `after`, and a step may have 3,840 tasks: half a billion checks in each placement, at up to 300 placements a second.

The records now note how many leading tasks, steps and dependencies are known to be done, which only grows, and look only at those behind. It isn't stored: the layout of the records is the same.

`known_progress_gives_the_same_answers` compares the answers with those without such notes.

--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -387,7 +387,7 @@
 
     /// Closes a round if all of its steps are done, and the job with its last round.
     fn close_round(&mut self, round: u32, wall: u64) {
-        let done = self.round(round).is_some_and(|r| r.steps.iter().all(StepRecord::is_done));
+        let done = self.round(round).is_some_and(RoundRecord::is_done);
         if !done {
             return;
         }
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -4,9 +4,11 @@
 use std::sync::mpsc;
 use std::time::Duration;
 
-use super::{Bench, accelerators, step};
-use crate::ids::JobId;
-use crate::model::{JOB_STEPS_MAX, JobSpec, Step};
+use super::super::job::Effect;
+use super::{Bench, accelerators, entry, step, task};
+use crate::edge::EndCause;
+use crate::ids::{Boot, JobId, Run};
+use crate::model::{JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Step};
 use crate::settings::Features;
 
 /// Time for what takes milliseconds if it grows with the size of the job. The leader's lease lasts 1.5 s,
@@ -65,3 +67,39 @@
         });
     }
 }
+
+/// Guards against placements that go over all done tasks of a job for each dependency on them: once the
+/// first step was done, the placer spent seconds in each placement, and lost its lease.
+#[test]
+fn repeated_dependencies_on_a_large_step_are_placed_in_time() {
+    const PLACEMENTS: usize = 50;
+    let tasks = (JOB_TASKS_MAX - JOB_STEPS_MAX as u64) as u32;
+    // As many entries as the largest body has room for.
+    let after = |n| if n == 0 { Vec::new() } else { vec![0; 470] };
+    let mut steps = steps(after);
+    steps[0].tasks = tasks;
+    in_time("repeated", move || {
+        let mut bench = Bench::open(&[accelerators(8)]);
+        let spec = JobSpec { text: String::new(), steps, schedule: None };
+        assert_eq!(spec.check(), Ok(()));
+        bench.add_spec(1, 1, spec);
+        bench.pass();
+        bench.commit();
+        for index in 0..tasks {
+            let task = task(1, index);
+            let job = &mut bench.placer.jobs[0];
+            job.plan_start(
+                &task,
+                Run(2),
+                Boot { worker: entry(0, 1, accelerators(8)).id, born: 1 },
+            );
+            let effect = job.apply_end(&task, Run(2), EndCause::Done, 3, 0);
+            assert_eq!(effect, Effect::Done);
+        }
+        bench.placer.workers[0].slots.take();
+        for _ in 0..PLACEMENTS {
+            bench.pass();
+        }
+        assert_eq!(bench.commit().len(), 8);
+    });
+}
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -159,7 +159,7 @@
     expected: impl Fn() -> (Span, Span),
 ) -> Option<Unit> {
     let (step, record) = (&job.spec.steps[number], &round.steps[number]);
-    if !step.after.iter().all(|s| round.steps[usize::from(*s)].is_done()) {
+    if record.is_done() || !round.is_open(number, &step.after) {
         return None;
     }
     let any_task = TaskId { job: job.id, round: round.round, step: number as u16, index: 0 };
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -6,6 +6,7 @@
 use bulrushlink_core::{Code, Error, WorkspaceId};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::cell::Cell;
 use std::net::SocketAddr;
 
 use crate::catalog::Queue;
@@ -58,6 +59,29 @@
     pub(crate) place: Option<Boot>,
 }
 
+/// Number of leading items of a list that are known to be complete, so that they aren't looked at again. It
+/// only grows, as what is complete stays so. It isn't stored, and all counts are equal.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Known(Cell<usize>);
+
+impl Known {
+    /// Returns true if all items are complete, and looks only at those after the known ones.
+    fn covers<T>(&self, items: &[T], is_complete: impl Fn(&T) -> bool) -> bool {
+        let known = self.0.get().min(items.len());
+        let more = items[known..].iter().take_while(|item| is_complete(item)).count();
+        self.0.set(known + more);
+        known + more == items.len()
+    }
+}
+
+impl PartialEq for Known {
+    fn eq(&self, _: &Self) -> bool {
+        true
+    }
+}
+
+impl Eq for Known {}
+
 /// Progress of a step.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) struct StepRecord {
@@ -67,12 +91,18 @@
     pub(crate) failed_run: Run,
     /// One record per task, in order.
     pub(crate) tasks: Vec<TaskRecord>,
+    /// Tasks that are known to be done.
+    #[serde(skip)]
+    pub(crate) done: Known,
+    /// Dependencies of the step that are known to be done.
+    #[serde(skip)]
+    pub(crate) met: Known,
 }
 
 impl StepRecord {
-    /// Returns true if all tasks are done.
+    /// Returns true if all tasks are done. All calls together go over the tasks once.
     pub(crate) fn is_done(&self) -> bool {
-        self.tasks.iter().all(|t| t.done)
+        self.done.covers(&self.tasks, |t| t.done)
     }
 }
 
@@ -83,6 +113,9 @@
     pub(crate) round: u32,
     /// One record per step, in order.
     pub(crate) steps: Vec<StepRecord>,
+    /// Steps that are known to be done.
+    #[serde(skip)]
+    pub(crate) done: Known,
 }
 
 /// What is known of a worker's crash with regard to one run.
@@ -184,11 +217,23 @@
     /// Returns the record of a round without any runs.
     pub(crate) fn new(round: u32, spec: &JobSpec) -> Self {
         let step = |tasks: u32| StepRecord {
-            failures: 0,
-            failed_run: Run::default(),
             tasks: vec![TaskRecord::default(); tasks as usize],
+            ..StepRecord::default()
         };
-        Self { round, steps: spec.steps.iter().map(|s| step(s.tasks)).collect() }
+        let steps = spec.steps.iter().map(|s| step(s.tasks)).collect();
+        Self { round, steps, done: Known::default() }
+    }
+
+    /// Returns true if all steps are done.
+    pub(crate) fn is_done(&self) -> bool {
+        self.done.covers(&self.steps, StepRecord::is_done)
+    }
+
+    /// Returns true if all steps that a step depends on, those in `after`, are done. All calls together go
+    /// over the dependencies once.
+    pub(crate) fn is_open(&self, step: usize, after: &[u16]) -> bool {
+        let is_done = |a: &u16| self.steps.get(usize::from(*a)).is_some_and(StepRecord::is_done);
+        self.steps[step].met.covers(after, is_done)
     }
 }
 
--- a/crates/fleet/src/record/tests.rs
+++ b/crates/fleet/src/record/tests.rs
@@ -1,7 +1,7 @@
 //! Tests that daemons of different versions read each other's records.
 
 use super::{
-    CrashRecord, LAYOUT_VERSION, LostRun, Outcome, RoundRecord, StateRecord, StepRecord,
+    CrashRecord, Known, LAYOUT_VERSION, LostRun, Outcome, RoundRecord, StateRecord, StepRecord,
     TaskRecord, decode, encode,
 };
 use crate::ids::{Boot, Run};
@@ -17,7 +17,7 @@
 fn first_state() -> FirstState {
     let task = TaskRecord { run: Run(3), place: Some(boot()), ..TaskRecord::default() };
     let steps = vec![StepRecord { tasks: vec![task], ..StepRecord::default() }];
-    (None, None, 0, true, vec![RoundRecord { round: 2, steps }], vec![0, 1])
+    (None, None, 0, true, vec![RoundRecord { round: 2, steps, done: Known::default() }], vec![0, 1])
 }
 
 /// Guards against accepted jobs that are ignored after an upgrade because their records can't be
@@ -46,3 +46,28 @@
     assert_eq!(postcard::from_bytes::<FirstState>(&bytes[1..]), Ok(first_state()));
     assert_eq!(decode::<StateRecord>(&bytes), Ok(state));
 }
+
+/// Guards against a step that starts before a dependency is done, or never, because of what was known
+/// before: the answers must be the same as without any.
+#[test]
+fn known_progress_gives_the_same_answers() {
+    let mut random = fastrand::Rng::with_seed(40);
+    for _ in 0..100 {
+        let tasks = |random: &mut fastrand::Rng| vec![TaskRecord::default(); random.usize(1..5)];
+        let step = |tasks| StepRecord { tasks, ..StepRecord::default() };
+        let steps: Vec<StepRecord> = (0..6).map(|_| step(tasks(&mut random))).collect();
+        let mut round = RoundRecord { round: 0, steps, done: Known::default() };
+        let after: Vec<u16> = (0..8).map(|_| random.u16(0..6)).collect();
+        let mut left: Vec<(usize, usize)> =
+            (0..6).flat_map(|s| (0..round.steps[s].tasks.len()).map(move |t| (s, t))).collect();
+        random.shuffle(&mut left);
+        while let Some((s, t)) = left.pop() {
+            round.steps[s].tasks[t].done = true;
+            let is_done = |s: usize| round.steps[s].tasks.iter().all(|t| t.done);
+            assert!((0..6).all(|s| round.steps[s].is_done() == is_done(s)));
+            let met = after.iter().all(|a| is_done(usize::from(*a)));
+            assert_eq!(round.is_open(5, &after), met);
+            assert_eq!(round.is_done(), left.is_empty());
+        }
+    }
+}
