--- a/crates/lab/src/fleet/lab.rs
+++ b/crates/lab/src/fleet/lab.rs
@@ -242,8 +242,12 @@
     /// Processor of each daemon; without it, inputs are handled in no time.
     processor: Option<Processor>,
     quiet: bool,
+    /// Percentage of the estimate over which the run times of a step's tasks are spread.
+    length_spread: u64,
     /// Wall-clock time spent in the nodes.
     node_time: Duration,
+    /// Longest of them for one input.
+    longest_input: Duration,
 }
 
 fn test_bounds() -> Bounds {
@@ -347,7 +351,9 @@
             features: Features::default(),
             processor: None,
             quiet: true,
+            length_spread: 0,
             node_time: Duration::ZERO,
+            longest_input: Duration::ZERO,
             random: random.fork(),
         };
         for number in 0..workers {
@@ -448,6 +454,11 @@
         self.node_time
     }
 
+    /// Returns the longest wall-clock time that a node has taken for one input so far.
+    pub fn longest_input(&self) -> Duration {
+        self.longest_input
+    }
+
     /// Returns the daemon that is the active placer, if any.
     pub fn placer(&self) -> Option<usize> {
         self.daemons.iter().position(|s| s.node.is_placer())
@@ -576,7 +587,9 @@
             input if self.processor.is_some() => node.receive(clock, input),
             input => node.handle(clock, input),
         };
-        self.node_time += began.elapsed();
+        let took = began.elapsed();
+        self.node_time += took;
+        self.longest_input = self.longest_input.max(took);
         outputs
     }
 
--- a/crates/lab/src/fleet/lab/calls.rs
+++ b/crates/lab/src/fleet/lab/calls.rs
@@ -9,6 +9,9 @@
 
 use super::{CALL_DELAY_MAX_MS, CANCEL_GRACE_MS, Event, FleetLab, LATENCY_MS, PendingCall};
 
+/// Factor that permutes the indices of tasks.
+const SPREAD_FACTOR: u32 = 37;
+
 impl FleetLab {
     pub(super) fn dispatch_output(&mut self, daemon: usize, incarnation: u64, output: Output) {
         let now = self.now;
@@ -117,12 +120,15 @@
                 self.record.record_ack(end.task, index);
             }
         }
-        let jobs = &self.record.jobs;
+        let (jobs, spread) = (&self.record.jobs, self.length_spread);
         let make = |task: TaskId, run: Run, saved: &str| {
             let job = jobs.iter().find(|j| j.id == task.job);
             let step = job.map(|j| &j.spec.steps[usize::from(task.step)]);
             let estimate = step.map_or(1_000, |s| s.estimate.millis());
-            let length = estimate * job.map_or(100, |j| j.length_percent) / 100;
+            // Multiplying by an odd number permutes the tasks, so that neighbours differ.
+            let place = u64::from(task.index.wrapping_mul(SPREAD_FACTOR) % 101);
+            let spread = 100 + (spread * place / 100) - spread / 2;
+            let length = estimate * job.map_or(100, |j| j.length_percent) * spread / 10_000;
             let worked = saved.parse().unwrap_or(0);
             let (need, gang) = step.map_or((Resources::default(), false), |s| (s.need, s.gang));
             let saves = step.is_some_and(|s| s.saves);
--- a/crates/lab/src/fleet/lab/work.rs
+++ b/crates/lab/src/fleet/lab/work.rs
@@ -13,6 +13,12 @@
         }
     }
 
+    /// Spreads the run times of a step's tasks evenly over this percentage of the estimate, around the
+    /// estimate.
+    pub fn spread_lengths(&mut self, percent: u64) {
+        self.length_spread = percent;
+    }
+
     /// Returns true if all tasks of a job have ended as done.
     pub fn is_done(&self, id: JobId) -> bool {
         self.record.jobs.iter().any(|j| j.id == id && j.is_done())
--- a/crates/lab/src/fleet/record.rs
+++ b/crates/lab/src/fleet/record.rs
@@ -51,7 +51,7 @@
     pub(super) cancelled: Option<u64>,
     pub(super) shown_state: Option<ShownState>,
     /// Tasks with a run that has ended as done.
-    pub(super) done: Vec<TaskId>,
+    pub(super) done: BTreeSet<TaskId>,
     /// Successful ends of runs that no placer has acknowledged.
     pub(super) unacked: Vec<UnackedEnd>,
     /// Runs that have failed, sorted; each run of a gang is listed under the task of index 0.
@@ -103,7 +103,7 @@
             cancel_requested: false,
             cancelled: None,
             shown_state: None,
-            done: Vec::new(),
+            done: BTreeSet::new(),
             unacked: Vec::new(),
             failed_runs: Vec::new(),
             started: false,
@@ -218,7 +218,7 @@
         let noted = job.unacked.iter().any(|u| u.task == task && u.is_noted(now));
         let unreachable = |u: &UnackedEnd| u.task == task && u.fate != EndFate::Listed;
         if !noted && job.unacked.iter().any(unreachable) {
-            job.done.retain(|t| *t != task);
+            job.done.remove(&task);
             job.unacked.retain(|u| u.task != task || u.fate != EndFate::Lost);
         }
         let step = &job.spec.steps[usize::from(task.step)];
@@ -226,7 +226,8 @@
         if noted || job.done.contains(&task) {
             texts.push(format!("{task} run {run} starts after it was done"));
         }
-        for before in &step.after {
+        let before: BTreeSet<u16> = step.after.iter().copied().collect();
+        for before in &before {
             let tasks = job.spec.steps[usize::from(*before)].tasks;
             let earlier = |index| TaskId { step: *before, index, ..task };
             // The placer may have seen an end that it has not acknowledged yet.
@@ -300,7 +301,7 @@
             && let Some(job) = self.job(task.job)
             && !job.done.contains(&task)
         {
-            job.done.push(task);
+            job.done.insert(task);
             job.unacked.push(UnackedEnd { task, worker, fate: EndFate::Listed, listed: None });
             if job.is_done() {
                 job.finished_at = Some(now);
@@ -317,9 +318,7 @@
             return;
         }
         job.unacked.retain(|u| !same(u));
-        if !job.done.contains(&task) {
-            job.done.push(task);
-        }
+        job.done.insert(task);
     }
 
     /// Records that a worker has sent a reply that lists its ends, with no trouble near.
