Store the checkpoint of a gang once until it is written

Callers would see a busy leader while a large gang runs: each member's report of a checkpoint was copied into the records of all members, so that one round of reports of 4,096 members made 16 million copies.

The latest checkpoint of a gang is now kept once, and copied to the members before the state is stored. What is stored and what a member starts from are the same as before.

`time_for_checkpoints_grows_with_the_tasks` failed before: 36 ms for 1,024 members, 566 ms for 4,096; it passes now. `members_of_a_gang_share_the_latest_checkpoint` holds the meaning.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -403,7 +403,7 @@
             // fail here.
             assert!(worker.free().fits(&step.need), "{} has no room for {task}", worker.boot);
             // The percentage of a run that resumes from a checkpoint says nothing about its rate.
-            let fresh = self.jobs[j].task(&task).is_some_and(|t| t.saved.is_empty());
+            let fresh = self.jobs[j].checkpoint(&task).is_some_and(str::is_empty);
             self.jobs[j].plan_start(&task, run, worker.boot.clone());
             let phase = Phase::Planned(version);
             let slot = Slot::new(task, run, step.need, phase, now);
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -76,17 +76,18 @@
     }
 
     /// Returns the next commit of the jobs in `due`, from which it takes them.
-    fn next_commit(&self, due: &mut Vec<usize>) -> Option<(Commit, Vec<(JobId, u64)>)> {
+    fn next_commit(&mut self, due: &mut Vec<usize>) -> Option<(Commit, Vec<(JobId, u64)>)> {
         let mut commit = Commit { expect: vec![self.guard()], ..Commit::default() };
         let (mut jobs, mut bytes) = (Vec::new(), 0);
         while let Some(at) = due.last() {
-            let job = &self.jobs[*at];
+            let job = &mut self.jobs[*at];
             // A job adds up to four entries: its state, the expected revision, the expected absence
             // of a cancellation, and the removal of its marker.
             if commit.entries() + 4 > COMMIT_ENTRIES_MAX || bytes > COMMIT_BYTES_MAX {
                 break;
             }
             due.pop();
+            job.prepare_state();
             let value = match encode(&job.state) {
                 Ok(value) => value,
                 Err(error) => {
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -242,15 +242,27 @@
         self.starts = true;
     }
 
+    /// Returns the latest checkpoint of a task; empty if there is none.
+    pub(crate) fn checkpoint(&self, task: &TaskId) -> Option<&str> {
+        self.step_record(task)?.checkpoint(task.index)
+    }
+
+    /// Brings the state into the form in which it is stored.
+    pub(crate) fn prepare_state(&mut self) {
+        let steps = self.state.rounds.iter_mut().flat_map(|r| &mut r.steps);
+        steps.for_each(StepRecord::share_checkpoint);
+    }
+
     /// Stores the latest checkpoint in the state; the members of a gang share it.
     pub(crate) fn record_checkpoint(&mut self, task: &TaskId, run: Run, saved: &str) {
-        if saved.is_empty() || self.task(task).is_none_or(|t| t.run != run || t.saved == saved) {
+        let current = self.task(task).is_some_and(|t| t.run == run);
+        if saved.is_empty() || !current || self.checkpoint(task) == Some(saved) {
             return;
         }
         let gang = self.step(task).is_some_and(|s| s.gang);
         let Some(step) = self.step_mut(task) else { return };
         if gang {
-            step.tasks.iter_mut().for_each(|t| t.saved = saved.to_string());
+            step.shared = Some(saved.to_string());
         } else if let Some(record) = step.tasks.get_mut(task.index as usize) {
             record.saved = saved.to_string();
         }
--- a/crates/fleet/src/placer/job/tests.rs
+++ b/crates/fleet/src/placer/job/tests.rs
@@ -151,3 +151,26 @@
         assert_eq!(given_up.iter().position(|g| *g), Some(ages.len() - 1), "{ages:?}");
     }
 }
+
+/// Guards against members of a gang that start from different checkpoints, and against a stored state that
+/// lacks the latest one.
+#[test]
+fn members_of_a_gang_share_the_latest_checkpoint() {
+    let mut job = job(true);
+    let boot = Boot { worker: "i-1".parse().expect("a valid name"), born: 1 };
+    let tasks = [0, 1].map(|index| TaskId { index, ..TASK });
+    tasks.iter().for_each(|t| job.plan_start(t, Run(1), boot.clone()));
+    job.record_checkpoint(&tasks[0], Run(1), "a");
+    job.record_checkpoint(&tasks[1], Run(1), "b");
+    // An earlier run, and a report without a checkpoint, change nothing.
+    job.record_checkpoint(&tasks[0], Run(0), "c");
+    job.record_checkpoint(&tasks[0], Run(1), "");
+    assert_eq!(
+        tasks.map(|t| job.checkpoint(&t).map(str::to_string)),
+        [Some("b".into()), Some("b".into())]
+    );
+    job.prepare_state();
+    let stored: Vec<&str> =
+        job.state.rounds[0].steps[0].tasks.iter().map(|t| t.saved.as_str()).collect();
+    assert_eq!(stored, ["b", "b"]);
+}
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -85,7 +85,7 @@
     fn send_start(&mut self, ctx: &mut Context<'_>, at: usize, task: &TaskId, run: Run) {
         let now = ctx.clock.now;
         let Ok(j) = self.job_index(task.job) else { return };
-        let Some(saved) = self.jobs[j].task(task).map(|t| t.saved.clone()) else {
+        let Some(saved) = self.jobs[j].checkpoint(task).map(str::to_string) else {
             log::error!(event = "start_without_task", task:% = task, run = run.0; "start not sent: the task has no record");
             return self.withhold_start(at, task, run, "the task has no record");
         };
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -8,7 +8,7 @@
 use super::super::job::Effect;
 use super::super::worker::{Phase, Slot};
 use super::{Bench, accelerators, entry, step, task};
-use crate::edge::EndCause;
+use crate::edge::{EndCause, RunReport};
 use crate::ids::{Boot, JobId, Run};
 use crate::model::{JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Step};
 use crate::settings::Features;
@@ -134,3 +134,65 @@
         });
     });
 }
+
+/// Returns the processor time that this thread has used.
+fn used_time() -> Duration {
+    let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
+    Duration::new(time.tv_sec as u64, time.tv_nsec as u32)
+}
+
+/// Fails if the time for work grows faster than the number of tasks: four times the tasks take about four
+/// times as long, and sixteen times if the work for each task grows with their number.
+fn assert_linear<T>(name: &str, prepare: impl Fn(u32) -> T, work: impl Fn(&mut T)) {
+    const GROWTH_MAX: u32 = 8;
+    let time = |tasks: u32| {
+        let mut prepared = prepare(tasks);
+        let began = used_time();
+        work(&mut prepared);
+        used_time() - began
+    };
+    let least = |tasks| (0..3).map(|_| time(tasks)).min().unwrap_or_default();
+    let tasks = JOB_TASKS_MAX as u32;
+    let (quarter, whole) = (least(tasks / 4), least(tasks));
+    assert!(
+        whole <= quarter * GROWTH_MAX,
+        "{name}: {quarter:?} for {}, {whole:?} for {tasks}",
+        tasks / 4
+    );
+}
+
+/// Returns a placer with workers that run the tasks of one step.
+fn bench_with_runs(workers: usize, step: Step) -> Bench {
+    let mut bench = Bench::open(&vec![accelerators(8); workers]);
+    let tasks = step.tasks;
+    bench.add_job(1, 1, step);
+    bench.pass();
+    assert_eq!(bench.commit().len(), tasks as usize);
+    bench
+}
+
+/// Returns a step of the largest size whose tasks write checkpoints.
+fn large_step(tasks: u32, gang: bool) -> Step {
+    Step { need: Resources { cpu: 7, ..Resources::default() }, saves: true, ..step(tasks, gang, 0) }
+}
+
+/// Guards against work for all members of a gang at each report of a member's checkpoint.
+#[test]
+fn time_for_checkpoints_grows_with_the_tasks() {
+    for gang in [true, false] {
+        let prepare = |tasks| bench_with_runs(64, large_step(tasks, gang));
+        assert_linear(&format!("gang {gang}"), prepare, |bench| {
+            for at in 0..bench.placer.workers.len() {
+                let report = |s: &Slot| RunReport {
+                    task: s.task,
+                    run: s.run,
+                    saved: format!("{:016x}", s.task.index),
+                    percent: 10,
+                };
+                let running = bench.placer.workers[at].slots.iter().map(report).collect();
+                let now = bench.now;
+                bench.report(at, now, 10, running);
+            }
+        });
+    }
+}
--- a/crates/fleet/src/placer/times.rs
+++ b/crates/fleet/src/placer/times.rs
@@ -45,14 +45,14 @@
     /// Returns the work that was saved in the checkpoint from which a task resumes; `None` if that isn't
     /// known.
     pub(super) fn saved_work(&self, task: &TaskId) -> Option<Span> {
-        let record = self.task(task)?;
-        if record.saved.is_empty() {
+        let checkpoint = self.checkpoint(task)?;
+        if checkpoint.is_empty() {
             return Some(Span::ZERO);
         }
         let key = self.saved_key(task);
         let at = self.saved_work.binary_search_by_key(&key, |s| s.task).ok()?;
         let known = &self.saved_work[at];
-        (known.saved == record.saved).then_some(known.work)
+        (known.saved == checkpoint).then_some(known.work)
     }
 
     fn saved_key(&self, task: &TaskId) -> TaskId {
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -91,6 +91,10 @@
     pub(crate) failed_run: Run,
     /// One record per task, in order.
     pub(crate) tasks: Vec<TaskRecord>,
+    /// The gang's latest checkpoint, if the records of its members don't have it yet. They get it before
+    /// they are stored: each member reports checkpoints, and the gang may have thousands.
+    #[serde(skip)]
+    pub(crate) shared: Option<String>,
     /// Tasks that are known to be done.
     #[serde(skip)]
     pub(crate) done: Known,
@@ -100,6 +104,18 @@
 }
 
 impl StepRecord {
+    /// Returns the latest checkpoint of a task; empty if there is none.
+    pub(crate) fn checkpoint(&self, index: u32) -> Option<&str> {
+        let task = self.tasks.get(index as usize)?;
+        Some(self.shared.as_deref().unwrap_or(&task.saved))
+    }
+
+    /// Copies the gang's latest checkpoint into the records of its members.
+    pub(crate) fn share_checkpoint(&mut self) {
+        let Some(saved) = self.shared.take() else { return };
+        self.tasks.iter_mut().for_each(|t| t.saved.clone_from(&saved));
+    }
+
     /// Returns true if all tasks are done. All calls together go over the tasks once.
     pub(crate) fn is_done(&self) -> bool {
         self.done.covers(&self.tasks, |t| t.done)
