Stop and mark the members of a gang once

Callers would see a busy leader when a large gang ends, breaks or is lost: the end of each member marked all members as done again, or looked for all of them on all workers to stop them.

A job notes the latest run of each gang that it has stopped, whose members can't start any more, and only the first end or loss looks for the others. An end of a task that is done already marks nothing.

The placer of the tests can have more than ten workers, whose identifiers were not sorted.

--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -60,6 +60,9 @@
     pub(super) paces: Vec<StepPace>,
     /// Rounds and steps whose gangs were stopped for more urgent work in this epoch.
     pub(super) preempted: Vec<(u32, u16)>,
+    /// The latest run of each gang, by round and step, that was stopped in this epoch. None of its members
+    /// starts after that. Sorted.
+    stopped: Vec<((u32, u16), Run)>,
     /// Why no runs were stopped for the job, as logged last.
     pub(super) refusal: Option<Verdict>,
     /// Work in the checkpoints of runs that this placer has stopped, sorted by task.
@@ -119,6 +122,7 @@
             longest_chain,
             paces,
             preempted: Vec::new(),
+            stopped: Vec::new(),
             refusal: None,
             saved_work: Vec::new(),
         }
@@ -216,6 +220,18 @@
         }
     }
 
+    /// Records that a run of a gang is stopped. Returns false if that was recorded before.
+    pub(super) fn record_stopped(&mut self, task: &TaskId, run: Run) -> bool {
+        let key = (task.round, task.step);
+        match self.stopped.binary_search_by_key(&key, |(step, _)| *step) {
+            Ok(at) => std::mem::replace(&mut self.stopped[at].1, run) != run,
+            Err(at) => {
+                self.stopped.insert(at, (key, run));
+                true
+            }
+        }
+    }
+
     /// Returns true if a gang was stopped for other work in this epoch.
     pub(super) fn was_preempted(&self, task: &TaskId) -> bool {
         self.preempted.binary_search(&(task.round, task.step)).is_ok()
@@ -298,28 +314,33 @@
         attempts: u32,
         wall: u64,
     ) -> Effect {
-        let Some(step) = self.step(task).cloned() else { return Effect::Stale };
+        let Some((gang, endless)) = self.step(task).map(|s| (s.gang, s.endless)) else {
+            return Effect::Stale;
+        };
         if self.task(task).is_none_or(|t| t.run != run || t.place.is_none()) {
             return Effect::Stale;
         }
+        let known = self.task(task).is_some_and(|t| t.done);
         if let Some(record) = self.task_mut(task) {
             record.place = None;
         }
         self.mark_dirty();
         match cause {
-            EndCause::Done if !step.endless => {
-                self.mark_done(task, step.gang, run);
+            // The first member of a gang that is done has marked all others.
+            EndCause::Done if !endless && known => Effect::Done,
+            EndCause::Done if !endless => {
+                self.mark_done(task, gang, run);
                 self.close_round(task.round, wall);
                 Effect::Done
             }
-            EndCause::Failed if !step.endless => {
-                if self.count_failure(task, step.gang, run) >= attempts {
+            EndCause::Failed if !endless => {
+                if self.count_failure(task, gang, run) >= attempts {
                     self.finish(Outcome::Failed, wall);
                     return Effect::JobFailed;
                 }
-                if step.gang { Effect::GangOver } else { Effect::Again }
+                if gang { Effect::GangOver } else { Effect::Again }
             }
-            _ if step.gang && !self.task(task).is_some_and(|t| t.done) => Effect::GangOver,
+            _ if gang && !self.task(task).is_some_and(|t| t.done) => Effect::GangOver,
             _ => Effect::Again,
         }
     }
@@ -335,21 +356,23 @@
         attempts: u32,
         wall: u64,
     ) -> Effect {
-        let Some(step) = self.step(task).cloned() else { return Effect::Stale };
+        let Some((gang, endless)) = self.step(task).map(|s| (s.gang, s.endless)) else {
+            return Effect::Stale;
+        };
         let counts = |t: &TaskRecord| !t.done && run <= t.run;
-        if self.is_over() || step.endless || !self.task(task).is_some_and(counts) {
+        if self.is_over() || endless || !self.task(task).is_some_and(counts) {
             return Effect::Stale;
         }
         match cause {
             EndCause::Done => {
                 self.mark_dirty();
-                self.mark_done_late(task, step.gang);
+                self.mark_done_late(task, gang);
                 self.close_round(task.round, wall);
                 Effect::DoneLate
             }
             EndCause::Failed => {
                 self.mark_dirty();
-                if self.count_failure(task, step.gang, run) < attempts {
+                if self.count_failure(task, gang, run) < attempts {
                     return Effect::Stale;
                 }
                 self.finish(Outcome::Failed, wall);
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -209,7 +209,17 @@
     }
 
     /// Stops all members of a run of a gang.
+    ///
+    /// Load pattern: all members of a gang end or are lost within a second, and each of them stops the
+    /// others. Only the first one looks for them.
     pub(super) fn stop_gang(&mut self, ctx: &mut Context<'_>, task: &TaskId, run: Run, why: &str) {
+        let first = match self.job_index(task.job) {
+            Ok(j) => self.jobs[j].record_stopped(task, run),
+            Err(_) => true,
+        };
+        if !first {
+            return;
+        }
         let member = |s: &Slot| {
             let t = &s.task;
             (t.job, t.round, t.step, s.run) == (task.job, task.round, task.step, run)
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -55,7 +55,7 @@
 
 fn entry(number: u64, born: u64, capacity: Resources) -> WorkerEntry {
     WorkerEntry {
-        id: format!("i-{number}").parse().expect("valid name"),
+        id: format!("i-{number:02}").parse().expect("valid name"),
         born,
         endpoint: "dispatch".to_string(),
         addr: ([127, 0, 0, 1], 8_000).into(),
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -8,7 +8,7 @@
 use super::super::job::Effect;
 use super::super::worker::{Phase, Slot};
 use super::{Bench, accelerators, entry, step, task};
-use crate::edge::{EndCause, RunReport};
+use crate::edge::{EndCause, EndReport, RunReport, WorkerReply};
 use crate::ids::{Boot, JobId, Run};
 use crate::model::{JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Step};
 use crate::settings::Features;
@@ -176,6 +176,39 @@
     Step { need: Resources { cpu: 7, ..Resources::default() }, saves: true, ..step(tasks, gang, 0) }
 }
 
+/// Lets the workers report that all runs have ended.
+fn report_ends(bench: &mut Bench, cause: EndCause) {
+    for at in 0..bench.placer.workers.len() {
+        let end = |(number, slot): (u64, &Slot)| EndReport {
+            number,
+            task: slot.task,
+            run: slot.run,
+            cause,
+            saved: format!("{:016x}", slot.task.index),
+        };
+        let ends: Vec<EndReport> =
+            (1..).zip(bench.placer.workers[at].slots.iter()).map(end).collect();
+        let lists = WorkerReply::Lists { born: Some(1), running: Vec::new(), ended: ends };
+        let now = bench.now;
+        bench.answer_hold(at, now, Some(10), lists);
+    }
+}
+
+/// Guards against work for all members of a gang at the end of each: all members were marked as done again,
+/// and looked for on all workers to stop them.
+#[test]
+fn time_for_the_ends_of_a_gang_grows_with_its_members() {
+    for cause in [EndCause::Done, EndCause::Broken, EndCause::Stopped] {
+        // 66 members on each worker.
+        let spread = |tasks| Step {
+            need: Resources { cpu: 480, ..Resources::default() },
+            ..large_step(tasks, true)
+        };
+        let prepare = |tasks| bench_with_runs(64, spread(tasks));
+        assert_linear(&cause.to_string(), prepare, |bench| report_ends(bench, cause));
+    }
+}
+
 /// Guards against work for all members of a gang at each report of a member's checkpoint.
 #[test]
 fn time_for_checkpoints_grows_with_the_tasks() {
