Process the ends of a worker without going over its runs for each

Callers would see a busy leader when thousands of small tasks end on one worker: each end moved all runs behind it in the list and went over all of them, each report was searched for each run, and each acknowledged end moved those behind it.

The runs that a report ends are taken from the list in one pass, reported runs are looked up in a sorted list, and acknowledged ends are dropped together.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -5,7 +5,7 @@
 use bulrushlink_core::{Moment, Span, WorkerId};
 
 use crate::edge::{EndCause, EndReport, Fault, RunReport, StartRefusal, WorkerOp, WorkerReply};
-use crate::ids::{JobId, TaskId};
+use crate::ids::{JobId, Run, TaskId};
 use crate::model::Resources;
 
 use super::job::Effect;
@@ -217,8 +217,12 @@
         }
         // A reply that was held up on its way shows an earlier state.
         let prompt = now.since(call.sent) <= call.wait + HOLD_TIMEOUT_MARGIN;
+        let mut ended_runs = self.workers[at].take_ended(ended);
         for end in ended {
-            self.process_end(ctx, at, end, prompt && !out_of_contact);
+            let key = (end.task, end.run);
+            let found = ended_runs.binary_search_by_key(&key, |(key, _)| *key);
+            let slot = found.ok().and_then(|n| ended_runs[n].1.take());
+            self.process_end(ctx, at, end, slot, prompt && !out_of_contact);
         }
         for report in running {
             self.process_running(ctx, at, report, clock, prompt);
@@ -228,15 +232,22 @@
         }
     }
 
-    /// Processes an end that a worker reports. The report is `timely` if the run has ended just now.
-    fn process_end(&mut self, ctx: &mut Context<'_>, at: usize, end: &EndReport, timely: bool) {
+    /// Processes an end that a worker reports, with the slot that the run had. The report is `timely` if
+    /// the run has ended just now.
+    fn process_end(
+        &mut self,
+        ctx: &mut Context<'_>,
+        at: usize,
+        end: &EndReport,
+        slot: Option<Slot>,
+        timely: bool,
+    ) {
         let worker = &mut self.workers[at];
         if end.number <= worker.heard {
             return;
         }
         worker.heard = end.number;
         let now = ctx.clock.now;
-        let slot = worker.slot_index(&end.task, end.run).map(|s| worker.slots.remove(s));
         let boot = worker.boot.clone();
         let mut needs = None;
         if let Some(slot) = &slot {
@@ -404,7 +415,9 @@
         sent: Moment,
         running: &[RunReport],
     ) {
-        let listed = |s: &Slot| running.iter().any(|r| r.task == s.task && r.run == s.run);
+        let mut keys: Vec<(TaskId, Run)> = running.iter().map(|r| (r.task, r.run)).collect();
+        keys.sort_unstable();
+        let listed = |s: &Slot| keys.binary_search(&(s.task, s.run)).is_ok();
         // True for a run that the worker would have listed if it still had it.
         let would_list = |s: &Slot| match s.phase {
             Phase::Unheard => true,
--- a/crates/fleet/src/placer/slots.rs
+++ b/crates/fleet/src/placer/slots.rs
@@ -75,14 +75,12 @@
 
     /// Removes the runs that match, and returns them.
     pub(crate) fn extract(&mut self, matches: impl Fn(&Slot) -> bool) -> Vec<Slot> {
-        if !self.list.iter().any(&matches) {
-            return Vec::new();
+        let extracted: Vec<Slot> = self.list.extract_if(.., |s| matches(s)).collect();
+        if !extracted.is_empty() {
+            self.used = self.list.iter().fold(Resources::default(), |sum, s| sum.plus(&s.need));
+            self.jobs = job_bits(&self.list);
+            self.changed = true;
         }
-        let (extracted, kept): (Vec<Slot>, Vec<Slot>) = self.take().into_iter().partition(matches);
-        self.used = kept.iter().fold(Resources::default(), |sum, s| sum.plus(&s.need));
-        self.jobs = job_bits(&kept);
-        self.list = kept;
-        self.changed = true;
         extracted
     }
 
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -209,6 +209,20 @@
     }
 }
 
+/// Guards against work for all runs of a worker at the end of each, when thousands of small tasks are on one
+/// worker.
+#[test]
+fn time_for_the_ends_on_a_worker_grows_with_its_runs() {
+    for (gang, cause) in [true, false]
+        .into_iter()
+        .flat_map(|g| [EndCause::Done, EndCause::Broken, EndCause::Stopped].map(|c| (g, c)))
+    {
+        let prepare = |tasks| bench_with_runs(1, large_step(tasks, gang));
+        let name = format!("{cause}, gang {gang}");
+        assert_linear(&name, prepare, |bench| report_ends(bench, cause));
+    }
+}
+
 /// Guards against work for all members of a gang at each report of a member's checkpoint.
 #[test]
 fn time_for_checkpoints_grows_with_the_tasks() {
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::{Moment, Span, WorkerId};
 use std::net::SocketAddr;
 
-use crate::edge::{RunReport, WorkerEntry, WorkerState};
+use crate::edge::{EndReport, RunReport, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Run, TaskId};
 use crate::lead::{LEADER_LEASE_TTL, STORE_OUTAGE_MAX, UNSURE_LEASE};
 use crate::model::Resources;
@@ -323,6 +323,21 @@
         self.slots.insert(slot);
     }
 
+    /// Removes the runs whose ends are reported and not processed yet, and returns them sorted by task and
+    /// run.
+    ///
+    /// Load pattern: thousands of small tasks on one worker, which reports 500 ends at a time.
+    pub(super) fn take_ended(&mut self, ended: &[EndReport]) -> Vec<((TaskId, Run), Option<Slot>)> {
+        let new = ended.iter().filter(|e| e.number > self.heard);
+        let mut keys: Vec<(TaskId, Run)> = new.map(|e| (e.task, e.run)).collect();
+        if keys.is_empty() {
+            return Vec::new();
+        }
+        keys.sort_unstable();
+        let slots = self.slots.extract(|s| keys.binary_search(&(s.task, s.run)).is_ok());
+        slots.into_iter().map(|s| ((s.task, s.run), Some(s))).collect()
+    }
+
     /// Returns the capacity that its entry shows.
     pub(crate) fn capacity(&self) -> Resources {
         self.entry.as_ref().map_or(Resources::default(), |e| e.capacity)
@@ -449,16 +464,13 @@
     /// Advances `acked` over the ends that are recorded; `stored` returns the recorded version of a
     /// job.
     pub(crate) fn advance_acked(&mut self, stored: impl Fn(JobId) -> Option<u64>) {
-        while let Some(end) = self.ends.first() {
-            let recorded = match end.needs {
-                Some((job, version)) => stored(job).is_none_or(|s| s >= version),
-                None => true,
-            };
-            if !recorded {
-                break;
-            }
+        let is_recorded = |end: &&HeardEnd| match end.needs {
+            Some((job, version)) => stored(job).is_none_or(|s| s >= version),
+            None => true,
+        };
+        let recorded = self.ends.iter().take_while(is_recorded).count();
+        if let Some(end) = self.ends.drain(..recorded).next_back() {
             self.acked = end.number;
-            self.ends.remove(0);
         }
     }
 }
