Look for starts to send only after commits that record some

Each commit of a job's state was followed by a search of all of its placed runs for starts to send, also if it recorded only ends. Tasks of the same step are now looked for only on workers that may have runs of the job, and cleared suspects in a sorted list.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -521,7 +521,8 @@
                     cleared.push(task);
                 }
             }
-            job.clear_suspects(|task, _| cleared.contains(task));
+            // Listed in the order of the records, so it is sorted.
+            job.clear_suspects(|task, _| cleared.binary_search(task).is_ok());
         }
     }
 
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -339,7 +339,9 @@
             let t = &s.task;
             (t.job, t.round, t.step) == (unit.job, unit.round, unit.step)
         };
-        for (room, worker) in rooms.iter_mut().zip(&self.workers) {
+        let with_job =
+            rooms.iter_mut().zip(&self.workers).filter(|(_, w)| w.slots.may_have(unit.job));
+        for (room, worker) in with_job {
             room.siblings = worker.slots.iter().filter(same).count() as u32;
         }
     }
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -142,13 +142,16 @@
             let job = &mut self.jobs[at];
             job.rev = rev;
             job.stored = *version;
+            let starts = job.starts;
             if job.version == *version {
                 job.starts = false;
             }
             if job.state.begun || job.is_over() {
                 job.marked = false;
             }
-            self.send_starts(ctx, *id, *version);
+            if starts {
+                self.send_starts(ctx, *id, *version);
+            }
         }
     }
 
