--- a/crates/lab/tests/fleet.rs
+++ b/crates/lab/tests/fleet.rs
@@ -13,6 +13,8 @@
 mod deadly;
 #[path = "fleet/faulty.rs"]
 mod faulty;
+#[path = "fleet/large_jobs.rs"]
+mod large_jobs;
 #[path = "fleet/outage.rs"]
 mod outage;
 #[path = "fleet/overload.rs"]
