Log gangs that go on waiting for a rack

`rack_awaited` is logged once for each job whose gang may not leave its rack after 2 s, with the free accelerators and all that the decision counts.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -145,6 +145,9 @@
         let unit = &unit;
         let tolerances = self.tolerances(ctx, unit, &step, &placement.fleet);
         let Some(mut shape) = self.shape(ctx, unit, step, &placement.fleet) else { return 0 };
+        if shape.step.gang && !shape.anywhere {
+            self.note_rack_wait(ctx, unit, &shape, &placement.fleet);
+        }
         let makes_room = shape.step.gang && !shape.alone;
         let mut claimed = claim.is_some();
         for tolerance in tolerances {
@@ -197,6 +200,30 @@
         })
     }
 
+    /// Logs once for each job that a gang goes on waiting for a rack that has room for all of it.
+    fn note_rack_wait(
+        &mut self,
+        ctx: &Context<'_>,
+        unit: &Unit,
+        shape: &Shape,
+        fleet: &FleetSnapshot,
+    ) {
+        let on_rack = shape.step.one_rack || shape.step.near.is_some();
+        let Ok(j) = self.job_index(unit.job) else { return };
+        let job = &mut self.jobs[j];
+        let waited = ctx.clock.now.since(job.accepted);
+        if !on_rack || waited <= GANG_RACK_WAIT || std::mem::replace(&mut job.rack_logged, true) {
+            return;
+        }
+        let (free, accelerators) = fleet.accelerators();
+        log::info!(
+            event = "rack_awaited", job:% = unit.job, step = unit.step, tasks = unit.waiting.len(),
+            endpoint:% = shape.endpoint, waited_ms = waited.millis(), free = free,
+            accelerators = accelerators;
+            "the gang waits for a rack with room for all of it, as too many accelerators are in use"
+        );
+    }
+
     /// Returns the tolerances with which a unit is placed, in their order.
     fn tolerances(
         &self,
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -98,6 +98,8 @@
     /// Less than half of the capacity of the workers that may get new runs was in use at the start
     /// of the placement.
     mostly_idle: bool,
+    /// Free accelerators and all of those workers, at the start of the placement.
+    accelerators: (u64, u64),
     /// What occupies the accelerators of all workers, and the free ones of those that may get new runs.
     usage: Usage,
     /// At least one worker is in doubt.
@@ -169,6 +171,7 @@
         let (free, capacity) = open.fold(<(Resources, Resources)>::default(), |sum, (room, _)| {
             (sum.0.plus(&room.free), sum.1.plus(&room.capacity))
         });
+        self.accelerators = (free.accelerators, capacity.accelerators);
         self.mostly_idle =
             free.cpu > capacity.cpu / 2 && free.accelerators >= capacity.accelerators / 2;
         if racks_changed || self.rooms.len() > count {
@@ -197,6 +200,11 @@
         self.mostly_idle
     }
 
+    /// Returns the free accelerators and all of the workers by which `is_mostly_idle` decides.
+    pub(super) fn accelerators(&self) -> (u64, u64) {
+        self.accelerators
+    }
+
     /// Returns true if a worker has recent faults, or a breaker that isn't closed.
     pub(super) fn is_doubtful(&self) -> bool {
         self.doubtful
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -63,6 +63,8 @@
     /// The latest run of each gang, by round and step, that was stopped in this epoch. None of its members
     /// starts after that. Sorted.
     stopped: Vec<((u32, u16), Run)>,
+    /// That a gang of the job waits for its rack has been logged.
+    pub(super) rack_logged: bool,
     /// Why no runs were stopped for the job, as logged last.
     pub(super) refusal: Option<Verdict>,
     /// Work in the checkpoints of runs that this placer has stopped, sorted by task.
@@ -123,6 +125,7 @@
             paces,
             preempted: Vec::new(),
             stopped: Vec::new(),
+            rack_logged: false,
             refusal: None,
             saved_work: Vec::new(),
         }
