Decide by the endpoint's workers whether most capacity is idle

Cause: whether a gang may be spread over several racks was decided by the free capacity of all workers of all services. Evidence: `rack_awaited` gave 90 free of 192 accelerators, and the service has 96. The other way round, a gang of a busy service was spread, and so took several times as long, because another was idle.

The capacity is now added up for each endpoint, and for the workers of an endpoint that have the step's label and are large enough for its tasks; one of the two has to be mostly idle.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -9,6 +9,7 @@
 use crate::policy::{BreakerState, Quotas, Risk, Shares, Tolerance, doubt};
 
 use super::field::{FleetSnapshot, Shape, WorkerView};
+use super::job::Job;
 use super::reserve::Stay;
 use super::units::Unit;
 use super::worker::{Phase, Slot};
@@ -17,7 +18,7 @@
 /// A task waits for the rack of its data for this fraction of the time that it would lose on
 /// another rack.
 const RACK_WAIT_FRACTION: f64 = 0.25;
-/// Time for which a gang waits for a rack that can hold it while most of the capacity is idle; a job
+/// Time for which a gang waits for a rack that can hold it while its endpoint is mostly idle; a job
 /// may be without a run for 3 s then. Each rack may have a long run on one of its workers, so that
 /// none becomes free as a whole for a long time.
 const GANG_RACK_WAIT: Span = Span(2_000);
@@ -138,13 +139,13 @@
         ctx.activity.work_on(unit.job);
         let Some(step) = self.step_of(&unit).cloned() else { return 0 };
         if !self.fit_to_ceiling(ctx, &mut unit, claim, placement)
-            || !self.fit_to_reserve(ctx, &mut unit, &step, &placement.fleet)
+            || !self.fit_to_reserve(ctx, &mut unit, &step, &mut placement.fleet)
         {
             return 0;
         }
         let unit = &unit;
-        let tolerances = self.tolerances(ctx, unit, &step, &placement.fleet);
-        let Some(mut shape) = self.shape(ctx, unit, step, &placement.fleet) else { return 0 };
+        let tolerances = self.tolerances(ctx, unit, &step, &mut placement.fleet);
+        let Some(mut shape) = self.shape(ctx, unit, step, &mut placement.fleet) else { return 0 };
         if shape.step.gang && !shape.anywhere {
             self.note_rack_wait(ctx, unit, &shape, &placement.fleet);
         }
@@ -180,13 +181,16 @@
         ctx: &Context<'_>,
         unit: &Unit,
         step: Step,
-        fleet: &FleetSnapshot,
+        fleet: &mut FleetSnapshot,
     ) -> Option<Shape> {
         let job = &self.jobs[self.job_index(unit.job).ok()?];
         let waited = ctx.clock.now.since(job.accepted);
         let away_cost_ms = step.estimate.millis() as f64 * (ctx.bounds.remote_factor - 1.0);
         let anywhere = match step.gang {
-            true => waited > GANG_RACK_WAIT && fleet.is_mostly_idle(),
+            true => {
+                let on_rack = step.one_rack || step.near.is_some();
+                on_rack && waited > GANG_RACK_WAIT && self.is_mostly_idle(ctx, job, &step, fleet)
+            }
             false => waited.millis() as f64 > away_cost_ms * RACK_WAIT_FRACTION,
         };
         Some(Shape {
@@ -215,7 +219,7 @@
         if !on_rack || waited <= GANG_RACK_WAIT || std::mem::replace(&mut job.rack_logged, true) {
             return;
         }
-        let (free, accelerators) = fleet.accelerators();
+        let (free, accelerators) = fleet.accelerators(&shape.endpoint);
         log::info!(
             event = "rack_awaited", job:% = unit.job, step = unit.step, tasks = unit.waiting.len(),
             endpoint:% = shape.endpoint, waited_ms = waited.millis(), free = free,
@@ -230,7 +234,7 @@
         ctx: &Context<'_>,
         unit: &Unit,
         step: &Step,
-        fleet: &FleetSnapshot,
+        fleet: &mut FleetSnapshot,
     ) -> &'static [Tolerance] {
         let Ok(j) = self.job_index(unit.job) else { return &[] };
         if !ctx.features.breaker || !fleet.is_doubtful() {
@@ -247,7 +251,21 @@
         };
         let waited = ctx.clock.now.since(self.jobs[j].waiting_since);
         let stops_for = Span(ctx.bounds.reclaim_ms / STOPS_PREFERRED_DIVISOR);
-        risk.tolerances(waited, stops_for, fleet.is_mostly_idle())
+        let idle = self.is_mostly_idle(ctx, &self.jobs[j], step, fleet);
+        risk.tolerances(waited, stops_for, idle)
+    }
+
+    /// Returns true if the workers of a job's endpoint, or those that may run the step, are mostly idle.
+    pub(super) fn is_mostly_idle(
+        &self,
+        ctx: &Context<'_>,
+        job: &Job,
+        step: &Step,
+        fleet: &mut FleetSnapshot,
+    ) -> bool {
+        let endpoint = job.queue(ctx.catalog).endpoint.as_str();
+        let label = step.label.as_ref();
+        fleet.is_mostly_idle(endpoint, step, |at| self.serves(at, endpoint, label))
     }
 
     /// Places a unit into free capacity, if there is any for its shape; returns how many of its tasks start.
@@ -391,6 +409,7 @@
             free: worker.free(),
             excess: worker.excess(),
             capacity: worker.capacity(),
+            endpoint: entry.map(|e| e.endpoint.as_str()),
             rack: entry.and_then(|e| e.rack.as_ref()),
             usage: self.usage(ctx, worker, priorities),
             doubt: doubt(breaker, worker.recent_faults(ctx.clock.now)),
@@ -401,9 +420,13 @@
 
     /// Returns true if a worker belongs to the endpoint and has the label that a shape requires.
     pub(super) fn is_eligible(&self, at: usize, shape: &Shape) -> bool {
+        self.serves(at, &shape.endpoint, shape.step.label.as_ref())
+    }
+
+    /// Returns true if a worker belongs to an endpoint and has a label, if one is given.
+    fn serves(&self, at: usize, endpoint: &str, label: Option<&String>) -> bool {
         self.workers[at].entry.as_ref().is_some_and(|entry| {
-            let labelled = shape.step.label.as_ref().is_none_or(|l| entry.labels.contains(l));
-            entry.endpoint == shape.endpoint && labelled
+            entry.endpoint == endpoint && label.is_none_or(|l| entry.labels.contains(l))
         })
     }
 
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -65,6 +65,8 @@
     /// What the runs take beyond the capacity.
     pub(super) excess: Resources,
     pub(super) capacity: Resources,
+    /// Endpoint that it serves; `None` if only a record names it.
+    pub(super) endpoint: Option<&'a str>,
     pub(super) rack: Option<&'a RackId>,
     /// What its runs occupy, and the accelerators of those that can't be stopped cheaply.
     pub(super) usage: (Usage, u64),
@@ -76,6 +78,35 @@
     pub(super) open: bool,
 }
 
+/// Resources of some workers that may get new runs.
+#[derive(Clone, Copy, Default)]
+struct Load {
+    /// What no run used at the start of the placement.
+    free: Resources,
+    capacity: Resources,
+}
+
+impl Load {
+    fn add(&mut self, free: &Resources, capacity: &Resources) {
+        self.free = self.free.plus(free);
+        self.capacity = self.capacity.plus(capacity);
+    }
+
+    /// Returns true if less than half of the capacity is in use.
+    fn is_mostly_idle(&self) -> bool {
+        self.free.cpu > self.capacity.cpu / 2
+            && self.free.accelerators >= self.capacity.accelerators / 2
+    }
+}
+
+/// What a step requires of each of its workers.
+#[derive(Clone, PartialEq)]
+struct Kind {
+    endpoint: String,
+    label: Option<String>,
+    need: Resources,
+}
+
 /// The workers that have an endpoint and a label.
 #[derive(Clone)]
 struct Eligible {
@@ -95,11 +126,12 @@
     open: Vec<bool>,
     /// Workers with the endpoints and labels of the shapes so far; a placement has few different ones.
     eligible: Vec<Eligible>,
-    /// Less than half of the capacity of the workers that may get new runs was in use at the start
-    /// of the placement.
-    mostly_idle: bool,
-    /// Free accelerators and all of those workers, at the start of the placement.
-    accelerators: (u64, u64),
+    /// What was free on each worker at the start of the placement.
+    start_free: Vec<Resources>,
+    /// Load of the workers of each endpoint, sorted by endpoint.
+    loads: Vec<(String, Load)>,
+    /// The kinds of workers that steps have required so far, and whether those of each are mostly idle.
+    idle_kinds: Vec<(Kind, bool)>,
     /// What occupies the accelerators of all workers, and the free ones of those that may get new runs.
     usage: Usage,
     /// At least one worker is in doubt.
@@ -136,6 +168,9 @@
         self.too_costly.clear();
         self.open.clear();
         self.eligible.clear();
+        self.start_free.clear();
+        self.loads.clear();
+        self.idle_kinds.clear();
         self.usage = Usage::default();
         self.doubtful = false;
         let (mut count, mut racks_changed) = (0, false);
@@ -159,21 +194,17 @@
             let usage = &mut self.usage;
             usage.urgent += worker.usage.0.urgent;
             usage.lent += worker.usage.0.lent;
+            self.start_free.push(worker.free);
             if worker.open {
                 usage.free = usage.free.saturating_add(worker.free.accelerators);
                 usage.capacity = usage.capacity.saturating_add(worker.capacity.accelerators);
+                let load = load_of(&mut self.loads, worker.endpoint.unwrap_or_default());
+                load.add(&worker.free, &worker.capacity);
             }
             room.band = worker.band;
             self.open.push(worker.open);
             count += 1;
         }
-        let open = self.rooms.iter().zip(&self.open).filter(|(_, open)| **open);
-        let (free, capacity) = open.fold(<(Resources, Resources)>::default(), |sum, (room, _)| {
-            (sum.0.plus(&room.free), sum.1.plus(&room.capacity))
-        });
-        self.accelerators = (free.accelerators, capacity.accelerators);
-        self.mostly_idle =
-            free.cpu > capacity.cpu / 2 && free.accelerators >= capacity.accelerators / 2;
         if racks_changed || self.rooms.len() > count {
             self.rooms.truncate(count);
             self.racks = Racks::of(&self.rooms);
@@ -195,14 +226,55 @@
         }
     }
 
-    /// Returns true if less than half of the capacity is in use.
-    pub(super) fn is_mostly_idle(&self) -> bool {
-        self.mostly_idle
+    /// Returns true if less than half of the capacity was in use at the start of the placement, either of
+    /// the endpoint or of its workers that may run the step; `eligible` returns true if the worker at a
+    /// position has the endpoint and the label of the step.
+    ///
+    /// Other endpoints don't matter. Nor does it matter that other workers of the endpoint are full if
+    /// those for the step are idle; and while the endpoint is mostly idle, a job may not wait for long
+    /// although those for the step are busy.
+    pub(super) fn is_mostly_idle(
+        &mut self,
+        endpoint: &str,
+        step: &Step,
+        eligible: impl Fn(usize) -> bool,
+    ) -> bool {
+        let found = self.loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
+        let Ok(at) = found else { return false };
+        self.loads[at].1.is_mostly_idle() || self.is_kind_idle(endpoint, step, eligible)
     }
 
-    /// Returns the free accelerators and all of the workers by which `is_mostly_idle` decides.
-    pub(super) fn accelerators(&self) -> (u64, u64) {
-        self.accelerators
+    /// Returns true if less than half of the capacity of the workers that may run a step is in use.
+    fn is_kind_idle(
+        &mut self,
+        endpoint: &str,
+        step: &Step,
+        eligible: impl Fn(usize) -> bool,
+    ) -> bool {
+        let (label, need) = (&step.label, step.need);
+        let same = |k: &Kind| k.endpoint == endpoint && k.label == *label && k.need == need;
+        if let Some((_, idle)) = self.idle_kinds.iter().find(|(kind, _)| same(kind)) {
+            return *idle;
+        }
+        let known = self.known_eligible(endpoint, label.as_ref(), eligible);
+        let mut load = Load::default();
+        for (at, room) in self.rooms.iter().enumerate() {
+            let suits = self.eligible[known].workers[at] && room.capacity.fits(&need);
+            if self.open[at] && suits {
+                load.add(&self.start_free[at], &room.capacity);
+            }
+        }
+        let idle = load.is_mostly_idle();
+        let kind = Kind { endpoint: endpoint.to_string(), label: label.clone(), need };
+        self.idle_kinds.push((kind, idle));
+        idle
+    }
+
+    /// Returns the free accelerators of an endpoint at the start of the placement, and all of them.
+    pub(super) fn accelerators(&self, endpoint: &str) -> (u64, u64) {
+        let found = self.loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
+        let load = found.map_or_else(|_| Load::default(), |at| self.loads[at].1);
+        (load.free.accelerators, load.capacity.accelerators)
     }
 
     /// Returns true if a worker has recent faults, or a breaker that isn't closed.
@@ -382,13 +454,17 @@
         found.into_iter().map(|(number, group)| (number, group.staying())).collect()
     }
 
-    /// Returns the position in `eligible` of the workers with the endpoint and the label of a shape.
-    fn known_eligible(&mut self, shape: &Shape, eligible: impl Fn(usize) -> bool) -> usize {
-        let (endpoint, label) = (&shape.endpoint, &shape.step.label);
-        let same = |e: &Eligible| e.endpoint == *endpoint && e.label == *label;
+    /// Returns the position in `eligible` of the workers with an endpoint and a label.
+    fn known_eligible(
+        &mut self,
+        endpoint: &str,
+        label: Option<&String>,
+        eligible: impl Fn(usize) -> bool,
+    ) -> usize {
+        let same = |e: &Eligible| e.endpoint == endpoint && e.label.as_ref() == label;
         self.eligible.iter().position(same).unwrap_or_else(|| {
             let workers = (0..self.rooms.len()).map(eligible).collect();
-            let (endpoint, label) = (endpoint.clone(), label.clone());
+            let (endpoint, label) = (endpoint.to_string(), label.cloned());
             self.eligible.push(Eligible { endpoint, label, workers });
             self.eligible.len() - 1
         })
@@ -401,7 +477,7 @@
         shape: &Shape,
         eligible: impl Fn(usize) -> bool,
     ) -> (&mut [Room], &Racks) {
-        let known = self.known_eligible(shape, eligible);
+        let known = self.known_eligible(&shape.endpoint, shape.step.label.as_ref(), eligible);
         let eligible = &self.eligible[known].workers;
         for (at, room) in self.rooms.iter_mut().enumerate() {
             let trusted = !shape.trusted || room.doubt == 0;
@@ -460,5 +536,15 @@
     }
 }
 
+/// Returns the load of an endpoint in a sorted list, which gets an entry if it has none.
+fn load_of<'a>(loads: &'a mut Vec<(String, Load)>, endpoint: &str) -> &'a mut Load {
+    let found = loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
+    let at = found.unwrap_or_else(|at| {
+        loads.insert(at, (endpoint.to_string(), Load::default()));
+        at
+    });
+    &mut loads[at].1
+}
+
 #[cfg(test)]
 mod tests;
--- a/crates/fleet/src/placer/field/tests.rs
+++ b/crates/fleet/src/placer/field/tests.rs
@@ -1,9 +1,28 @@
 //! The snapshot of the workers at the start of a placement.
 
+use bulrushlink_core::Span;
+
 use super::{FleetSnapshot, WorkerView};
-use crate::model::Resources;
+use crate::model::{Resources, Step};
 use crate::policy::Usage;
 
+fn step() -> Step {
+    Step {
+        tasks: 1,
+        need: Resources { cpu: 1, memory: 1, accelerators: 1 },
+        estimate: Span(1_000),
+        after: Vec::new(),
+        gang: true,
+        one_rack: true,
+        label: None,
+        near: None,
+        per_worker: None,
+        saves: false,
+        copies: false,
+        endless: false,
+    }
+}
+
 /// Guards against entries of workers with nonsensical capacities that take the placer down: their sum
 /// must not overflow.
 #[test]
@@ -13,6 +32,7 @@
         free: all,
         excess: Resources::default(),
         capacity: all,
+        endpoint: Some("dispatch"),
         rack: None,
         usage: (Usage::default(), 0),
         doubt: 0,
@@ -21,5 +41,5 @@
     };
     let mut fleet = FleetSnapshot::default();
     fleet.start_placement([view(), view()].into_iter());
-    assert!(fleet.is_mostly_idle());
+    assert!(fleet.is_mostly_idle("dispatch", &step(), |_| true));
 }
--- a/crates/fleet/src/placer/reserve.rs
+++ b/crates/fleet/src/placer/reserve.rs
@@ -106,15 +106,15 @@
         ctx: &Context<'_>,
         unit: &mut Unit,
         step: &Step,
-        fleet: &FleetSnapshot,
+        fleet: &mut FleetSnapshot,
     ) -> bool {
-        if step.need.accelerators == 0
-            || fleet.is_mostly_idle()
-            || self.stay_of_unit(ctx, unit, step) != Stay::Settled
-        {
+        if step.need.accelerators == 0 || self.stay_of_unit(ctx, unit, step) != Stay::Settled {
             return true;
         }
         let Ok(j) = self.job_index(unit.job) else { return false };
+        if self.is_mostly_idle(ctx, &self.jobs[j], step, fleet) {
+            return true;
+        }
         let waited = ctx.clock.now.since(self.jobs[j].accepted);
         let tasks = self.reserve.left(fleet.usage(), waited) / step.need.accelerators;
         if step.gang {
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -22,6 +22,7 @@
 mod odd_entries;
 mod preemption;
 mod reboots;
+mod services;
 mod shares;
 mod silent;
 mod snapshot;
--- /dev/null
+++ b/crates/fleet/src/placer/tests/services.rs
@@ -0,0 +1,120 @@
+//! Several services, kinds of workers and racks: what holds for one of them is decided by it alone.
+
+use bulrushlink_core::Span;
+
+use super::{Bench, accelerators, step, task};
+use crate::ids::{JobId, Run, TaskId};
+use crate::model::{Resources, Step};
+use crate::placer::worker::{Phase, Slot, Worker};
+
+/// Whole accelerators of a worker.
+const ALL: u64 = 8;
+
+/// Some equal workers of a service.
+struct Group {
+    endpoint: &'static str,
+    label: &'static str,
+    racks: usize,
+    /// Accelerators in use on each worker of a rack.
+    used: &'static [u64],
+}
+
+/// A service on which gangs of two whole workers find no rack with two free ones: each rack has one.
+const IDLE_RACKS: Group = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 1, 1] };
+/// The same, while more than half of the accelerators are in use.
+const BUSY_RACKS: Group = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 8, 7] };
+
+/// Returns a placer with these workers, each with a long run on its used accelerators.
+fn bench(groups: &[Group]) -> Bench {
+    let workers: usize = groups.iter().map(|g| g.racks * g.used.len()).sum();
+    let mut bench = Bench::open(&vec![accelerators(ALL); workers]);
+    let (mut at, now) = (0, bench.now);
+    for (number, group) in groups.iter().enumerate() {
+        for rack in 0..group.racks {
+            for used in group.used {
+                let worker: &mut Worker = &mut bench.placer.workers[at];
+                let entry = worker.entry.as_mut().expect("an entry");
+                entry.endpoint = group.endpoint.to_string();
+                entry.labels = vec![group.label.to_string()];
+                entry.rack = Some(format!("r{number}-{rack}").parse().expect("a valid name"));
+                if *used > 0 {
+                    let need = accelerators(*used);
+                    let need = Resources { cpu: need.cpu * used / ALL, memory: 1, ..need };
+                    let task = TaskId { index: at as u32, ..task(99, 0) };
+                    worker.insert_slot(Slot::new(task, Run(1), need, Phase::Running, now));
+                }
+                at += 1;
+            }
+        }
+    }
+    bench
+}
+
+/// Returns a gang of two whole workers that belongs on one rack.
+fn gang() -> Step {
+    Step { one_rack: true, ..step(2, true, ALL) }
+}
+
+/// Lets time pass, with a placement in each tenth of a second; returns the tasks of job 1 that start.
+fn wait(bench: &mut Bench, millis: u64) -> Vec<TaskId> {
+    let mut started = Vec::new();
+    for _ in 0..millis / 100 {
+        bench.now += Span(90);
+        bench.placer.reading.fresh = Some(bench.now);
+        bench.pass();
+        started.extend(bench.commit().into_iter().filter(|t| t.job == JobId(1)));
+    }
+    started
+}
+
+/// Guards against a gang that waits for a rack as long as another service is busy, though its own has room
+/// for it many times over (review case 4, LOST). A job may be without a run for 3 s then.
+#[test]
+fn busy_service_does_not_keep_a_gang_of_an_idle_one_on_its_rack() {
+    let other = Group { endpoint: "review", label: "a", racks: 3, used: &[8, 8, 8, 8] };
+    let mut bench = bench(&[IDLE_RACKS, other]);
+    bench.add_job(1, 1, gang());
+    assert_eq!(wait(&mut bench, 3_000).len(), 2);
+}
+
+/// Guards against a gang that is spread over the racks of a busy service, and so takes several times as
+/// long, because another service is idle.
+#[test]
+fn idle_service_does_not_spread_a_gang_of_a_busy_one() {
+    let other = Group { endpoint: "review", label: "a", racks: 6, used: &[0, 0, 0, 0] };
+    let mut bench = bench(&[BUSY_RACKS, other]);
+    bench.add_job(1, 1, gang());
+    assert_eq!(wait(&mut bench, 5_000), []);
+}
+
+/// Guards against a gang that waits for a rack while its label's workers are idle and those of other labels
+/// in the service are busy.
+#[test]
+fn busy_kind_does_not_keep_a_gang_of_an_idle_one_on_its_rack() {
+    let other = Group { endpoint: "dispatch", label: "b", racks: 4, used: &[8, 8, 8, 8] };
+    let mut bench = bench(&[IDLE_RACKS, other]);
+    bench.add_job(1, 1, Step { label: Some("a".to_string()), ..gang() });
+    assert_eq!(wait(&mut bench, 3_000).len(), 2);
+}
+
+/// Guards against a gang that waits for a rack while under half of its service is in use, because its
+/// label's workers are busy: it may not wait for longer than 3 s if there is room for it twice over.
+#[test]
+fn gang_of_a_busy_kind_in_an_idle_service_starts() {
+    let other = Group { endpoint: "dispatch", label: "b", racks: 6, used: &[0, 0, 0, 0] };
+    let mut bench = bench(&[BUSY_RACKS, other]);
+    bench.add_job(1, 1, Step { label: Some("a".to_string()), ..gang() });
+    assert_eq!(wait(&mut bench, 3_000).len(), 2);
+}
+
+/// Guards against a gang that waits for a rack because workers too small for its tasks are busy.
+#[test]
+fn busy_small_workers_do_not_keep_a_gang_on_its_rack() {
+    let other = Group { endpoint: "dispatch", label: "a", racks: 6, used: &[4, 4, 4, 4] };
+    let mut bench = bench(&[IDLE_RACKS, other]);
+    for worker in &mut bench.placer.workers[12..] {
+        worker.entry.as_mut().expect("an entry").capacity = accelerators(4);
+    }
+    bench.add_job(1, 1, gang());
+    assert_eq!(wait(&mut bench, 3_000).len(), 2);
+}
