Compare the learned speeds of workers within their endpoint

Callers would see a gang on the slowest workers of its service: speeds were banded around the mean of the workers of all services, so that those of a service much slower or faster than another all fell into the last band. Speeds are learned by comparing tasks of the same step, so they say nothing across services.

The means are now those of each endpoint's workers.

`speeds_of_another_service_do_not_matter` failed with the mean of all workers: "the gang is on the slowest worker".

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -31,6 +31,7 @@
 
 mod crash;
 mod decide;
+mod endpoints;
 mod faulty;
 mod field;
 mod flush;
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -8,6 +8,7 @@
 use crate::plan::{Packing, Room, SpeedPreference, place_gang, place_singles};
 use crate::policy::{BreakerState, Quotas, Risk, Shares, Tolerance, doubt};
 
+use super::endpoints::Endpoints;
 use super::field::{FleetSnapshot, Shape, WorkerView};
 use super::job::Job;
 use super::reserve::Stay;
@@ -75,9 +76,9 @@
             return 0;
         }
         let mut fleet = std::mem::take(&mut self.field);
-        let mean_log = self.mean_speed();
+        let speeds = self.mean_speeds();
         let priorities = self.priorities(ctx);
-        let view = |at| self.worker_view(ctx, at, mean_log, &priorities);
+        let view = |at| self.worker_view(ctx, at, &speeds, &priorities);
         fleet.start_placement((0..self.workers.len()).map(view));
         let (quotas, shares) = (self.quotas(ctx), Shares::default());
         let mut placement = Placement { fleet, quotas, shares, guaranteed };
@@ -391,13 +392,13 @@
         }
     }
 
-    /// Returns the state of a worker at the start of a placement; `mean_log` is the mean of the
-    /// logarithms of the learned speeds, and `priorities` are those of the jobs.
+    /// Returns the state of a worker at the start of a placement; `speeds` are the means of the logarithms
+    /// of the learned speeds, and `priorities` are those of the jobs.
     pub(super) fn worker_view(
         &self,
         ctx: &Context<'_>,
         at: usize,
-        mean_log: f64,
+        speeds: &Endpoints<f64>,
         priorities: &[u32],
     ) -> WorkerView<'_> {
         let worker = &self.workers[at];
@@ -409,11 +410,11 @@
             free: worker.free(),
             excess: worker.excess(),
             capacity: worker.capacity(),
-            endpoint: entry.map(|e| e.endpoint.as_str()),
+            endpoint: worker.endpoint(),
             rack: entry.and_then(|e| e.rack.as_ref()),
             usage: self.usage(ctx, worker, priorities),
             doubt: doubt(breaker, worker.recent_faults(ctx.clock.now)),
-            band: worker.pace.band(mean_log),
+            band: worker.pace.band(speeds.get(worker.endpoint()).copied().unwrap_or_default()),
             open: self.may_start(ctx, at) && !worker.is_isolated(ctx.clock.now),
         }
     }
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -11,6 +11,7 @@
 use crate::plan::{Racks, Room, Victim};
 use crate::policy::{Owner, Shares, Stake, Tolerance, Usage};
 
+use super::endpoints::Endpoints;
 use super::groups::{Claimant, Group, Preemptibility, RunKey};
 use super::reserve::Stay;
 
@@ -65,8 +66,8 @@
     /// What the runs take beyond the capacity.
     pub(super) excess: Resources,
     pub(super) capacity: Resources,
-    /// Endpoint that it serves; `None` if only a record names it.
-    pub(super) endpoint: Option<&'a str>,
+    /// Endpoint that it serves; empty if only a record names it.
+    pub(super) endpoint: &'a str,
     pub(super) rack: Option<&'a RackId>,
     /// What its runs occupy, and the accelerators of those that can't be stopped cheaply.
     pub(super) usage: (Usage, u64),
@@ -128,8 +129,8 @@
     eligible: Vec<Eligible>,
     /// What was free on each worker at the start of the placement.
     start_free: Vec<Resources>,
-    /// Load of the workers of each endpoint, sorted by endpoint.
-    loads: Vec<(String, Load)>,
+    /// Load of the workers of each endpoint.
+    loads: Endpoints<Load>,
     /// The kinds of workers that steps have required so far, and whether those of each are mostly idle.
     idle_kinds: Vec<(Kind, bool)>,
     /// What occupies the accelerators of all workers, and the free ones of those that may get new runs.
@@ -198,7 +199,7 @@
             if worker.open {
                 usage.free = usage.free.saturating_add(worker.free.accelerators);
                 usage.capacity = usage.capacity.saturating_add(worker.capacity.accelerators);
-                let load = load_of(&mut self.loads, worker.endpoint.unwrap_or_default());
+                let load = self.loads.entry(worker.endpoint);
                 load.add(&worker.free, &worker.capacity);
             }
             room.band = worker.band;
@@ -239,9 +240,8 @@
         step: &Step,
         eligible: impl Fn(usize) -> bool,
     ) -> bool {
-        let found = self.loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
-        let Ok(at) = found else { return false };
-        self.loads[at].1.is_mostly_idle() || self.is_kind_idle(endpoint, step, eligible)
+        let Some(load) = self.loads.get(endpoint) else { return false };
+        load.is_mostly_idle() || self.is_kind_idle(endpoint, step, eligible)
     }
 
     /// Returns true if less than half of the capacity of the workers that may run a step is in use.
@@ -272,8 +272,7 @@
 
     /// Returns the free accelerators of an endpoint at the start of the placement, and all of them.
     pub(super) fn accelerators(&self, endpoint: &str) -> (u64, u64) {
-        let found = self.loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
-        let load = found.map_or_else(|_| Load::default(), |at| self.loads[at].1);
+        let load = self.loads.get(endpoint).copied().unwrap_or_default();
         (load.free.accelerators, load.capacity.accelerators)
     }
 
@@ -536,15 +535,5 @@
     }
 }
 
-/// Returns the load of an endpoint in a sorted list, which gets an entry if it has none.
-fn load_of<'a>(loads: &'a mut Vec<(String, Load)>, endpoint: &str) -> &'a mut Load {
-    let found = loads.binary_search_by(|(name, _)| name.as_str().cmp(endpoint));
-    let at = found.unwrap_or_else(|at| {
-        loads.insert(at, (endpoint.to_string(), Load::default()));
-        at
-    });
-    &mut loads[at].1
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/fleet/src/placer/field/tests.rs
+++ b/crates/fleet/src/placer/field/tests.rs
@@ -32,7 +32,7 @@
         free: all,
         excess: Resources::default(),
         capacity: all,
-        endpoint: Some("dispatch"),
+        endpoint: "dispatch",
         rack: None,
         usage: (Usage::default(), 0),
         doubt: 0,
--- a/crates/fleet/src/placer/pace.rs
+++ b/crates/fleet/src/placer/pace.rs
@@ -33,6 +33,12 @@
 }
 
 impl WorkerPace {
+    /// Returns a speed that is known well.
+    #[cfg(test)]
+    pub(super) const fn known(log: f64) -> Self {
+        Self { log, samples: SAMPLES_MIN }
+    }
+
     /// Returns the mean of the known speeds, as a logarithm, from which the bands are counted.
     /// Samples only compare workers with each other, so the mean itself carries no information.
     pub(super) fn mean_log<'a>(paces: impl Iterator<Item = &'a Self>) -> f64 {
--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -11,6 +11,7 @@
 use crate::policy::{Demand, Model, Quotas, Shares, Stake, Verdict, is_in_time, judge};
 
 use super::decide::{Assignment, Placement};
+use super::endpoints::Endpoints;
 use super::field::{FleetSnapshot, Shape};
 use super::groups::{Claimant, Group, Preemptibility, Reach, RunKey};
 use super::job::Job;
@@ -425,7 +426,7 @@
             }
         }
         runs.sort_unstable();
-        let mean_log = self.mean_speed();
+        let speeds = self.mean_speeds();
         let same_step = |((a, _), ..): &(RunKey, usize, usize), ((b, _), ..): &(RunKey, _, _)| {
             (a.job, a.step) == (b.job, b.step)
         };
@@ -433,7 +434,7 @@
         for runs in runs.chunk_by(same_step) {
             let facts = self.step_facts(ctx, &runs[0].0.0, guaranteed);
             let members = runs.chunk_by(|a, b| a.0 == b.0);
-            groups.extend(members.map(|m| self.group(ctx, m, &facts, mean_log)));
+            groups.extend(members.map(|m| self.group(ctx, m, &facts, &speeds)));
         }
         groups
     }
@@ -444,7 +445,7 @@
         ctx: &Context<'_>,
         members: &[(RunKey, usize, usize)],
         facts: &StepFacts<'_>,
-        mean_log: f64,
+        speeds: &Endpoints<f64>,
     ) -> Group {
         let now = ctx.clock.now;
         let (key, at, s) = members[0];
@@ -453,6 +454,7 @@
         let mut group = Group::new(key, facts.preemptibility(ctx, &first.task), cost);
         // The members of a gang end together.
         let known = facts.job.zip(facts.step).zip(facts.model.as_ref());
+        let mean_log = speeds.get(self.workers[at].endpoint()).copied().unwrap_or_default();
         let learned = known.and_then(|((job, step), model)| {
             self.remaining_by(ctx, (at, mean_log), (job, step, model), first)
         });
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -376,9 +376,10 @@
     pub(super) fn stop_runs_of_leaving_workers(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.clock.now;
         let mut affected = Vec::new();
-        let mean_log = self.mean_speed();
+        let speeds = self.mean_speeds();
         for (at, worker) in self.workers.iter().enumerate() {
             let Some(leaves_at) = worker.leaves_at else { continue };
+            let mean_log = speeds.get(worker.endpoint()).copied().unwrap_or_default();
             for slot in worker.slots.iter().filter(|s| s.phase == Phase::Running) {
                 let Ok(j) = self.job_index(slot.task.job) else { continue };
                 let Some(step) = self.jobs[j].step(&slot.task) else { continue };
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -125,7 +125,8 @@
         }
         let starts: Vec<_> = assignment.iter().map(|(n, at)| (*at, task(1, *n), Run(1))).collect();
         bench.with(|p, ctx| {
-            let view = |at| p.worker_view(ctx, at, 0.0, &[]);
+            let speeds = p.mean_speeds();
+            let view = |at| p.worker_view(ctx, at, &speeds, &[]);
             fleet.start_placement((0..8).map(view));
             for _ in 0..CHECKS {
                 assert!(fleet.has_room(&assignment, &Resources::default()));
--- a/crates/fleet/src/placer/tests/services.rs
+++ b/crates/fleet/src/placer/tests/services.rs
@@ -5,6 +5,7 @@
 use super::{Bench, accelerators, step, task};
 use crate::ids::{JobId, Run, TaskId};
 use crate::model::{Resources, Step};
+use crate::placer::pace::WorkerPace;
 use crate::placer::worker::{Phase, Slot, Worker};
 
 /// Whole accelerators of a worker.
@@ -118,3 +119,19 @@
     bench.add_job(1, 1, gang());
     assert_eq!(wait(&mut bench, 3_000).len(), 2);
 }
+
+/// Guards against speeds that are compared across services: where all workers of a service were slower than
+/// those of another, they all counted as equally slow, and a gang got the slowest.
+#[test]
+fn speeds_of_another_service_do_not_matter() {
+    let own = Group { endpoint: "dispatch", label: "a", racks: 1, used: &[0, 0, 0] };
+    let other = Group { endpoint: "review", label: "a", racks: 1, used: &[0, 0, 0] };
+    let mut bench = bench(&[own, other]);
+    let logs = [-1.6, -1.0, -1.0, 1.0, 1.0, 1.0];
+    for (worker, log) in bench.placer.workers.iter_mut().zip(logs) {
+        worker.pace = WorkerPace::known(log);
+    }
+    bench.add_job(1, 0, step(2, true, ALL));
+    assert_eq!(wait(&mut bench, 100).len(), 2);
+    assert_eq!(bench.placer.workers[0].slots.len(), 0, "the gang is on the slowest worker");
+}
--- a/crates/fleet/src/placer/times.rs
+++ b/crates/fleet/src/placer/times.rs
@@ -11,6 +11,7 @@
 use crate::model::Step;
 use crate::policy::{Forecast, Model, Sample, Shape, StepKey};
 
+use super::endpoints::Endpoints;
 use super::job::Job;
 use super::pace::WorkerPace;
 use super::worker::{Phase, Slot};
@@ -100,13 +101,29 @@
         }
     }
 
-    /// Returns the mean of the logarithms of the workers' speeds.
-    pub(super) fn mean_speed(&self) -> f64 {
-        WorkerPace::mean_log(self.workers.iter().map(|w| &w.pace))
+    /// Returns the means of the logarithms of the workers' speeds, for each endpoint.
+    ///
+    /// Speeds are compared by tasks of the same step, which all run on one endpoint, so they say nothing
+    /// about the workers of another.
+    pub(super) fn mean_speeds(&self) -> Endpoints<f64> {
+        let mut means: Endpoints<f64> = Endpoints::default();
+        for worker in &self.workers {
+            means.entry(worker.endpoint());
+        }
+        for (endpoint, mean) in means.iter_mut() {
+            *mean = self.mean_speed(endpoint);
+        }
+        means
+    }
+
+    /// Returns the mean of the logarithms of the speeds of an endpoint's workers.
+    fn mean_speed(&self, endpoint: &str) -> f64 {
+        let workers = self.workers.iter().filter(|w| w.endpoint() == endpoint);
+        WorkerPace::mean_log(workers.map(|w| &w.pace))
     }
 
     /// Returns the time that a run is expected to go on; `None` if that isn't learned or the start of the
-    /// run isn't known. `mean_log` is the mean of the logarithms of the workers' speeds.
+    /// run isn't known. `mean_log` is the mean of the logarithms of the speeds of the endpoint's workers.
     pub(super) fn learned_remaining(
         &self,
         ctx: &Context<'_>,
@@ -167,7 +184,8 @@
             return;
         }
         let now = ctx.clock.now;
-        let pace = self.run_pace(ctx, (at, self.mean_speed()), job, step, &end.task);
+        let mean_log = self.mean_speed(self.workers[at].endpoint());
+        let pace = self.run_pace(ctx, (at, mean_log), job, step, &end.task);
         let work = |until: Moment| {
             let own = scale(until.since(slot.started), pace);
             own + slot.saved_work.unwrap_or(Span::ZERO)
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -338,6 +338,11 @@
         slots.into_iter().map(|s| ((s.task, s.run), Some(s))).collect()
     }
 
+    /// Returns the endpoint that its entry names; empty if only a record names the worker.
+    pub(crate) fn endpoint(&self) -> &str {
+        self.entry.as_ref().map_or("", |e| &e.endpoint)
+    }
+
     /// Returns the capacity that its entry shows.
     pub(crate) fn capacity(&self) -> Resources {
         self.entry.as_ref().map_or(Resources::default(), |e| e.capacity)
