Keep the reserve for urgent work and the wanted widths apart for each endpoint

Callers would see, with features.timely_preemption: room in one service kept free for bursts of urgent work in another, or given away because another has room; and tasks packed by the widths that another service wants. What urgent work has needed, what is in use and lent, and the widths were added up over all services.

All three are now kept for each endpoint.

`urgent_work_of_another_service_reserves_nothing` and `room_of_another_service_does_not_count_for_the_reserve` failed before.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -18,6 +18,7 @@
 use crate::policy::{Breakers, Reserve, RunTimes, Standing, Widths};
 use crate::settings::{Bounds, Features};
 use crash::Silence;
+use endpoints::Endpoints;
 use faulty::LogLimit;
 use field::FleetSnapshot;
 use flush::Flight;
@@ -208,10 +209,10 @@
     /// Cancellations that were read before their jobs, or before all records were loaded.
     cancels: Vec<JobId>,
     claims: Vec<Claim>,
-    /// Widths of the tasks that have waited lately.
-    widths: Widths,
-    /// What urgent work has needed lately.
-    reserve: Reserve,
+    /// Widths of the tasks that have waited lately, for each endpoint.
+    widths: Endpoints<Widths>,
+    /// What urgent work has needed lately, for each endpoint.
+    reserve: Endpoints<Reserve>,
     /// Recent losses of contact with workers that had runs.
     silences: Vec<Silence>,
     /// Circuit breakers of the workers; without effect unless the settings turn them on.
@@ -270,8 +271,8 @@
             workers: Vec::new(),
             cancels: Vec::new(),
             claims: Vec::new(),
-            widths: Widths::default(),
-            reserve: Reserve::default(),
+            widths: Endpoints::default(),
+            reserve: Endpoints::default(),
             silences: Vec::new(),
             breakers: Breakers::default(),
             breaker_log: LogLimit::default(),
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -1,6 +1,6 @@
 //! Placement: assigns waiting tasks to workers with free capacity.
 
-use bulrushlink_core::{Moment, Span};
+use bulrushlink_core::Span;
 
 use crate::activity::Part;
 use crate::ids::{JobId, Run, TaskId};
@@ -88,7 +88,7 @@
         units.sort_by(Unit::compare);
         ctx.activity.enter(Part::Place);
         if ctx.features.timely_preemption {
-            self.observe_widths(ctx.clock.now, &units);
+            self.observe_widths(ctx, &units);
             self.observe_urgent(ctx, &units, &placement.fleet);
         }
         let waiting = units.len();
@@ -316,7 +316,8 @@
         let assignment: Assignment = unit.waiting.iter().copied().zip(placed).collect();
         fleet.take_room(&assignment, need);
         let taken = assignment.len() as u64 * need.accelerators;
-        fleet.count_use(self.stay_of_unit(ctx, unit, &shape.step), taken);
+        let stay = self.stay_of_unit(ctx, unit, &shape.step);
+        fleet.count_use(&shape.endpoint, stay, taken);
         self.count_tasks(quotas, unit.job, need, assignment.len());
         self.plan_starts(ctx, &unit.task(0), &assignment, "placed into free capacity");
         self.close_isolated(ctx, &assignment, fleet);
@@ -352,10 +353,11 @@
         let count = unit.waiting.len();
         let preference =
             if unit.is_urgent() { SpeedPreference::Fastest } else { SpeedPreference::SpareFastest };
+        let widths = self.widths.get(&shape.endpoint).copied().unwrap_or_default();
         let packing = match self.stay_of_unit(ctx, unit, &shape.step) {
             _ if !ctx.features.timely_preemption => Packing::Fullest,
-            Stay::Settled => Packing::Gathered(self.widths),
-            Stay::Urgent | Stay::Lent => Packing::Usable(self.widths),
+            Stay::Settled => Packing::Gathered(widths),
+            Stay::Urgent | Stay::Lent => Packing::Usable(widths),
         };
         let choice = (preference, packing);
         if shape.step.gang {
@@ -366,14 +368,21 @@
         }
     }
 
-    fn observe_widths(&mut self, now: Moment, units: &[Unit]) {
-        let jobs = &self.jobs;
-        let waiting = units.iter().filter_map(|unit| {
-            let at = jobs.position(unit.job).ok()?;
-            let step = &jobs[at].spec.steps[usize::from(unit.step)];
-            Some((step.need.accelerators, unit.waiting.len()))
-        });
-        self.widths.observe(now, waiting);
+    fn observe_widths(&mut self, ctx: &Context<'_>, units: &[Unit]) {
+        let mut waiting: Endpoints<Vec<(u64, usize)>> = Endpoints::default();
+        // What is known of the others decays.
+        for (endpoint, _) in self.widths.iter_mut() {
+            waiting.entry(endpoint);
+        }
+        for unit in units {
+            let Ok(at) = self.jobs.position(unit.job) else { continue };
+            let (job, step) = (&self.jobs[at], usize::from(unit.step));
+            let wanted = (job.spec.steps[step].need.accelerators, unit.waiting.len());
+            waiting.entry(&job.queue(ctx.catalog).endpoint).push(wanted);
+        }
+        for (endpoint, wanted) in waiting.iter_mut() {
+            self.widths.entry(endpoint).observe(ctx.clock.now, wanted.drain(..));
+        }
     }
 
     /// Counts the tasks of the same step on each worker, if the step limits them.
--- a/crates/fleet/src/placer/field.rs
+++ b/crates/fleet/src/placer/field.rs
@@ -133,8 +133,9 @@
     loads: Endpoints<Load>,
     /// The kinds of workers that steps have required so far, and whether those of each are mostly idle.
     idle_kinds: Vec<(Kind, bool)>,
-    /// What occupies the accelerators of all workers, and the free ones of those that may get new runs.
-    usage: Usage,
+    /// What occupies the accelerators of each endpoint's workers, and the free ones of those that may get
+    /// new runs.
+    usage: Endpoints<Usage>,
     /// At least one worker is in doubt.
     doubtful: bool,
     /// Groups that could be stopped, sorted by task and run; none until they are needed.
@@ -172,7 +173,7 @@
         self.start_free.clear();
         self.loads.clear();
         self.idle_kinds.clear();
-        self.usage = Usage::default();
+        self.usage.clear();
         self.doubtful = false;
         let (mut count, mut racks_changed) = (0, false);
         for worker in workers {
@@ -192,7 +193,7 @@
             room.settled = worker.usage.1;
             room.doubt = worker.doubt;
             self.doubtful |= worker.doubt > 0;
-            let usage = &mut self.usage;
+            let usage = self.usage.entry(worker.endpoint);
             usage.urgent += worker.usage.0.urgent;
             usage.lent += worker.usage.0.lent;
             self.start_free.push(worker.free);
@@ -212,17 +213,18 @@
         }
     }
 
-    /// Returns what occupies the accelerators.
-    pub(super) fn usage(&self) -> &Usage {
-        &self.usage
+    /// Returns what occupies the accelerators of an endpoint's workers.
+    pub(super) fn usage(&self, endpoint: &str) -> Usage {
+        self.usage.get(endpoint).copied().unwrap_or_default()
     }
 
     /// Counts accelerators as in use by a unit.
-    pub(super) fn count_use(&mut self, stay: Stay, accelerators: u64) {
-        self.usage.free = self.usage.free.saturating_sub(accelerators);
+    pub(super) fn count_use(&mut self, endpoint: &str, stay: Stay, accelerators: u64) {
+        let usage = self.usage.entry(endpoint);
+        usage.free = usage.free.saturating_sub(accelerators);
         match stay {
-            Stay::Urgent => self.usage.urgent += accelerators,
-            Stay::Lent => self.usage.lent += accelerators,
+            Stay::Urgent => usage.urgent += accelerators,
+            Stay::Lent => usage.lent += accelerators,
             Stay::Settled => {}
         }
     }
--- a/crates/fleet/src/placer/reserve.rs
+++ b/crates/fleet/src/placer/reserve.rs
@@ -5,6 +5,7 @@
 use crate::model::Step;
 use crate::policy::Usage;
 
+use super::endpoints::Endpoints;
 use super::field::FleetSnapshot;
 use super::units::Unit;
 use super::worker::{Phase, Slot, Worker};
@@ -45,7 +46,7 @@
         }
         for slot in worker.slots.iter() {
             let accelerators = slot.need.accelerators;
-            match self.stay_of_run(ctx, slot, priorities) {
+            match self.stay_of_run(ctx, worker, slot, priorities) {
                 Some(Stay::Urgent) => usage.urgent += accelerators,
                 Some(Stay::Lent) => usage.lent += accelerators,
                 Some(Stay::Settled) => settled += accelerators,
@@ -56,20 +57,27 @@
     }
 
     /// Returns how a run counts; `None` if it is being stopped.
-    fn stay_of_run(&self, ctx: &Context<'_>, slot: &Slot, priorities: &[u32]) -> Option<Stay> {
+    fn stay_of_run(
+        &self,
+        ctx: &Context<'_>,
+        worker: &Worker,
+        slot: &Slot,
+        priorities: &[u32],
+    ) -> Option<Stay> {
         if matches!(slot.phase, Phase::Closing { .. }) {
             return None;
         }
         let at = self.job_index(slot.task.job).ok()?;
         let step = self.jobs[at].step(&slot.task)?;
         let left = slot.remaining(ctx.clock.now).unwrap_or(step.estimate);
-        Some(self.stay(priorities[at], step, left))
+        Some(self.stay(worker.endpoint(), priorities[at], step, left))
     }
 
-    fn stay(&self, priority: u32, step: &Step, left: Span) -> Stay {
+    fn stay(&self, endpoint: &str, priority: u32, step: &Step, left: Span) -> Stay {
+        let short = || self.reserve.get(endpoint).is_some_and(|r| r.is_short(left));
         match () {
             () if priority == 0 => Stay::Urgent,
-            () if step.saves || self.reserve.is_short(left) => Stay::Lent,
+            () if step.saves || short() => Stay::Lent,
             () => Stay::Settled,
         }
     }
@@ -77,7 +85,9 @@
     /// Returns how the tasks of a unit count; all are urgent if the setting is off.
     pub(super) fn stay_of_unit(&self, ctx: &Context<'_>, unit: &Unit, step: &Step) -> Stay {
         let urgent = unit.guaranteed || !ctx.features.timely_preemption;
-        self.stay(if urgent { 0 } else { unit.priority }, step, unit.expected)
+        let job = self.job_index(unit.job).map(|j| &self.jobs[j]);
+        let endpoint = job.map_or("", |j| &j.queue(ctx.catalog).endpoint);
+        self.stay(endpoint, if urgent { 0 } else { unit.priority }, step, unit.expected)
     }
 
     /// Updates what urgent work has needed lately.
@@ -87,16 +97,26 @@
         units: &[Unit],
         fleet: &FleetSnapshot,
     ) {
-        let mut wanted = fleet.usage().urgent;
+        let endpoints = ctx.catalog.into_iter().flat_map(|c| &c.queues).map(|q| &q.endpoint);
+        let mut wanted: Endpoints<u64> = Endpoints::default();
+        for endpoint in endpoints {
+            *wanted.entry(endpoint) = fleet.usage(endpoint).urgent;
+        }
         for unit in units.iter().filter(|u| u.priority == 0) {
             let Ok(j) = self.job_index(unit.job) else { continue };
-            let need = self.jobs[j].spec.steps[usize::from(unit.step)].need.accelerators;
-            wanted = wanted.saturating_add(need.saturating_mul(unit.waiting.len() as u64));
+            let (job, step) = (&self.jobs[j], usize::from(unit.step));
+            let endpoint = &job.queue(ctx.catalog).endpoint;
+            let need = job.spec.steps[step].need.accelerators;
+            let sum = wanted.entry(endpoint);
+            *sum = sum.saturating_add(need.saturating_mul(unit.waiting.len() as u64));
             let delay = unit.input.allowed.millis().saturating_sub(unit.input.needed.millis());
             // A job with an absurd estimate must not make all work count as short.
-            self.reserve.observe_delay(Span(delay.min(ctx.bounds.reclaim_ms)));
+            let delay = Span(delay.min(ctx.bounds.reclaim_ms));
+            self.reserve.entry(endpoint).observe_delay(delay);
+        }
+        for (endpoint, wanted) in wanted.iter_mut() {
+            self.reserve.entry(endpoint).observe(ctx.clock.now, *wanted);
         }
-        self.reserve.observe(ctx.clock.now, wanted);
     }
 
     /// Reduces a unit to the tasks that leave the reserve for urgent work; returns false if there are none.
@@ -116,7 +136,9 @@
             return true;
         }
         let waited = ctx.clock.now.since(self.jobs[j].accepted);
-        let tasks = self.reserve.left(fleet.usage(), waited) / step.need.accelerators;
+        let endpoint = self.jobs[j].queue(ctx.catalog).endpoint.as_str();
+        let reserve = self.reserve.get(endpoint).copied().unwrap_or_default();
+        let tasks = reserve.left(&fleet.usage(endpoint), waited) / step.need.accelerators;
         if step.gang {
             return tasks >= unit.waiting.len() as u64;
         }
--- a/crates/fleet/src/placer/tests/services.rs
+++ b/crates/fleet/src/placer/tests/services.rs
@@ -7,6 +7,7 @@
 use crate::model::{Resources, Step};
 use crate::placer::pace::WorkerPace;
 use crate::placer::worker::{Phase, Slot, Worker};
+use crate::record::Outcome;
 
 /// Whole accelerators of a worker.
 const ALL: u64 = 8;
@@ -135,3 +136,40 @@
     assert_eq!(wait(&mut bench, 100).len(), 2);
     assert_eq!(bench.placer.workers[0].slots.len(), 0, "the gang is on the slowest worker");
 }
+
+/// Adds a job to a queue of another service, which only the job names.
+fn add_job_of(bench: &mut Bench, endpoint: &str, id: u64, priority: u32, step: Step) {
+    bench.add_job(id, priority, step);
+    let at = bench.placer.jobs.position(JobId(id)).expect("the job");
+    let queue = &mut bench.placer.jobs[at].accepted_queue;
+    (queue.name, queue.endpoint) = (format!("{endpoint}-{priority}"), endpoint.to_string());
+}
+
+/// Three of four workers in use.
+const NEARLY_FULL: Group =
+    Group { endpoint: "dispatch", label: "a", racks: 1, used: &[0, 8, 8, 8] };
+
+/// Guards against room that is kept free in one service for the urgent work of another.
+#[test]
+fn urgent_work_of_another_service_reserves_nothing() {
+    let other = Group { endpoint: "review", label: "a", racks: 1, used: &[8, 8, 8, 8] };
+    let mut bench = bench(&[NEARLY_FULL, other]);
+    bench.features.timely_preemption = true;
+    add_job_of(&mut bench, "review", 2, 0, step(4, true, ALL));
+    bench.pass();
+    bench.add_job(1, 1, step(1, false, ALL));
+    assert_eq!(wait(&mut bench, 100).len(), 1);
+}
+
+/// Guards against room for urgent work that is given away because another service has room.
+#[test]
+fn room_of_another_service_does_not_count_for_the_reserve() {
+    let other = Group { endpoint: "review", label: "a", racks: 1, used: &[0, 0, 0, 0] };
+    let mut bench = bench(&[NEARLY_FULL, other]);
+    bench.features.timely_preemption = true;
+    bench.add_job(2, 0, step(4, true, ALL));
+    bench.pass();
+    bench.placer.jobs[0].finish(Outcome::Cancelled, 0);
+    bench.add_job(1, 1, step(1, false, ALL));
+    assert_eq!(wait(&mut bench, 500), []);
+}
