Let a job without runs leave the full rack of its data in an idle service

Callers would see a job queued though its service is nearly idle: single tasks wait for the rack of their data for a quarter of the time that they would lose elsewhere, 30 s for tasks of 60 s. Gangs had such a limit already.

A job that has had no runs for 2 s may use other racks if its endpoint, or the workers that may run the step, are mostly idle.

`full_rack_does_not_keep_a_job_of_an_idle_service_waiting` failed before; `tasks_wait_for_the_rack_of_their_data_if_they_may` guards the other ways.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -19,10 +19,10 @@
 /// A task waits for the rack of its data for this fraction of the time that it would lose on
 /// another rack.
 const RACK_WAIT_FRACTION: f64 = 0.25;
-/// Time for which a gang waits for a rack that can hold it while its endpoint is mostly idle; a job
-/// may be without a run for 3 s then. Each rack may have a long run on one of its workers, so that
-/// none becomes free as a whole for a long time.
-const GANG_RACK_WAIT: Span = Span(2_000);
+/// Time for which a gang waits for a rack that can hold it, or a job without runs for the rack of its data,
+/// while the endpoint is mostly idle; a job may be without a run for 3 s then. Each rack may have a long
+/// run on one of its workers, so that none becomes free as a whole for a long time.
+const RACK_WAIT_MAX: Span = Span(2_000);
 
 /// An urgent gang prefers stops of other runs to an open breaker for `reclaim_ms`, the time within which
 /// a guaranteed gang must start, divided by this: about as long as a stop takes.
@@ -190,9 +190,16 @@
         let anywhere = match step.gang {
             true => {
                 let on_rack = step.one_rack || step.near.is_some();
-                on_rack && waited > GANG_RACK_WAIT && self.is_mostly_idle(ctx, job, &step, fleet)
+                on_rack && waited > RACK_WAIT_MAX && self.is_mostly_idle(ctx, job, &step, fleet)
+            }
+            false => {
+                let idle_since = ctx.clock.now.since(job.waiting_since);
+                let waits = step.near.is_some() && idle_since > RACK_WAIT_MAX;
+                waited.millis() as f64 > away_cost_ms * RACK_WAIT_FRACTION
+                    || (waits
+                        && self.is_mostly_idle(ctx, job, &step, fleet)
+                        && !self.has_runs(unit.job))
             }
-            false => waited.millis() as f64 > away_cost_ms * RACK_WAIT_FRACTION,
         };
         Some(Shape {
             endpoint: job.queue(ctx.catalog).endpoint.clone(),
@@ -217,7 +224,7 @@
         let Ok(j) = self.job_index(unit.job) else { return };
         let job = &mut self.jobs[j];
         let waited = ctx.clock.now.since(job.accepted);
-        if !on_rack || waited <= GANG_RACK_WAIT || std::mem::replace(&mut job.rack_logged, true) {
+        if !on_rack || waited <= RACK_WAIT_MAX || std::mem::replace(&mut job.rack_logged, true) {
             return;
         }
         let (free, accelerators) = fleet.accelerators(&shape.endpoint);
@@ -256,6 +263,12 @@
         risk.tolerances(waited, stops_for, idle)
     }
 
+    /// Returns true if a run of the job occupies a worker.
+    fn has_runs(&self, job: JobId) -> bool {
+        let with_job = self.workers.iter().filter(|w| w.slots.may_have(job));
+        with_job.flat_map(|w| w.slots.iter()).any(|s| s.task.job == job)
+    }
+
     /// Returns true if the workers of a job's endpoint, or those that may run the step, are mostly idle.
     pub(super) fn is_mostly_idle(
         &self,
--- a/crates/fleet/src/placer/tests/services.rs
+++ b/crates/fleet/src/placer/tests/services.rs
@@ -4,7 +4,7 @@
 
 use super::{Bench, accelerators, step, task};
 use crate::ids::{JobId, Run, TaskId};
-use crate::model::{Resources, Step};
+use crate::model::{JobSpec, Resources, Step};
 use crate::placer::pace::WorkerPace;
 use crate::placer::worker::{Phase, Slot, Worker};
 use crate::record::Outcome;
@@ -173,3 +173,38 @@
     bench.add_job(1, 1, step(1, false, ALL));
     assert_eq!(wait(&mut bench, 500), []);
 }
+
+/// One rack without a free accelerator, beside idle racks of another group.
+const FULL_RACK: Group = Group { endpoint: "dispatch", label: "a", racks: 1, used: &[8, 8] };
+
+/// Returns a step whose data is on the full rack.
+fn step_near_full_rack() -> Step {
+    Step { near: Some("r0-0".parse().expect("a valid name")), ..step(2, false, 1) }
+}
+
+/// Guards against a job that has nothing running because the rack of its data is full, while its service has
+/// room for it many times over. It may be so for 3 s; with long tasks it waited for half a minute.
+#[test]
+fn full_rack_does_not_keep_a_job_of_an_idle_service_waiting() {
+    let others = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 0] };
+    let mut bench = bench(&[FULL_RACK, others]);
+    bench.add_job(1, 1, step_near_full_rack());
+    assert_eq!(wait(&mut bench, 3_000).len(), 2);
+}
+
+/// Guards against tasks that leave the rack of their data early although they have to share their service's
+/// room with other work, or although their job goes on meanwhile.
+#[test]
+fn tasks_wait_for_the_rack_of_their_data_if_they_may() {
+    let busy = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[4, 5] };
+    let mut bench_of_busy = bench(&[FULL_RACK, busy]);
+    bench_of_busy.add_job(1, 1, step_near_full_rack());
+    assert_eq!(wait(&mut bench_of_busy, 5_000), []);
+
+    let others = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 0] };
+    let mut bench = bench(&[FULL_RACK, others]);
+    let steps = vec![step(1, false, 1), step_near_full_rack()];
+    bench.add_spec(1, 1, JobSpec { text: String::new(), steps, schedule: None });
+    let started = wait(&mut bench, 5_000);
+    assert!(started.iter().all(|t| t.step == 0), "{started:?}");
+}
