Divide the workers of each endpoint by the weights of the workspaces

Callers would see, with weights in the configuration: a workspace takes all workers of its service while another one waits there, because the shares are of the workers of all services and these are few of them.

With one endpoint nothing changes.

`idle_workers_of_another_service_do_not_count_for_the_shares` failed before: 0 and 32 accelerators in place of 16 and 16.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -158,7 +158,7 @@
             if placed > 0 {
                 return placed;
             }
-            if unit.guaranteed && self.drop_reservations(placement) {
+            if unit.guaranteed && self.drop_reservations(ctx, placement) {
                 return self.place_unit(ctx, unit.clone(), placement);
             }
             // On the way to a worker without doubt, free room on others goes before stops.
@@ -320,7 +320,7 @@
         Placement { fleet, quotas, shares, .. }: &mut Placement,
     ) -> usize {
         let need = &shape.step.need;
-        let owner = shares.owner(self.workspace_of(unit.job));
+        let owner = self.owner_of(ctx, shares, unit.job);
         if let Some(claim) = self.claims.iter().position(|c| c.is_for(&unit.task(0))) {
             let tasks = self.claims[claim].workers().count() as u64;
             shares.remove_claim(owner, &need.times(tasks));
--- a/crates/fleet/src/placer/reclaim.rs
+++ b/crates/fleet/src/placer/reclaim.rs
@@ -146,13 +146,17 @@
     }
 
     /// Drops the claims for which nothing is stopped; returns true if there were any.
-    pub(super) fn drop_reservations(&mut self, placement: &mut Placement) -> bool {
+    pub(super) fn drop_reservations(
+        &mut self,
+        ctx: &Context<'_>,
+        placement: &mut Placement,
+    ) -> bool {
         let mut dropped = false;
         while let Some(at) = self.claims.iter().position(|c| c.reserved) {
             let (job, step) = (self.claims[at].job, self.claims[at].step);
             let tasks = self.claims[at].workers().count() as u64;
             let need = self.need_of(job, step).unwrap_or_default();
-            let owner = placement.shares.owner(self.workspace_of(job));
+            let owner = self.owner_of(ctx, &placement.shares, job);
             placement.shares.remove_claim(owner, &need.times(tasks));
             self.drop_claim(at, &need, &mut placement.fleet, &mut placement.quotas);
             dropped = true;
@@ -178,9 +182,9 @@
         let turn = Span((spare_time(ctx, job, unit).millis() / RESERVATION_TURNS).max(1));
         let waited = ctx.clock.now.since(job.accepted).millis();
         let shares = &placement.shares;
-        let owner = shares.owner(job.state.workspace.as_ref());
+        let owner = self.owner_of(ctx, shares, unit.job);
         let all = shape.step.need.times(unit.waiting.len() as u64);
-        let owns = |c: &Claim| c.reserved && shares.owner(self.workspace_of(c.job)) == owner;
+        let owns = |c: &Claim| c.reserved && self.owner_of(ctx, shares, c.job) == owner;
         if (waited / turn.millis()).is_multiple_of(2)
             || ctx.clock.now < self.reserve_next
             || shares.count_under(owner, &all, 1) == 0
@@ -215,7 +219,7 @@
         placed: &[usize],
         Placement { fleet, quotas, shares, .. }: &mut Placement,
     ) {
-        let owner = shares.owner(self.workspace_of(unit.job));
+        let owner = self.owner_of(ctx, shares, unit.job);
         shares.add_claim(owner, &shape.step.need.times(placed.len() as u64));
         fleet.add_claim(placed.iter().copied(), &shape.step.need);
         self.count_tasks(quotas, unit.job, &shape.step.need, placed.len());
@@ -246,7 +250,7 @@
     fn claimant(&self, ctx: &Context<'_>, unit: &Unit, shape: &Shape, shares: &Shares) -> Claimant {
         let mut claimant = unit.claimant();
         if let (Ok(j), false) = (self.job_index(unit.job), shares.is_empty()) {
-            let owner = shares.owner(self.workspace_of(unit.job));
+            let owner = self.owner_of(ctx, shares, unit.job);
             let job = &self.jobs[j];
             let waited = ctx.clock.now.since(job.accepted).millis() as f64;
             let turn = spare_time(ctx, job, unit).millis() as f64 * RECLAIM_WAIT_FRACTION;
@@ -323,7 +327,7 @@
     ) {
         let lost: f64 = fleet.stakes(&[group]).map(|s| s.lost).sum();
         let Some(((task, run), needs)) = fleet.mark_stopping(group) else { return };
-        let owner = shares.owner(self.workspace_of(task.job));
+        let owner = self.owner_of(ctx, shares, task.job);
         needs.iter().for_each(|need| shares.remove(owner, need));
         needs.iter().for_each(|need| quotas.end(self.workspace_of(task.job), need));
         metrics::counter!("bulrushlink_preempted_core_seconds_total").increment(lost as u64);
@@ -345,7 +349,7 @@
         }
         fleet.set_groups(self.preemptible_groups(ctx, guaranteed));
         if !shares.is_empty() {
-            fleet.mark_owners(shares, |task| shares.owner(self.workspace_of(task.job)));
+            fleet.mark_owners(shares, |task| self.owner_of(ctx, shares, task.job));
         }
     }
 
--- a/crates/fleet/src/placer/shares.rs
+++ b/crates/fleet/src/placer/shares.rs
@@ -5,6 +5,7 @@
 use crate::policy::{Owner, Shares};
 
 use super::decide::Placement;
+use super::endpoints::Endpoints;
 use super::job::Job;
 use super::units::Unit;
 use super::worker::Phase;
@@ -22,15 +23,20 @@
     /// Returns the shares of the workspaces; they are empty if the configuration gives no weights.
     pub(super) fn shares(&self, ctx: &Context<'_>, units: &[Unit]) -> Shares {
         // One that has not replied gets no runs, and its entry may be another writer's.
-        let heard = self.workers.iter().filter(|w| w.fenced);
-        let all = heard.fold(Resources::default(), |sum, w| sum.plus(&w.capacity()));
-        let mut shares = ctx.catalog.map_or_else(Shares::default, |c| Shares::new(c, all));
+        let mut capacities: Endpoints<Resources> = Endpoints::default();
+        for worker in self.workers.iter().filter(|w| w.fenced) {
+            let all = capacities.entry(worker.endpoint());
+            *all = all.plus(&worker.capacity());
+        }
+        let capacities =
+            capacities.iter_mut().map(|(name, all)| (name.to_string(), *all)).collect();
+        let mut shares = ctx.catalog.map_or_else(Shares::default, |c| Shares::new(c, capacities));
         if shares.is_empty() {
             return shares;
         }
-        let of_job = |j: &Job| shares.owner(j.state.workspace.as_ref());
+        let of_job = |j: &Job| owner_of(ctx, &shares, j);
         let owners: Vec<Owner> = self.jobs.iter().map(of_job).collect();
-        let nobody = shares.owner(None);
+        let nobody = shares.owner("", None);
         let owner = |id: JobId| self.job_index(id).map_or(nobody, |at| owners[at]);
         for slot in self.workers.iter().flat_map(|w| w.slots.iter()) {
             if !matches!(slot.phase, Phase::Closing { .. }) {
@@ -65,7 +71,7 @@
     ) {
         let mut queues: Vec<Queue> = Vec::new();
         for unit in units.into_iter().rev() {
-            let owner = placement.shares.owner(self.workspace_of(unit.job));
+            let owner = self.owner_of(ctx, &placement.shares, unit.job);
             match queues.iter_mut().find(|q| q.owner == owner) {
                 Some(queue) => queue.units.push(unit),
                 None => queues.push(Queue { owner, units: vec![unit], under: 0 }),
@@ -115,6 +121,12 @@
         }
     }
 
+    /// Returns on whose account the work of a job is.
+    pub(super) fn owner_of(&self, ctx: &Context<'_>, shares: &Shares, job: JobId) -> Owner {
+        let job = self.job_index(job).map(|at| &self.jobs[at]);
+        job.map_or_else(|_| shares.owner("", None), |job| owner_of(ctx, shares, job))
+    }
+
     /// Returns the step whose tasks a unit holds.
     pub(super) fn step_of(&self, unit: &Unit) -> Option<&Step> {
         let at = self.job_index(unit.job).ok()?;
@@ -130,3 +142,7 @@
         self.claims.iter().any(|c| c.is_for(&unit.task(0)))
     }
 }
+
+fn owner_of(ctx: &Context<'_>, shares: &Shares, job: &Job) -> Owner {
+    shares.owner(&job.queue(ctx.catalog).endpoint, job.state.workspace.as_ref())
+}
--- a/crates/fleet/src/placer/tests/shares.rs
+++ b/crates/fleet/src/placer/tests/shares.rs
@@ -55,6 +55,20 @@
     }
 }
 
+/// Guards against shares of one service that count the idle workers of another: a workspace took all workers
+/// of its service, which were few of all.
+#[test]
+fn idle_workers_of_another_service_do_not_count_for_the_shares() {
+    let mut bench = bench(16, [1.0, 1.0]);
+    for worker in &mut bench.placer.workers[4..] {
+        worker.entry.as_mut().expect("an entry").endpoint = "review".to_string();
+    }
+    add_job(&mut bench, "hot", 1, 0, step(60, false, 1));
+    add_job(&mut bench, "calm", 2, 2, step(60, false, 1));
+    bench.pass();
+    assert_eq!(used_by_both(&bench), [16, 16]);
+}
+
 /// A worker that was registered with an absurd capacity, and never replied, made the shares of what is in use
 /// vanish: no workspace was ever over its share.
 #[test]
--- a/crates/fleet/src/policy/share.rs
+++ b/crates/fleet/src/policy/share.rs
@@ -23,21 +23,25 @@
 /// Differences of fractions of the capacity below this are rounding errors.
 const ROUNDING: f64 = 1e-9;
 
-/// A workspace, or all jobs without one.
+/// A workspace, or all jobs without one, on the workers of one endpoint.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub(crate) struct Owner(usize);
 
 /// What each workspace uses, wants and is entitled to during one placement.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(crate) struct Shares {
-    /// Empty without weights. Sorted by workspace; the last entry is for jobs without one.
+    /// Empty without weights. In the order of the endpoints, and for each of them sorted by workspace, with
+    /// an entry for jobs without one at the end.
     entries: Vec<Entry>,
-    /// Resources of all workers.
-    capacity: Resources,
+    /// Sorted. Shares are those of an endpoint's workers: what a workspace leaves to others on one endpoint
+    /// is of no use to those that wait on another.
+    endpoints: Vec<String>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
 struct Entry {
+    /// Resources of all workers of the endpoint.
+    capacity: Resources,
     workspace: Option<WorkspaceId>,
     weight: f64,
     ceiling: Ceiling,
@@ -53,13 +57,19 @@
 }
 
 impl Shares {
-    /// Returns the weights of a configuration, with nothing in use or waiting.
-    pub(crate) fn new(catalog: &Catalog, capacity: Resources) -> Self {
+    /// Returns the weights of a configuration, with nothing in use or waiting. `capacities` are the
+    /// resources of the workers of each endpoint.
+    pub(crate) fn new(catalog: &Catalog, mut capacities: Vec<(String, Resources)>) -> Self {
         let allotment = |w: &crate::catalog::Workspace| w.allotment.unwrap_or_default();
         if catalog.workspaces.iter().all(|w| allotment(w).weight.is_none()) {
             return Self::default();
         }
+        // Work whose endpoint is not known is counted apart.
+        capacities.push((String::new(), Resources::default()));
+        capacities.sort_by(|a, b| a.0.cmp(&b.0));
+        capacities.dedup_by(|b, a| a.0 == b.0);
         let entry = |workspace, weight: Option<f64>, ceiling| Entry {
+            capacity: Resources::default(),
             workspace,
             weight: weight.unwrap_or(DEFAULT_WEIGHT),
             ceiling,
@@ -73,7 +83,13 @@
             entry(Some(w.name.clone()), allotment.weight, allotment.ceiling)
         });
         let others = entry(None, None, Ceiling::default());
-        Self { entries: known.chain([others]).collect(), capacity }
+        let entries: Vec<Entry> = known.chain([others]).collect();
+        let of_endpoint = |(_, capacity): &(String, Resources)| {
+            let capacity = *capacity;
+            entries.clone().into_iter().map(move |e| Entry { capacity, ..e })
+        };
+        let entries = capacities.iter().flat_map(of_endpoint).collect();
+        Self { entries, endpoints: capacities.into_iter().map(|(name, _)| name).collect() }
     }
 
     /// Returns true if no workspace has a weight.
@@ -81,13 +97,27 @@
         self.entries.is_empty()
     }
 
-    /// Returns the owner of a job's work; unknown workspaces count as none.
-    pub(crate) fn owner(&self, workspace: Option<&WorkspaceId>) -> Owner {
-        let others = self.entries.len().saturating_sub(1);
-        let known = &self.entries[..others];
+    /// Returns the number of entries of each endpoint.
+    fn stride(&self) -> usize {
+        self.entries.len() / self.endpoints.len().max(1)
+    }
+
+    /// Returns the owner of a job's work; unknown endpoints and workspaces count as none.
+    pub(crate) fn owner(&self, endpoint: &str, workspace: Option<&WorkspaceId>) -> Owner {
+        let stride = self.stride();
+        let found = self.endpoints.binary_search_by(|name| name.as_str().cmp(endpoint));
+        let first = found.unwrap_or(0) * stride;
+        let others = first + stride.saturating_sub(1);
+        let known = &self.entries[first..others];
         let found =
             workspace.map(|name| known.binary_search_by(|e| e.workspace.as_ref().cmp(&Some(name))));
-        Owner(found.and_then(Result::ok).unwrap_or(others))
+        Owner(found.and_then(Result::ok).map_or(others, |at| first + at))
+    }
+
+    /// Returns what a workspace uses on all endpoints; a ceiling is for all of them.
+    fn used_by(&self, workspace: Option<&WorkspaceId>) -> Resources {
+        let own = self.entries.iter().filter(|e| e.workspace.as_ref() == workspace);
+        own.fold(Resources::default(), |sum, e| sum.plus(&e.total()))
     }
 
     /// Counts what is in use.
@@ -129,12 +159,15 @@
     /// ceiling forbids, so that counts as not wanted.
     pub(crate) fn settle(&mut self) {
         let demand = |entry: &Entry| {
-            let (used, waiting) = (self.fractions(&entry.total()), self.fractions(&entry.waiting));
-            let part = allowed_part(&entry.ceiling, &entry.total(), &entry.waiting);
+            let (used, waiting) =
+                (entry.fractions(&entry.total()), entry.fractions(&entry.waiting));
+            let everywhere = self.used_by(entry.workspace.as_ref());
+            let part = allowed_part(&entry.ceiling, &everywhere, &entry.waiting);
             (entry.weight, [0, 1, 2].map(|r| used[r] + part * waiting[r]))
         };
         let demands: Vec<(f64, [f64; 3])> = self.entries.iter().map(demand).collect();
-        let shares = fair_shares(&demands);
+        let shares = demands.chunks(self.stride().max(1)).flat_map(fair_shares);
+        let shares: Vec<f64> = shares.collect();
         self.entries.iter_mut().zip(shares).for_each(|(entry, fair)| entry.fair = fair);
     }
 
@@ -142,20 +175,20 @@
     /// removed.
     pub(crate) fn is_over(&self, owner: Owner, less: &Resources) -> bool {
         let entry = self.entries.get(owner.0);
-        let used = |e: &Entry| self.dominant(&e.used.minus(less));
+        let used = |e: &Entry| e.dominant(&e.used.minus(less));
         entry.is_some_and(|e| used(e) > e.fair * OVER_FACTOR + ROUNDING)
     }
 
     /// Returns true if a workspace uses no more than its fair share once `more` is added.
     pub(crate) fn stays_under(&self, owner: Owner, more: &Resources) -> bool {
         let entry = self.entries.get(owner.0);
-        entry.is_some_and(|e| self.dominant(&e.total().plus(more)) <= e.fair + ROUNDING)
+        entry.is_some_and(|e| e.dominant(&e.total().plus(more)) <= e.fair + ROUNDING)
     }
 
     /// Returns true if a workspace still uses its fair share once `less` is removed.
     pub(crate) fn keeps_share(&self, owner: Owner, less: &Resources) -> bool {
         let entry = self.entries.get(owner.0);
-        entry.is_some_and(|e| self.dominant(&e.used.minus(less)) >= e.fair - ROUNDING)
+        entry.is_some_and(|e| e.dominant(&e.used.minus(less)) >= e.fair - ROUNDING)
     }
 
     /// Returns how many of some equal tasks, or of gangs, may start one after the other while their
@@ -163,8 +196,8 @@
     /// wider than the share of its workspace would never start otherwise.
     pub(crate) fn count_under(&self, owner: Owner, need: &Resources, count: u64) -> u64 {
         let Some(entry) = self.entries.get(owner.0) else { return count };
-        let (used, each) = (self.fractions(&entry.total()), self.fractions(need));
-        if self.dominant(&entry.total()) >= entry.fair - ROUNDING {
+        let (used, each) = (entry.fractions(&entry.total()), entry.fractions(need));
+        if entry.dominant(&entry.total()) >= entry.fair - ROUNDING {
             return 0;
         }
         let needed = used.into_iter().zip(each).filter(|(_, each)| *each > 0.0);
@@ -173,10 +206,10 @@
         if most >= count as f64 { count } else { most as u64 }
     }
 
-    /// Returns the position of a workspace among all, the one that is furthest over its share for its
-    /// weight first.
+    /// Returns the position of each owner among all, the one that is furthest over its share for its weight
+    /// first.
     pub(crate) fn positions(&self) -> Vec<usize> {
-        let excess = |e: &Entry| (self.dominant(&e.used) - e.fair) / e.weight;
+        let excess = |e: &Entry| (e.dominant(&e.used) - e.fair) / e.weight;
         let mut order: Vec<usize> = (0..self.entries.len()).collect();
         order.sort_by(|a, b| excess(&self.entries[*b]).total_cmp(&excess(&self.entries[*a])));
         let mut positions = vec![0; order.len()];
@@ -184,16 +217,36 @@
         positions
     }
 
-    /// Returns what each workspace uses and is entitled to.
+    /// Returns what each workspace uses and is entitled to. Of several endpoints, each counts by its part of
+    /// the accelerators.
     pub(crate) fn standings(&self) -> Vec<Standing> {
-        let standing = |e: &Entry| Standing {
-            workspace: e.workspace.clone(),
-            used: e.used,
-            ceiling: e.ceiling,
-            share: e.fair,
-            debt: e.fair - self.dominant(&e.used),
+        let stride = self.stride();
+        let first_of_each = self.entries.chunks(stride.max(1)).map(|entries| &entries[0]);
+        let all: u64 = first_of_each.map(|e| e.capacity.accelerators).sum();
+        let part = |e: &Entry| match all {
+            0 => 1.0 / self.endpoints.len() as f64,
+            _ => e.capacity.accelerators as f64 / all as f64,
+        };
+        let standing = |at: usize| {
+            let own = || self.entries.iter().skip(at).step_by(stride);
+            let sum = |value: fn(&Entry) -> f64| own().map(|e| value(e) * part(e)).sum();
+            let Entry { workspace, ceiling, .. } = &self.entries[at];
+            Standing {
+                workspace: workspace.clone(),
+                used: own().fold(Resources::default(), |sum, e| sum.plus(&e.used)),
+                ceiling: *ceiling,
+                share: sum(|e| e.fair),
+                debt: sum(|e| e.fair - e.dominant(&e.used)),
+            }
         };
-        self.entries.iter().map(standing).collect()
+        (0..stride).map(standing).collect()
+    }
+}
+
+impl Entry {
+    /// Returns what is in use, claimed or reserved.
+    fn total(&self) -> Resources {
+        self.used.plus(&self.claimed)
     }
 
     fn fractions(&self, amount: &Resources) -> [f64; 3] {
@@ -211,13 +264,6 @@
     }
 }
 
-impl Entry {
-    /// Returns what is in use, claimed or reserved.
-    fn total(&self) -> Resources {
-        self.used.plus(&self.claimed)
-    }
-}
-
 impl Owner {
     /// Returns the index of the owner in [`Shares::positions`].
     pub(crate) fn index(self) -> usize {
--- a/crates/fleet/src/policy/share/tests.rs
+++ b/crates/fleet/src/policy/share/tests.rs
@@ -8,6 +8,8 @@
 use crate::ids::Rev;
 use crate::model::Resources;
 
+const ENDPOINT: &str = "dispatch";
+
 fn accelerators(accelerators: u64) -> Resources {
     Resources { cpu: 1_000 * accelerators, memory: 0, accelerators }
 }
@@ -27,7 +29,7 @@
     let limits = Limits { head: 1, body: 1, head_time: Span(1), idle_time: Span(1) };
     let (queues, size) = (Vec::new(), 1);
     let catalog = Catalog { version: 1, rev: Rev(1), size, queues, workspaces, limits };
-    Shares::new(&catalog, accelerators(all))
+    Shares::new(&catalog, vec![(ENDPOINT.to_string(), accelerators(all))])
 }
 
 fn name(number: usize) -> WorkspaceId {
@@ -35,7 +37,7 @@
 }
 
 fn owner(shares: &Shares, number: usize) -> Owner {
-    shares.owner(Some(&name(number)))
+    shares.owner(ENDPOINT, Some(&name(number)))
 }
 
 fn fair(shares: &Shares, number: usize) -> f64 {
@@ -48,7 +50,7 @@
     let mut shares = open(8, &[(1.0, 0)]);
     assert!(!shares.is_empty());
     shares.entries.clear();
-    let owner = shares.owner(Some(&name(0)));
+    let owner = shares.owner(ENDPOINT, Some(&name(0)));
     assert_eq!(shares.count_under(owner, &accelerators(1), 5), 5);
 }
 
