--- a/crates/fleet/src/placer/pace.rs
+++ b/crates/fleet/src/placer/pace.rs
@@ -42,11 +42,16 @@
     /// Returns the mean of the known speeds, as a logarithm, from which the bands are counted.
     /// Samples only compare workers with each other, so the mean itself carries no information.
     pub(super) fn mean_log<'a>(paces: impl Iterator<Item = &'a Self>) -> f64 {
-        let known = paces.filter(|p| p.samples >= SAMPLES_MIN);
-        let (sum, count) = known.fold((0.0, 0), |(sum, count), p| (sum + p.log, count + 1));
+        let known = paces.filter_map(Self::known_log);
+        let (sum, count) = known.fold((0.0, 0), |(sum, count), log| (sum + log, count + 1));
         if count == 0 { 0.0 } else { sum / f64::from(count) }
     }
 
+    /// Returns the speed as a logarithm; `None` if it is unknown.
+    pub(super) fn known_log(&self) -> Option<f64> {
+        (self.samples >= SAMPLES_MIN).then_some(self.log)
+    }
+
     /// Returns the speed relative to the average; 1 if it is unknown.
     pub(super) fn speed(&self, mean_log: f64) -> f64 {
         if self.samples < SAMPLES_MIN {
--- a/crates/fleet/src/placer/times.rs
+++ b/crates/fleet/src/placer/times.rs
@@ -106,12 +106,17 @@
     /// Speeds are compared by tasks of the same step, which all run on one endpoint, so they say nothing
     /// about the workers of another.
     pub(super) fn mean_speeds(&self) -> Endpoints<f64> {
-        let mut means: Endpoints<f64> = Endpoints::default();
+        let mut sums: Endpoints<(f64, f64)> = Endpoints::default();
         for worker in &self.workers {
-            means.entry(worker.endpoint());
+            if let Some(log) = worker.pace.known_log() {
+                let (sum, count) = sums.entry(worker.endpoint());
+                *sum += log;
+                *count += 1.0;
+            }
         }
-        for (endpoint, mean) in means.iter_mut() {
-            *mean = self.mean_speed(endpoint);
+        let mut means = Endpoints::default();
+        for (endpoint, (sum, count)) in sums.iter_mut() {
+            *means.entry(endpoint) = *sum / *count;
         }
         means
     }
