--- a/crates/standin/src/emulator/texts.rs
+++ b/crates/standin/src/emulator/texts.rs
@@ -40,11 +40,14 @@
         self
     }
 
-    /// Makes the latest step depend on the step of the given index.
+    /// Makes the latest step depend on the step of the given index, and on those of earlier calls.
     #[must_use]
     pub fn after(mut self, step: usize) -> Self {
         if let Some(last) = self.steps.last_mut() {
-            last["after"] = json!([step]);
+            match last["after"].as_array_mut() {
+                Some(steps) => steps.push(json!(step)),
+                None => last["after"] = json!([step]),
+            }
         }
         self
     }
--- a/tests/platform/soak/callers.rs
+++ b/tests/platform/soak/callers.rs
@@ -20,9 +20,23 @@
 /// Time after acceptance within which every daemon must know the job: the bound of the
 /// deployments.
 const VISIBLE_WITHIN: Duration = Duration::from_secs(3);
+/// Stages of a staged job, and steps of each.
+const STAGES: usize = 4;
+const STAGE_STEPS: usize = 3;
 /// API key of the workspace.
 pub(crate) const KEY: &str = "key-north";
 
+/// Returns a job whose steps wait for all steps of the stage before.
+fn staged_job(length: u64) -> String {
+    let stage = |text: JobText, stage: usize| {
+        (0..STAGE_STEPS).fold(text, |text, _| {
+            let before = (stage * STAGE_STEPS).saturating_sub(STAGE_STEPS)..stage * STAGE_STEPS;
+            before.fold(text.step(1, false), JobText::after)
+        })
+    };
+    (0..STAGES).fold(JobText::new(length / STAGES as u64), stage).text()
+}
+
 /// Result of submitting a job, over all attempts.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Outcome {
@@ -102,6 +116,7 @@
         }
         match self.random.u8(..4) {
             0 => JobText::new(length).step(self.random.u64(1..4), false).text(),
+            1 if length.is_multiple_of(2) => staged_job(length),
             1 => JobText::new(length).step(2, false).step(2, false).after(0).text(),
             _ => JobText::new(length).step(self.random.u64(2..12), true).text(),
         }
