Look for due rounds behind those that were opened before

Callers would see a busy leader with periodic jobs that have run for long: each placement went over all rounds that were done, of which a job may have 10,000, and the end of a round over all open ones.

Rounds are opened in their order, so the done and the open ones are the first ones, and the search begins behind them. A round that is done is found by its number.

--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -188,7 +188,9 @@
     pub(crate) fn open_rounds(&mut self, wall: u64) {
         let tasks: u64 = self.spec.steps.iter().map(|s| u64::from(s.tasks)).sum();
         let open_max = (JOB_TASKS_MAX / tasks.max(1)).max(1) as usize;
-        for round in 0..self.spec.rounds() {
+        // Rounds are opened in their order, and are in one of the two lists from then on.
+        let opened = (self.state.finished.len() + self.state.rounds.len()) as u32;
+        for round in opened..self.spec.rounds() {
             if self.spec.due(round) > wall || self.state.rounds.len() >= open_max {
                 break;
             }
@@ -429,7 +431,9 @@
         if !done {
             return;
         }
-        self.state.rounds.retain(|r| r.round != round);
+        if let Ok(at) = self.state.rounds.binary_search_by_key(&round, |r| r.round) {
+            self.state.rounds.remove(at);
+        }
         let at = self.state.finished.partition_point(|r| *r < round);
         self.state.finished.insert(at, round);
         if self.state.finished.len() as u32 == self.spec.rounds() {
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -1,6 +1,7 @@
 //! Jobs of the largest sizes and of all shapes of dependencies: the work for one must not grow faster than
 //! its size.
 
+use bulrushlink_core::Span;
 use std::sync::mpsc;
 use std::time::Duration;
 
@@ -10,7 +11,9 @@
 use super::{Bench, accelerators, entry, step, task};
 use crate::edge::{EndCause, EndReport, RunReport, WorkerReply};
 use crate::ids::{Boot, JobId, Run};
-use crate::model::{JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Step};
+use crate::model::{
+    JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step,
+};
 use crate::settings::Features;
 
 /// Time for what takes milliseconds if it grows with the size of the job. The leader's lease lasts 1.5 s,
@@ -145,7 +148,16 @@
 /// Fails if the time for work grows faster than the number of tasks: four times the tasks take about four
 /// times as long, and sixteen times if the work for each task grows with their number.
 fn assert_linear<T>(name: &str, prepare: impl Fn(u32) -> T, work: impl Fn(&mut T)) {
-    const GROWTH_MAX: u32 = 8;
+    assert_linear_by(name, prepare, 8, work);
+}
+
+/// Fails if four times the tasks take longer by more than a factor.
+fn assert_linear_by<T>(
+    name: &str,
+    prepare: impl Fn(u32) -> T,
+    growth_max: u32,
+    work: impl Fn(&mut T),
+) {
     let time = |tasks: u32| {
         let mut prepared = prepare(tasks);
         let began = used_time();
@@ -156,7 +168,7 @@
     let tasks = JOB_TASKS_MAX as u32;
     let (quarter, whole) = (least(tasks / 4), least(tasks));
     assert!(
-        whole <= quarter * GROWTH_MAX,
+        whole <= quarter * growth_max,
         "{name}: {quarter:?} for {}, {whole:?} for {tasks}",
         tasks / 4
     );
@@ -244,3 +256,27 @@
         });
     }
 }
+
+/// Guards against placements that go over all rounds of a job that are done: a job may have 10,000.
+#[test]
+fn time_for_a_placement_does_not_grow_with_the_rounds_that_are_done() {
+    const PLACEMENTS: u32 = 200;
+    let prepare = |tasks: u32| {
+        let rounds = JOB_ROUNDS_MAX * tasks / JOB_TASKS_MAX as u32;
+        let mut bench = Bench::open(&[accelerators(8)]);
+        let schedule = Schedule { first: 0, every: Span(1), rounds: JOB_ROUNDS_MAX };
+        let steps = vec![step(1, false, 1)];
+        bench.add_spec(1, 1, JobSpec { text: String::new(), steps, schedule: Some(schedule) });
+        let job = &mut bench.placer.jobs[0];
+        job.state.finished = (0..rounds).collect();
+        // The others are due later than any placement here.
+        job.spec.schedule =
+            Some(Schedule { every: Span(1_900_000_000_000 / u64::from(rounds)), ..schedule });
+        bench
+    };
+    assert_linear_by("rounds", prepare, 2, |bench| {
+        for _ in 0..PLACEMENTS {
+            bench.pass();
+        }
+    });
+}
