Compare new workers with the lost runs once for all of them

Callers would see a busy leader when many workers register beside a large job that has lost many runs, as after a takeover: each new entry was compared with all lost runs of all jobs, though the placer can find the crashes of all registered workers in one pass.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -385,14 +385,15 @@
 
     /// Counts the crash of an earlier boot of a worker, or at its address, against the tasks that
     /// were lost with it.
-    pub(super) fn count_earlier_crash(&mut self, ctx: &mut Context<'_>, entry: &WorkerEntry) {
+    fn count_earlier_crash(&mut self, ctx: &mut Context<'_>, entry: &WorkerEntry) {
         let boot = Boot { worker: entry.id.clone(), born: entry.born };
         self.count_lost(ctx, &boot, |l| l.is_replaced_by(entry));
     }
 
     /// Counts the crashes of earlier boots of all registered workers.
     ///
-    /// Load pattern: a failure domain is cut off, and thousands of runs are lost within a second.
+    /// Load pattern: a failure domain is cut off, and thousands of runs are lost within a second. After a
+    /// takeover, or when it is back, hundreds of workers register at once.
     pub(super) fn count_earlier_crashes(&mut self, ctx: &mut Context<'_>) {
         let records = self.jobs.iter().flat_map(|j| &j.state.crashes);
         let mut lost: Vec<&LostRun> = records.flat_map(|c| &c.lost).collect();
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -245,6 +245,7 @@
             }
         }
         let (mut short_notice, mut resizes) = (false, Vec::new());
+        let known_workers = self.workers.len();
         for entry in entries {
             let known =
                 self.worker_index(&entry.id).ok().filter(|at| self.workers[*at].entry.is_some());
@@ -257,6 +258,9 @@
                 }
             }
         }
+        if self.workers.len() > known_workers {
+            self.count_earlier_crashes(ctx);
+        }
         self.apply_resizes(now, &resizes);
         if short_notice {
             self.stop_runs_of_leaving_workers(ctx);
@@ -274,7 +278,6 @@
         match self.worker_index(&entry.id) {
             Err(at) => {
                 self.fences += 1;
-                self.count_earlier_crash(ctx, &entry);
                 let mut worker = Worker::new(boot, self.fences, Some(entry), now);
                 worker.ready = listed;
                 self.workers.insert(at, worker);
--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -14,6 +14,7 @@
 use crate::model::{
     JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step,
 };
+use crate::record::{CrashRecord, LostRun};
 use crate::settings::Features;
 
 /// Time for what takes milliseconds if it grows with the size of the job. The leader's lease lasts 1.5 s,
@@ -280,3 +281,22 @@
         }
     });
 }
+
+/// Guards against a pass over all lost runs for each worker that registers, as after a takeover.
+#[test]
+fn time_for_new_workers_does_not_grow_with_the_lost_runs_of_a_job() {
+    // A worker for each 64 tasks registers, beside a job that has lost a run of each of its tasks.
+    let prepare = |tasks: u32| {
+        let mut bench = Bench::open(&[accelerators(8)]);
+        bench.add_job(1, 1, step(tasks, false, 1));
+        let lost = |index: u32| {
+            let boot = Boot { worker: "i-gone".parse().expect("a valid name"), born: 1 };
+            let run = LostRun { run: Run(1), boot, addr: None, confirmed: true };
+            CrashRecord { lost: vec![run], ..CrashRecord::new(0, 0, index) }
+        };
+        bench.placer.jobs[0].state.crashes = (0..tasks).map(lost).collect();
+        let workers = vec![(1, accelerators(8)); tasks as usize / 64];
+        (bench, workers)
+    };
+    assert_linear("new workers", prepare, |(bench, workers)| bench.show(workers.clone()));
+}
