Tests of several endpoints use the word of the glossary

The tests and their names said service, the word of the users' pages, for what the code calls an endpoint.

--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -17,12 +17,12 @@
 use crate::settings::{Bounds, Features};
 
 mod ceilings;
+mod endpoints;
 mod forecasts;
 mod large_jobs;
 mod odd_entries;
 mod preemption;
 mod reboots;
-mod services;
 mod shares;
 mod silent;
 mod snapshot;
--- a/crates/fleet/src/placer/tests/services.rs
+++ b/crates/fleet/src/placer/tests/endpoints.rs
@@ -1,4 +1,4 @@
-//! Several services, kinds of workers and racks: what holds for one of them is decided by it alone.
+//! Several endpoints, kinds of workers and racks: what holds for one of them is decided by it alone.
 
 use bulrushlink_core::Span;
 
@@ -12,7 +12,7 @@
 /// Whole accelerators of a worker.
 const ALL: u64 = 8;
 
-/// Some equal workers of a service.
+/// Some equal workers of an endpoint.
 struct Group {
     endpoint: &'static str,
     label: &'static str,
@@ -21,7 +21,7 @@
     used: &'static [u64],
 }
 
-/// A service on which gangs of two whole workers find no rack with two free ones: each rack has one.
+/// A endpoint on which gangs of two whole workers find no rack with two free ones: each rack has one.
 const IDLE_RACKS: Group = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 1, 1] };
 /// The same, while more than half of the accelerators are in use.
 const BUSY_RACKS: Group = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 8, 7] };
@@ -69,20 +69,20 @@
     started
 }
 
-/// Guards against a gang that waits for a rack as long as another service is busy, though its own has room
+/// Guards against a gang that waits for a rack as long as another endpoint is busy, though its own has room
 /// for it many times over (review case 4, LOST). A job may be without a run for 3 s then.
 #[test]
-fn busy_service_does_not_keep_a_gang_of_an_idle_one_on_its_rack() {
+fn busy_endpoint_does_not_keep_a_gang_of_an_idle_one_on_its_rack() {
     let other = Group { endpoint: "review", label: "a", racks: 3, used: &[8, 8, 8, 8] };
     let mut bench = bench(&[IDLE_RACKS, other]);
     bench.add_job(1, 1, gang());
     assert_eq!(wait(&mut bench, 3_000).len(), 2);
 }
 
-/// Guards against a gang that is spread over the racks of a busy service, and so takes several times as
-/// long, because another service is idle.
+/// Guards against a gang that is spread over the racks of a busy endpoint, and so takes several times as
+/// long, because another endpoint is idle.
 #[test]
-fn idle_service_does_not_spread_a_gang_of_a_busy_one() {
+fn idle_endpoint_does_not_spread_a_gang_of_a_busy_one() {
     let other = Group { endpoint: "review", label: "a", racks: 6, used: &[0, 0, 0, 0] };
     let mut bench = bench(&[BUSY_RACKS, other]);
     bench.add_job(1, 1, gang());
@@ -90,7 +90,7 @@
 }
 
 /// Guards against a gang that waits for a rack while its label's workers are idle and those of other labels
-/// in the service are busy.
+/// in the endpoint are busy.
 #[test]
 fn busy_kind_does_not_keep_a_gang_of_an_idle_one_on_its_rack() {
     let other = Group { endpoint: "dispatch", label: "b", racks: 4, used: &[8, 8, 8, 8] };
@@ -99,10 +99,10 @@
     assert_eq!(wait(&mut bench, 3_000).len(), 2);
 }
 
-/// Guards against a gang that waits for a rack while under half of its service is in use, because its
+/// Guards against a gang that waits for a rack while under half of its endpoint is in use, because its
 /// label's workers are busy: it may not wait for longer than 3 s if there is room for it twice over.
 #[test]
-fn gang_of_a_busy_kind_in_an_idle_service_starts() {
+fn gang_of_a_busy_kind_in_an_idle_endpoint_starts() {
     let other = Group { endpoint: "dispatch", label: "b", racks: 6, used: &[0, 0, 0, 0] };
     let mut bench = bench(&[BUSY_RACKS, other]);
     bench.add_job(1, 1, Step { label: Some("a".to_string()), ..gang() });
@@ -121,10 +121,10 @@
     assert_eq!(wait(&mut bench, 3_000).len(), 2);
 }
 
-/// Guards against speeds that are compared across services: where all workers of a service were slower than
+/// Guards against speeds that are compared across endpoints: where all workers of an endpoint were slower than
 /// those of another, they all counted as equally slow, and a gang got the slowest.
 #[test]
-fn speeds_of_another_service_do_not_matter() {
+fn speeds_of_another_endpoint_do_not_matter() {
     let own = Group { endpoint: "dispatch", label: "a", racks: 1, used: &[0, 0, 0] };
     let other = Group { endpoint: "review", label: "a", racks: 1, used: &[0, 0, 0] };
     let mut bench = bench(&[own, other]);
@@ -137,7 +137,7 @@
     assert_eq!(bench.placer.workers[0].slots.len(), 0, "the gang is on the slowest worker");
 }
 
-/// Adds a job to a queue of another service, which only the job names.
+/// Adds a job to a queue of another endpoint, which only the job names.
 fn add_job_of(bench: &mut Bench, endpoint: &str, id: u64, priority: u32, step: Step) {
     bench.add_job(id, priority, step);
     let at = bench.placer.jobs.position(JobId(id)).expect("the job");
@@ -149,9 +149,9 @@
 const NEARLY_FULL: Group =
     Group { endpoint: "dispatch", label: "a", racks: 1, used: &[0, 8, 8, 8] };
 
-/// Guards against room that is kept free in one service for the urgent work of another.
+/// Guards against room that is kept free in one endpoint for the urgent work of another.
 #[test]
-fn urgent_work_of_another_service_reserves_nothing() {
+fn urgent_work_of_another_endpoint_reserves_nothing() {
     let other = Group { endpoint: "review", label: "a", racks: 1, used: &[8, 8, 8, 8] };
     let mut bench = bench(&[NEARLY_FULL, other]);
     bench.features.timely_preemption = true;
@@ -161,9 +161,9 @@
     assert_eq!(wait(&mut bench, 100).len(), 1);
 }
 
-/// Guards against room for urgent work that is given away because another service has room.
+/// Guards against room for urgent work that is given away because another endpoint has room.
 #[test]
-fn room_of_another_service_does_not_count_for_the_reserve() {
+fn room_of_another_endpoint_does_not_count_for_the_reserve() {
     let other = Group { endpoint: "review", label: "a", racks: 1, used: &[0, 0, 0, 0] };
     let mut bench = bench(&[NEARLY_FULL, other]);
     bench.features.timely_preemption = true;
@@ -182,17 +182,17 @@
     Step { near: Some("r0-0".parse().expect("a valid name")), ..step(2, false, 1) }
 }
 
-/// Guards against a job that has nothing running because the rack of its data is full, while its service has
+/// Guards against a job that has nothing running because the rack of its data is full, while its endpoint has
 /// room for it many times over. It may be so for 3 s; with long tasks it waited for half a minute.
 #[test]
-fn full_rack_does_not_keep_a_job_of_an_idle_service_waiting() {
+fn full_rack_does_not_keep_a_job_of_an_idle_endpoint_waiting() {
     let others = Group { endpoint: "dispatch", label: "a", racks: 4, used: &[0, 0] };
     let mut bench = bench(&[FULL_RACK, others]);
     bench.add_job(1, 1, step_near_full_rack());
     assert_eq!(wait(&mut bench, 3_000).len(), 2);
 }
 
-/// Guards against tasks that leave the rack of their data early although they have to share their service's
+/// Guards against tasks that leave the rack of their data early although they have to share their endpoint's
 /// room with other work, or although their job goes on meanwhile.
 #[test]
 fn tasks_wait_for_the_rack_of_their_data_if_they_may() {
--- a/crates/fleet/src/placer/tests/shares.rs
+++ b/crates/fleet/src/placer/tests/shares.rs
@@ -55,10 +55,10 @@
     }
 }
 
-/// Guards against shares of one service that count the idle workers of another: a workspace took all workers
-/// of its service, which were few of all.
+/// Guards against shares of one endpoint that count the idle workers of another: a workspace took all workers
+/// of its endpoint, which were few of all.
 #[test]
-fn idle_workers_of_another_service_do_not_count_for_the_shares() {
+fn idle_workers_of_another_endpoint_do_not_count_for_the_shares() {
     let mut bench = bench(16, [1.0, 1.0]);
     for worker in &mut bench.placer.workers[4..] {
         worker.entry.as_mut().expect("an entry").endpoint = "review".to_string();
