--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -20,6 +20,7 @@
 pub(crate) struct DaemonProcess {
     child: Child,
     settings: PathBuf,
+    limits: Option<HostLimits>,
     /// Log lines of the present process, without the first one.
     lines: Arc<AtomicUsize>,
     pub(crate) name: String,
@@ -34,6 +35,13 @@
     pub(crate) daemons: Vec<DaemonProcess>,
 }
 
+/// Memory and descriptors of a daemon's process.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct HostLimits {
+    pub(crate) memory_mb: u64,
+    pub(crate) descriptors: u64,
+}
+
 /// An HTTP answer; `retry_after` is its `Retry-After` header.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -56,8 +64,14 @@
 
 impl DaemonProcess {
     pub(crate) fn spawn(name: String, store: &str) -> Self {
+        Self::spawn_on(name, store, None)
+    }
+
+    /// Starts a daemon on a host with the given limits: they are in its settings, and the operating system
+    /// enforces that on descriptors.
+    pub(crate) fn spawn_on(name: String, store: &str, limits: Option<HostLimits>) -> Self {
         let any_port = "127.0.0.1:0";
-        let text = json!({
+        let mut text = json!({
             "daemon": name, "domain": "east", "log": "info", "callers": any_port, "ready": any_port,
             "metrics": any_port, "store": store,
             "host": { "core_share": 1, "core_speed": 1 },
@@ -67,23 +81,26 @@
                 "reclaim_ms": 3400,
             },
         });
+        if let Some(HostLimits { memory_mb, descriptors }) = limits {
+            text["process"] = json!({ "memory_mb": memory_mb, "descriptors": descriptors });
+        }
         let number = NEXT_FILE.fetch_add(1, Ordering::SeqCst);
         let file = format!("bulrushlink-{}-{number}.json", std::process::id());
         let settings = std::env::temp_dir().join(file);
         std::fs::write(&settings, text.to_string()).expect("the temporary directory is writable");
-        let (child, line, lines) = start(&settings);
+        let (child, line, lines) = start(&settings, limits);
         let addr = |field: &str| {
             line[field].as_str().expect("the first log line holds the address").to_string()
         };
         let (callers, ready, metrics) = (addr("callers"), addr("ready"), addr("metrics"));
-        Self { child, settings, lines, name, callers, ready, metrics }
+        Self { child, settings, limits, lines, name, callers, ready, metrics }
     }
 
     /// Kills the process and starts it again with the same settings; its ports change.
     pub(crate) fn restart(&mut self) {
         self.child.kill().expect("the child process can be killed");
         self.child.wait().expect("the child process can be awaited");
-        let (child, line, lines) = start(&self.settings);
+        let (child, line, lines) = start(&self.settings, self.limits);
         (self.child, self.lines) = (child, lines);
         let addr = |field: &str| {
             line[field].as_str().expect("the first log line holds the address").to_string()
@@ -92,6 +109,11 @@
             (addr("callers"), addr("ready"), addr("metrics"));
     }
 
+    /// Returns the identifier of the process.
+    pub(crate) fn pid(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends the signal `name`, such as `TERM`.
     pub(crate) fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
@@ -120,8 +142,18 @@
 
 /// Starts a daemon and returns its first log line, which holds its addresses, and the number of lines
 /// after it.
-fn start(settings: &Path) -> (Child, Value, Arc<AtomicUsize>) {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_bulrushlinkd"))
+fn start(settings: &Path, limits: Option<HostLimits>) -> (Child, Value, Arc<AtomicUsize>) {
+    let program = env!("CARGO_BIN_EXE_bulrushlinkd");
+    let mut command = match limits {
+        // `exec` keeps the process that is killed on drop.
+        Some(HostLimits { descriptors, .. }) => {
+            let mut command = Command::new("sh");
+            command.args(["-c", &format!("ulimit -n {descriptors}; exec \"$0\" \"$@\""), program]);
+            command
+        }
+        None => Command::new(program),
+    };
+    let mut child = command
         .args(["platform", "--settings"])
         .arg(settings)
         .stdout(Stdio::piped())
