Parse requests as they arrive

Callers saw: a body within the limit that came in chunks of a few bytes was never answered (408 after the timeout), while its framing filled a buffer. Cause: a request was kept whole, as sent, until it was complete, and parsed from its first byte at each read; reading stopped at the sum of the limits of head and body, and the framing counted. So the work for a body of n bytes grew with its square, and each byte was held twice.

Now each byte is looked at once: a decoder keeps the body only. A head is parsed when its end has come, or when it has doubled. Trailers and extensions are skipped; another transfer encoding than chunked is rejected, since the end of the body can't be found.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -26,7 +26,8 @@
 /// Largest size of one read in bytes, reached by doubling on long responses.
 const READ_MAX_BYTES: usize = 64 * 1024;
 /// Size limits of a response. A page of the store is up to 1 MB, and a third more in base64.
-const RESPONSE_BOUNDS: Bounds = Bounds { head: 16 * 1024, body: 8 * 1024 * 1024 };
+const RESPONSE_BOUNDS: Bounds =
+    Bounds { head: 16 * 1024, body: 8 * 1024 * 1024, framing: 8 * 1024 * 1024 };
 /// Idle time after which a connection is closed; shorter than the usual idle timeout of servers.
 const IDLE_TIMEOUT: Span = Span(10_000);
 /// Period of the sweep for idle connections, which visits every connection.
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -16,6 +16,7 @@
 //! assert!(request.encode().starts_with(b"GET /api/ready HTTP/1.1\r\n"));
 //! ```
 
+mod body;
 mod client;
 mod deadline;
 mod message;
--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -75,6 +75,12 @@
         find_header(&self.headers, name)
     }
 
+    /// Returns the size of the request in bytes: its target, headers and body.
+    pub fn size(&self) -> usize {
+        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        self.target.len() + headers.sum::<usize>() + self.body.len()
+    }
+
     /// Returns the path without the query.
     pub fn path(&self) -> &str {
         self.target.split_once('?').map_or(&self.target, |(path, _)| path)
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -11,7 +11,7 @@
 
 use crate::POLL_PRIORITY;
 use crate::message::{Request, Response};
-use crate::parse::{Bounds, Malformed, parse_request};
+use crate::parse::{Bounds, Malformed, RequestParser};
 
 /// Size of one read in bytes.
 const READ_BYTES: usize = 4 * 1024;
@@ -65,6 +65,7 @@
     close_after: bool,
     /// Whether the peer has shut down its sending side.
     eof: bool,
+    parser: RequestParser,
 }
 
 /// A listener with its connections.
@@ -163,6 +164,7 @@
                     since: now,
                     close_after: false,
                     eof: false,
+                    parser: RequestParser::default(),
                 };
                 self.conns.push(conn);
             }
@@ -203,15 +205,23 @@
     }
 
     fn read(&mut self, at: usize, now: Moment) -> Option<Received> {
+        let id = self.conns[at].id;
+        let mut received = None;
         loop {
             let conn = &mut self.conns[at];
             let buffered = conn.stream.wr - conn.stream.rd;
             if buffered > self.bounds.request.head + self.bounds.request.body {
-                // The limit is exceeded: reading stops, and the parser reports which part is too
-                // large.
+                // The limit is exceeded: reading stops.
                 break;
             }
             match conn.stream.read(READ_BYTES) {
+                // What is read of a request is parsed at once, and only its body is kept.
+                ReadStatus::NewData if matches!(conn.state, State::Idle | State::Reading) => {
+                    received = self.next_request(at, now);
+                    if received.is_none() && self.conns.get(at).is_none_or(|c| c.id != id) {
+                        return None;
+                    }
+                }
                 ReadStatus::NewData => {}
                 ReadStatus::WouldBlock => break,
                 ReadStatus::EndOfStream => {
@@ -224,7 +234,7 @@
                 }
             }
         }
-        self.next_request(at, now)
+        if received.is_some() { received } else { self.next_request(at, now) }
     }
 
     /// Parses the next request from the buffer.
@@ -239,21 +249,23 @@
             return None;
         }
         let unread = &conn.stream.inp[conn.stream.rd..conn.stream.wr];
-        match parse_request(unread, &bounds) {
-            Ok(Some((request, length))) => {
-                conn.stream.rd += length;
+        match conn.parser.feed(unread, &bounds) {
+            Ok((used, Some(request))) => {
+                conn.stream.rd += used;
                 conn.state = State::Serving;
                 conn.since = now;
                 let closes = |v: &str| v.eq_ignore_ascii_case("close");
                 conn.close_after = request.header("connection").is_some_and(closes);
                 Some(Received { conn: ConnId(conn.id), request })
             }
-            Ok(None) if conn.eof => {
+            Ok(_) if conn.eof => {
                 self.close(at);
                 None
             }
-            Ok(None) => {
-                if !unread.is_empty() && conn.state == State::Idle {
+            Ok((used, None)) => {
+                conn.stream.rd += used;
+                let begun = conn.parser.is_in_body() || conn.stream.rd < conn.stream.wr;
+                if begun && conn.state == State::Idle {
                     conn.state = State::Reading;
                     conn.since = now;
                 }
@@ -269,7 +281,7 @@
     fn reject(&mut self, at: usize, error: &Malformed, now: Moment) {
         let status = match error {
             Malformed::HeadTooLarge => 431,
-            Malformed::BodyTooLarge => 413,
+            Malformed::BodyTooLarge | Malformed::FramingTooLarge => 413,
             Malformed::Syntax(_) => 400,
         };
         log::info!(event = "malformed_request", status = status; "rejected a request: {error}");
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -11,9 +11,15 @@
 use crate::client::{Client, Finished};
 use crate::deadline::Deadline;
 use crate::message::{Method, Request, Response};
-use crate::parse::{Bounds, Malformed, parse_request, parse_response};
+use crate::parse::{Bounds, Malformed, Parsed, RequestParser, parse_response};
 
-const BOUNDS: Bounds = Bounds { head: 200, body: 20 };
+const BOUNDS: Bounds = Bounds { head: 200, body: 20, framing: 200 };
+
+/// Parses a request from its first bytes.
+fn parse_request(bytes: &[u8], bounds: &Bounds) -> Parsed<Request> {
+    let (used, request) = RequestParser::default().feed(bytes, bounds)?;
+    Ok(request.map(|request| (request, used)))
+}
 
 /// A request can arrive in any number of pieces; a prefix must be neither parsed nor rejected.
 #[test]
@@ -58,6 +64,79 @@
     assert_eq!(parse_request(large.as_bytes(), &BOUNDS), Err(Malformed::BodyTooLarge));
 }
 
+/// Returns a chunked request whose body comes in chunks of the given size.
+fn chunked(body: &[u8], size: usize) -> Vec<u8> {
+    let mut bytes = b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n".to_vec();
+    for chunk in body.chunks(size) {
+        bytes.extend_from_slice(format!("{:x}\r\n", chunk.len()).as_bytes());
+        bytes.extend_from_slice(chunk);
+        bytes.extend_from_slice(b"\r\n");
+    }
+    bytes.extend_from_slice(b"0\r\n\r\n");
+    bytes
+}
+
+/// Guards against a body that depends on where its parts are split, or whose framing counts as body.
+#[test]
+fn request_in_any_parts_is_the_same() {
+    let bounds = Bounds { head: 200, body: 300, framing: 300 * 5 + 5 };
+    let body: Vec<u8> = (0..=255).collect();
+    let sized = Request::new(Method::Post, "/").with_json(body.clone()).encode();
+    let requests = [1, 3, 16, 256].map(|size| chunked(&body, size)).into_iter().chain([sized]);
+    for (number, request) in requests.enumerate() {
+        for part in [1, 2, 5, 64, request.len()] {
+            let (mut parser, mut buffer, mut parsed) = (RequestParser::default(), Vec::new(), None);
+            for bytes in request.chunks(part) {
+                assert_eq!(parsed, None, "request {number} in parts of {part}");
+                buffer.extend_from_slice(bytes);
+                let (used, request) = parser.feed(&buffer, &bounds).expect("well formed");
+                buffer.drain(..used);
+                parsed = request;
+            }
+            let parsed = parsed.expect("complete");
+            assert_eq!((parsed.body, buffer.len()), (body.clone(), 0), "request {number}");
+        }
+    }
+}
+
+/// Guards against work and memory in proportion to the framing, which a caller may make as long as it likes.
+#[test]
+fn framing_has_a_bound_of_its_own() {
+    let head = "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for framing in [
+        format!("1;{}\r\n", "x".repeat(300)),
+        "0".repeat(300),
+        format!("0\r\nA: {}", "x".repeat(300)),
+        format!("0\r\n{}", "A: b\r\n".repeat(50)),
+    ] {
+        let request = format!("{head}{framing}");
+        assert_eq!(parse_request(request.as_bytes(), &BOUNDS), Err(Malformed::FramingTooLarge));
+    }
+    let trailers = format!("{head}1;a=b\r\nx\r\n0\r\nA: b\r\nC: d\r\n\r\nGET");
+    let (parsed, length) =
+        parse_request(trailers.as_bytes(), &BOUNDS).expect("well formed").expect("complete");
+    assert_eq!((parsed.body.as_slice(), length), (b"x".as_slice(), trailers.len() - 3));
+}
+
+/// Guards against parsing the same bytes again at each read: heads and bodies that arrive byte by byte took time in
+/// proportion to the square of their size.
+#[test]
+fn head_is_parsed_again_only_when_it_has_doubled() {
+    let bounds = Bounds { head: 1 << 20, body: 0, framing: 0 };
+    let mut parser = RequestParser::default();
+    let mut head = b"GET / HTTP/1.1\r\nA: ".to_vec();
+    head.resize(1 << 18, b'x');
+    let mut parsed_bytes = 0;
+    for length in 1..head.len() {
+        let before = parser.attempted();
+        assert_eq!(parser.feed(&head[..length], &bounds), Ok((0, None)));
+        if parser.attempted() != before {
+            parsed_bytes += length;
+        }
+    }
+    assert!(parsed_bytes <= 2 * head.len(), "{parsed_bytes} bytes parsed");
+}
+
 #[test]
 fn response_without_length_extends_to_eof() {
     let bytes = b"HTTP/1.1 200 OK\r\n\r\nrest";
--- a/tests/platform/fleet.rs
+++ b/tests/platform/fleet.rs
@@ -116,7 +116,7 @@
 
     /// Sends the signal `name`, such as `TERM`.
     pub(crate) fn signal(&self, name: &str) {
-        let pid = self.child.id().to_string();
+        let pid = self.pid().to_string();
         let status = Command::new("kill").args([format!("-{name}"), pid]).status();
         assert!(status.expect("kill runs").success());
     }
