Bound what the messages of all callers take

Callers saw: the daemon was ended for want of memory, and all its connections with it. Cause: each connection had a bound, the sum had none. 1,400 bodies of 256 KiB that stopped just short of their end took 711 MB of 260: each was kept in a buffer that doubles, idle connections kept theirs, all requests of one poll were decoded before the first was answered, and the system let receive buffers grow.

Now a listener has an account of its messages: parts of requests by the size of their buffers, requests that are being handled by eight times their size (decoded job, record, encoded call), responses until they are sent. If a connection would exceed the memory, those with part of a request are refused, the one on which nothing has happened for longest first: a body that stops short goes before one that arrives. What still doesn't fit is refused with 503 and Retry-After; it has not been handled, so it never runs. A quarter is kept for small messages, and the only large one always fits. Buffers that hold nothing are freed, also those of connections to peers. The sizes of the listener's receive buffers are set. The limits are checked settings (`intake`) that follow from `process`, with the sums in docs/settings.md; refusals are counted in bulrushlink_connections_shed_total, with at most a line a second for each reason (`load_shed`). After a head, each further part of a body has the time of a head, and the whole body 60 s.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -27,6 +27,7 @@
 mod note;
 mod route;
 mod sched;
+mod throttle;
 mod units;
 
 pub use error::{Code, Error};
@@ -47,4 +48,5 @@
     Action, Event, JobState, KindState, Load, Scheduler, Shortfall, StartFault, State, StopReason,
     URGENT_BUCKETS, UsageReport, Why, WorkerInfo, WorkerState, WorkspaceState,
 };
+pub use throttle::Throttle;
 pub use units::{AcceleratorSet, Moment, Span};
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -3,7 +3,7 @@
 //! Each limit alone is easily met by a crowd whose members stay within the limits of a single
 //! request, so the limits are shares of one sum: the memory of the process.
 
-use bulrushlink_core::{Code, Error};
+use bulrushlink_core::{Code, Error, Span};
 use serde::Deserialize;
 
 /// Least memory of a process, in megabytes: less doesn't hold the daemon's own state.
@@ -52,3 +52,144 @@
         Ok(())
     }
 }
+
+/// Share of the memory for connections and the buffers of their sockets, as a divisor.
+const CONNECTIONS_DIVISOR: usize = 4;
+/// Share of the memory for the messages of callers, as a divisor.
+const MESSAGES_DIVISOR: usize = 4;
+/// Share of the memory for the store calls of callers, as a divisor.
+const STORE_CALLS_DIVISOR: usize = 5;
+/// Share of the descriptors for callers, in eighths; the rest is for workers, the store and files.
+const DESCRIPTORS_EIGHTHS: usize = 3;
+/// Share of the descriptors for the store calls of callers, as a divisor.
+const STORE_DESCRIPTORS_DIVISOR: usize = 4;
+/// Largest number of callers' connections by default.
+const CONNECTIONS_MAX: usize = 1_500;
+/// Largest number of open connections of the load balancer, and likewise of operators' tools.
+const ADMIN_CONNECTIONS_MAX: usize = 50;
+/// Memory of a connection besides the buffers of its socket, in bytes.
+const CONNECTION_BYTES: usize = 2_048;
+/// The system takes up to this many times the size of a buffer for its own account of it.
+const BUFFER_FACTOR: usize = 2;
+/// Size of a connection's receive buffer by default, in kilobytes.
+const RECEIVE_KB: usize = 16;
+/// Size of a connection's send buffer, in bytes: responses to callers are short.
+const SEND_BYTES: usize = 4_096;
+/// Memory of a store call with its reply, in bytes: the record of a job with the largest body, encoded.
+const STORE_CALL_BYTES: usize = 500_000;
+/// Least and largest number of store calls by default.
+const STORE_CALLS: (usize, usize) = (16, 64);
+/// Bytes of framing for each byte that a body may have, by default; chunks of one byte take 5.
+const FRAMING_FACTOR: usize = 32;
+/// Time for a whole body to arrive by default, in seconds.
+const BODY_S: u64 = 60;
+/// Largest value of a setting; sums and products can't overflow.
+const SETTING_MAX: usize = 1 << 24;
+
+/// Settings of the limits on callers; each that is missing follows from the memory and the descriptors.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct IntakeSettings {
+    /// Largest number of open connections.
+    pub connections: Option<usize>,
+    /// Memory of the messages of all connections, in kilobytes.
+    pub messages_kb: Option<usize>,
+    /// Size of the receive buffer of a connection's socket, in kilobytes.
+    pub receive_kb: Option<usize>,
+    /// Largest number of store calls for callers at a time.
+    pub store_calls: Option<usize>,
+    /// Bytes of framing of a chunked body for each byte that a body may have.
+    pub framing_factor: Option<usize>,
+    /// Time for a whole body to arrive, in seconds.
+    pub body_s: Option<usize>,
+}
+
+/// Limits on what callers make the process hold.
+///
+/// The memory of all connections, of messages and of store calls is at most three quarters of that of the
+/// process; the rest is for its own state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Intake {
+    /// Largest number of open connections of callers.
+    pub connections: usize,
+    /// Largest number of open connections of the load balancer, and likewise of operators' tools.
+    pub admin_connections: usize,
+    /// Memory of the messages of all connections, in bytes.
+    pub messages: usize,
+    /// Size of the receive buffer of a connection's socket, in bytes.
+    pub receive_buffer: usize,
+    /// Size of the send buffer of a connection's socket, in bytes.
+    pub send_buffer: usize,
+    /// Largest number of store calls for callers at a time.
+    pub store_calls: usize,
+    /// Bytes of framing of a chunked body for each byte that a body may have.
+    pub framing_factor: usize,
+    /// Time for a whole body to arrive.
+    pub body_timeout: Span,
+}
+
+impl IntakeSettings {
+    /// Returns the limits for a process.
+    ///
+    /// # Errors
+    ///
+    /// [`Code::SettingsInvalid`] if a setting is 0 or too large, or if the limits together exceed the process's.
+    pub fn derive(&self, process: &ProcessLimits) -> Result<Intake, Error> {
+        let given = [
+            ("connections", self.connections),
+            ("messages_kb", self.messages_kb),
+            ("receive_kb", self.receive_kb),
+            ("store_calls", self.store_calls),
+            ("framing_factor", self.framing_factor),
+            ("body_s", self.body_s),
+        ];
+        for (name, value) in given {
+            if value.is_some_and(|v| v == 0 || v > SETTING_MAX) {
+                let text = format!("must be between 1 and {SETTING_MAX}");
+                return Err(Error::at(Code::SettingsInvalid, format!("/intake/{name}"), text));
+            }
+        }
+        // Checked to be far below the largest number.
+        let (memory, descriptors) =
+            (process.memory_mb as usize * 1_000_000, process.descriptors as usize);
+        let receive_buffer = self.receive_kb.unwrap_or(RECEIVE_KB) * 1_024;
+        let per_connection = BUFFER_FACTOR * (receive_buffer + SEND_BYTES) + CONNECTION_BYTES;
+        let connections = (memory / CONNECTIONS_DIVISOR / per_connection)
+            .min(descriptors * DESCRIPTORS_EIGHTHS / 8)
+            .clamp(1, CONNECTIONS_MAX);
+        let (least, most) = STORE_CALLS;
+        let store_calls = (memory / STORE_CALLS_DIVISOR / STORE_CALL_BYTES)
+            .clamp(least, most)
+            .min(descriptors / STORE_DESCRIPTORS_DIVISOR);
+        let intake = Intake {
+            connections: self.connections.unwrap_or(connections),
+            admin_connections: (descriptors / 16).clamp(1, ADMIN_CONNECTIONS_MAX),
+            messages: self.messages_kb.map_or(memory / MESSAGES_DIVISOR, |kb| kb * 1_024),
+            receive_buffer,
+            send_buffer: SEND_BYTES,
+            store_calls: self.store_calls.unwrap_or(store_calls),
+            framing_factor: self.framing_factor.unwrap_or(FRAMING_FACTOR),
+            body_timeout: Span::from_secs(self.body_s.map_or(BODY_S, |s| s as u64)),
+        };
+        let parts = [
+            intake.connections.saturating_mul(per_connection),
+            intake.messages,
+            intake.store_calls.saturating_mul(STORE_CALL_BYTES),
+        ];
+        let sum = parts.into_iter().fold(0, usize::saturating_add);
+        if sum > memory / 4 * 3 + STORE_CALL_BYTES {
+            let text =
+                format!("callers may take {sum} of {memory} bytes, more than three quarters");
+            return Err(Error::at(Code::SettingsInvalid, "/intake", text));
+        }
+        let sockets = intake.connections + 2 * intake.admin_connections + intake.store_calls;
+        if sockets > descriptors {
+            let text = format!("callers may take {sockets} of {descriptors} descriptors");
+            return Err(Error::at(Code::SettingsInvalid, "/intake", text));
+        }
+        Ok(intake)
+    }
+}
+
+#[cfg(test)]
+mod tests;
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -61,7 +61,7 @@
 };
 pub use front::FrontTag;
 pub use ids::{Boot, Epoch, FencingToken, JobId, LeaseId, Rev, Run, TaskId};
-pub use intake::ProcessLimits;
+pub use intake::{Intake, IntakeSettings, ProcessLimits};
 pub use lead::ElectionTag;
 pub use model::{
     BadSpec, JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step,
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -69,6 +69,11 @@
         Self { framing, body: Vec::new(), overhead: 0 }
     }
 
+    /// Returns the memory that the body takes, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.body.capacity()
+    }
+
     /// Returns false if so many bytes can't hold the whole body.
     pub(crate) fn may_complete(&self, bytes: usize) -> bool {
         !matches!(self.framing, Framing::Sized(length) if bytes < length)
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -72,6 +72,19 @@
     idle_since: Moment,
 }
 
+impl<T> Connection<T> {
+    /// Frees the buffers that long messages have left: a connection may be idle for long.
+    fn release(&mut self) {
+        let stream = &mut self.stream;
+        if stream.rd == stream.wr && stream.inp.capacity() > 2 * READ_MIN_BYTES {
+            (stream.inp, stream.rd, stream.wr) = (Vec::new(), 0, 0);
+        }
+        if stream.out.is_empty() && stream.out.capacity() > 2 * READ_MIN_BYTES {
+            stream.out = Vec::new();
+        }
+    }
+}
+
 /// HTTP client of a process: the pooled connections to all peers.
 pub struct Client<T> {
     /// By number, which rises with each connection.
@@ -213,6 +226,7 @@
                 let Pending { token, deadline } = conn.pending.take()?;
                 conn.completed_calls += 1;
                 conn.idle_since = now;
+                conn.release();
                 self.idle.insert((conn.peer, id));
                 self.deadlines.remove(&(deadline.at(), id));
                 if close {
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -17,7 +17,9 @@
 //! ```
 
 mod body;
+mod budget;
 mod client;
+mod conn;
 mod deadline;
 mod message;
 mod parse;
@@ -28,7 +30,7 @@
 pub use client::{Client, Failure, Finished};
 pub use message::{Method, Request, Response};
 pub use parse::{Bounds, Malformed};
-pub use server::{ConnId, Received, Server, ServerBounds};
+pub use server::{ConnId, Received, Server, ServerBounds, SocketBuffers};
 
 /// Priority in the poll loop of all connections, and of everything else that a program with them polls.
 ///
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -51,6 +51,11 @@
 }
 
 impl RequestParser {
+    /// Returns the memory that the part of a body that has arrived takes, in bytes.
+    pub(crate) fn memory(&self) -> usize {
+        self.body.as_ref().map_or(0, |(_, body)| body.memory())
+    }
+
     /// Returns the length of the part of a head that was parsed last, in bytes.
     #[cfg(test)]
     pub(crate) fn attempted(&self) -> usize {
