Close the least active connection for a new one at the limit

Callers saw: no daemon took their connections while others held all of them, idle or with the first bytes of a request, until the idle timeout; with fewer descriptors than connections, no connection was accepted at all, nor one to the store opened. Cause: the number of connections was a constant, and the newest connection was the one that was refused.

At the limit, and without descriptors, the connection on which nothing has happened for longest is closed, unless its request is being handled. Ordinary requests arrive at once, so theirs are the most active ones.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -2,6 +2,7 @@
 
 use bulrushlink_core::{Moment, Span, Throttle};
 use derive_more::Display;
+use rustix::io::Errno;
 use rustix::net::sockopt::set_socket_recv_buffer_size;
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
@@ -20,6 +21,8 @@
 const SHED_RETRY_AFTER_S: u64 = 1;
 /// Reads of one connection in a row, after which the others get their turn.
 const STEPS_MAX: usize = 64;
+/// Connections closed in a row to free descriptors.
+const FREED_MAX: usize = 8;
 
 /// Identifier of a connection, unique within its listener.
 #[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -166,16 +169,24 @@
     }
 
     /// Accepts pending connections; `ready` creates the handler of readiness events for each.
+    ///
+    /// Load pattern: callers open connections and send no request, or never end it. At the limit, the connection
+    /// on which nothing has happened for longest makes room, unless its request is being handled.
     pub fn accept(&mut self, poll: &MioPoll, ready: impl Fn(u64) -> Fwd<Ready>, now: Moment) {
+        let mut freed = 0;
         loop {
             match self.listener.accept() {
-                Ok((stream, _)) if self.conns.len() >= self.bounds.connections => {
-                    self.report_shed(Shed::Connections, now);
-                    drop(stream);
+                Ok((stream, _)) => {
+                    if self.make_room(now) {
+                        self.add(poll, &ready, stream, now);
+                    }
                 }
-                Ok((stream, _)) => self.add(poll, &ready, stream, now),
                 Err(error) if error.kind() == ErrorKind::WouldBlock => break,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error)
+                    if matches!(
+                        error.kind(),
+                        ErrorKind::Interrupted | ErrorKind::ConnectionAborted
+                    ) => {}
                 Err(error) => {
                     if let Some(cases) = self.lines.accept.record(now) {
                         log::warn!(
@@ -183,12 +194,39 @@
                             "can't accept connections: {error}"
                         );
                     }
-                    break;
+                    freed += 1;
+                    let out_of_descriptors = [Errno::MFILE, Errno::NFILE]
+                        .iter()
+                        .any(|e| error.raw_os_error() == Some(e.raw_os_error()));
+                    if !out_of_descriptors || freed > FREED_MAX || !self.close_inactive(now) {
+                        break;
+                    }
                 }
             }
         }
     }
 
+    /// Closes connections until one more may be open; false if the requests of all are being handled.
+    fn make_room(&mut self, now: Moment) -> bool {
+        while self.conns.len() >= self.bounds.connections {
+            if !self.close_inactive(now) {
+                self.report_shed(Shed::Connections, now);
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Closes the connection on which nothing has happened for longest; false if the requests of all are being
+    /// handled.
+    fn close_inactive(&mut self, now: Moment) -> bool {
+        let candidates = self.conns.iter().enumerate().filter(|(_, c)| c.state != State::Serving);
+        let Some((at, _)) = candidates.min_by_key(|(_, c)| c.active) else { return false };
+        self.report_shed(Shed::Connections, now);
+        self.close(at);
+        true
+    }
+
     fn add(
         &mut self,
         poll: &MioPoll,
