Send a response before the next request is looked at

Callers saw: the memory of a daemon grew with the requests of callers that don't read their responses; each further request was answered into the buffer of those before it, and the system let send buffers grow to megabytes. 40 callers with 2,000 requests for the metrics each took 12 MB resident and 103 MB in send buffers, on a host of 64 MB.

A connection that is sending is in a state of its own: its next request is neither read nor parsed until the response is sent, and it is closed if nothing of it is read for the time of a head. Send buffers have a set size.

--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -3,7 +3,7 @@
 use bulrushlink_core::{Moment, Span, Throttle};
 use derive_more::Display;
 use rustix::io::Errno;
-use rustix::net::sockopt::set_socket_recv_buffer_size;
+use rustix::net::sockopt::{set_socket_recv_buffer_size, set_socket_send_buffer_size};
 use stakker::Fwd;
 use stakker_mio::mio::Interest;
 use stakker_mio::mio::net::{TcpListener, TcpStream};
@@ -121,7 +121,8 @@
     ) -> std::io::Result<Self> {
         listener.set_nonblocking(true)?;
         // Connections inherit the sizes. Without them the system lets each grow to megabytes.
-        let sizes = set_socket_recv_buffer_size(&listener, buffers.receive);
+        let sizes = set_socket_recv_buffer_size(&listener, buffers.receive)
+            .and_then(|()| set_socket_send_buffer_size(&listener, buffers.send));
         if let Err(error) = sizes {
             log::warn!(
                 event = "socket_buffers", listener = name;
@@ -489,7 +490,7 @@
     fn send(&mut self, at: usize, response: &Response, close: bool, now: Moment) -> bool {
         let conn = &mut self.conns[at];
         conn.stream.out.extend_from_slice(&response.encode(close));
-        conn.set_state(if close { State::Closing } else { State::Idle }, now);
+        conn.set_state(if close { State::Closing } else { State::Sending }, now);
         self.flush(at, now)
     }
 
