Limit the store calls that are made for callers

Callers saw: while the store was slow or cut off, each request opened a connection to it, so that callers took twice their descriptors, and the memory of as many replies; with 256 descriptors, no further caller was accepted. Cause: a call was sent as soon as the node asked for it, however many were in flight.

The calls for callers pass a gate: `intake.store_calls` are in flight, the others wait in order. One that has waited until its deadline had no effect, and its request is refused as such rather than with an unknown outcome; those of callers that have left are dropped. The calls of the placer, the election and the configuration don't wait.

callers_that_wait_for_the_store_stay_within_descriptors failed before (over 192 of 256 descriptors) and passes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,6 +37,7 @@
 mod catalog;
 mod edge;
 mod front;
+mod gate;
 mod ids;
 mod intake;
 mod lead;
@@ -60,6 +61,7 @@
     Subject, Tag, WorkerCall, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
 };
 pub use front::FrontTag;
+pub use gate::Gate;
 pub use ids::{Boot, Epoch, FencingToken, JobId, LeaseId, Rev, Run, TaskId};
 pub use intake::{Intake, IntakeSettings, ProcessLimits};
 pub use lead::ElectionTag;
