Bound what a decoded request takes

A text of any length was stored, held by the placer and sent with each start, though the users' page allows 4,000 bytes.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -66,8 +66,8 @@
 pub use intake::{Intake, IntakeSettings, ProcessLimits};
 pub use lead::ElectionTag;
 pub use model::{
-    BadSpec, JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JobSpec, Resources, Schedule, Step,
-    TASK_VALUE_MAX,
+    BadSpec, JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JOB_TEXT_BYTES, JobSpec, Resources,
+    Schedule, Step, TASK_VALUE_MAX,
 };
 pub use node::Node;
 pub use placer::{PassStats, PlacerTag};
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -8,6 +8,8 @@
 pub const JOB_TASKS_MAX: u64 = 4_096;
 /// Maximum number of steps of a job; bounds the memory that a job takes.
 pub const JOB_STEPS_MAX: usize = 256;
+/// Maximum length of a job's text in bytes; each start of a task sends it to a worker.
+pub const JOB_TEXT_BYTES: usize = 4_000;
 /// Maximum number of rounds of a job; the state of a job lists the rounds that are done.
 pub const JOB_ROUNDS_MAX: u32 = 10_000;
 /// Maximum amount of a resource that a task may request, and maximum estimate of its run time in
@@ -159,6 +161,9 @@
     /// More than [`JOB_STEPS_MAX`] steps, [`JOB_TASKS_MAX`] tasks or [`JOB_ROUNDS_MAX`] rounds.
     #[display("the job has too many steps, tasks or rounds")]
     TooLarge,
+    /// A text of more than [`JOB_TEXT_BYTES`], or a label as long.
+    #[display("the job's text or a label is too long")]
+    TooLong,
     /// A task requests more than [`TASK_VALUE_MAX`] of a resource, or is estimated to take longer.
     #[display("a task requests more than any worker has, or its estimate is too long")]
     Excessive,
@@ -184,6 +189,10 @@
         {
             return Err(BadSpec::TooLarge);
         }
+        let labels = self.steps.iter().filter_map(|s| s.label.as_ref());
+        if labels.chain([&self.text]).any(|text| text.len() > JOB_TEXT_BYTES) {
+            return Err(BadSpec::TooLong);
+        }
         let excessive = |step: &Step| {
             let Resources { cpu, memory, accelerators } = step.need;
             let values = [cpu, memory, accelerators, step.estimate.millis()];
