Read the limits of the process from the platform's table

The template passes the whole table on; its names are translated in platform/, its other fields are ignored, and those that are missing have defaults.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -16,8 +16,7 @@
 const DESCRIPTORS_MAX: u64 = 1 << 24;
 
 /// Memory and descriptors that the host grants the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
-#[serde(default, deny_unknown_fields)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ProcessLimits {
     /// Memory above which the process is ended, in megabytes of 1,000,000 bytes. Bytes in the buffers of
     /// its sockets count.
