Limit the time for which a request is held

A caller says how long it waits (Deadline-Ms), up to the largest number. While the outcome of a commit was unknown, the request was held and its commit repeated each 80 ms for as long; nothing else ended it. The time is limited to 60 s, 20 times what the users' callers wait. excessive_timeout_of_a_caller_is_limited failed before (no answer after 60 s).

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -24,6 +24,8 @@
 
 /// Timeout of a caller that sends none.
 const CALLER_TIMEOUT_DEFAULT: Span = Span(3_000);
+/// Longest time for which a request is held and its store calls are retried, whatever its caller says.
+const CALLER_TIMEOUT_MAX: Span = Span(60_000);
 /// Upper limit of the time reserved for the answer to reach the caller before its timeout.
 const ANSWER_MARGIN_MAX: Span = Span(200);
 /// For short timeouts, the margin is the timeout divided by this.
@@ -113,7 +115,7 @@
         if self.requests.len() >= REQUESTS_MAX {
             return ctx.answer(id, Answer::Busy(BUSY_RETRY_AFTER), "too many requests in flight");
         }
-        let timeout = call.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
+        let timeout = call.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT).min(CALLER_TIMEOUT_MAX);
         let margin = ANSWER_MARGIN_MAX.min(Span(timeout.millis() / ANSWER_MARGIN_DIVISOR));
         let deadline = (now + timeout) - margin;
         let mut request = Request {
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -481,3 +481,21 @@
         assert_eq!(outputs.collect::<Vec<_>>().iter().any(read), admission);
     }
 }
+
+/// Guards against a request that is held, and retried each 80 ms, for as long as its caller says: while the outcome of its
+/// commit is unknown, only its deadline ends it.
+#[test]
+fn excessive_timeout_of_a_caller_is_limited() {
+    let mut node = ready_node();
+    let outputs = node.handle(clock(10), Input::Caller(RequestId(1), call(u64::MAX)));
+    assert_eq!(creation_commits(&outputs), 1);
+    let tag = outputs.into_iter().find_map(|o| match o {
+        Output::Store(tag @ Tag::Front(..), ..) => Some(tag),
+        _ => None,
+    });
+    let lost = Err(Fault::Unknown("lost".to_string()));
+    node.handle(clock(20), Input::Store(tag.expect("a commit"), lost));
+    let answered = |outputs: &[Output]| outputs.iter().any(|o| matches!(o, Output::Answer(..)));
+    assert!(!answered(&node.handle(clock(50_000), Input::Tick)));
+    assert!(answered(&node.handle(clock(60_010), Input::Tick)));
+}
