--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -1,10 +1,10 @@
-use bulrushlink_core::Moment;
+use bulrushlink_core::{Moment, Span};
 use stakker::{Fwd, Stakker};
 use stakker_mio::mio::{Events, Poll};
 use stakker_mio::{MioPoll, Ready};
 use std::cell::RefCell;
 use std::io::{Read, Write};
-use std::net::{TcpListener, TcpStream};
+use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -12,6 +12,7 @@
 use crate::deadline::Deadline;
 use crate::message::{Method, Request, Response};
 use crate::parse::{Bounds, Malformed, Parsed, RequestParser, parse_response};
+use crate::server::{Received, Server, ServerBounds, SocketBuffers};
 
 const BOUNDS: Bounds = Bounds { head: 200, body: 20, framing: 200 };
 
@@ -226,3 +227,116 @@
     assert_eq!(outcomes(caller.client.expire(Moment(1_500))), [(2, None)]);
     assert_eq!((caller.client.next_deadline(), caller.client.len()), (None, 1));
 }
+
+/// A server with one connection whose poll loop stands still unless a test lets it go on.
+struct Listener {
+    poll: MioPoll,
+    server: Server,
+    events: Rc<RefCell<Vec<(u64, Ready)>>>,
+    addr: SocketAddr,
+}
+
+impl Listener {
+    fn open(bounds: ServerBounds) -> Self {
+        let mut stakker = Stakker::new(Instant::now());
+        let poll = Poll::new().expect("a poll");
+        let poll =
+            MioPoll::new(&mut stakker, poll, Events::with_capacity(16), crate::POLL_PRIORITY)
+                .expect("a poll loop");
+        let socket = TcpListener::bind("127.0.0.1:0").expect("a free port");
+        let addr = socket.local_addr().expect("an address");
+        let buffers = SocketBuffers { receive: 4_096, send: 4_096 };
+        let accept = Fwd::new(|_: Ready| {});
+        let server =
+            Server::open(&poll, ("test", socket), bounds, buffers, accept).expect("registered");
+        Self { poll, server, events: Rc::default(), addr }
+    }
+
+    fn connect(&mut self) -> TcpStream {
+        let stream = TcpStream::connect(self.addr).expect("a connection");
+        stream.set_nonblocking(true).expect("a non-blocking stream");
+        self.accept();
+        stream
+    }
+
+    fn accept(&mut self) {
+        let events = self.events.clone();
+        let ready = |id| {
+            let events = events.clone();
+            Fwd::new(move |ready| events.borrow_mut().push((id, ready)))
+        };
+        self.server.accept(&self.poll, ready, Moment(0));
+    }
+
+    /// Handles the events of one poll; returns the complete requests.
+    fn poll(&mut self, now: Moment) -> Vec<Received> {
+        self.poll.poll(Duration::from_millis(100)).expect("events");
+        let events = self.events.take();
+        events.into_iter().filter_map(|(id, ready)| self.server.ready(id, ready, now)).collect()
+    }
+}
+
+const SERVER_BOUNDS: ServerBounds = ServerBounds {
+    request: Bounds { head: 1_000, body: 100_000, framing: 1_000 },
+    request_timeout: Span(1_000),
+    body_timeout: Span(5_000),
+    idle_timeout: Span(5_000),
+    connections: 3,
+    messages: 1_000_000,
+};
+
+/// Guards against responses that add up while their caller doesn't read them.
+#[test]
+fn responses_wait_until_those_before_them_are_read() {
+    let mut listener = Listener::open(SERVER_BOUNDS);
+    let mut caller = listener.connect();
+    caller.write_all("GET / HTTP/1.1\r\n\r\n".repeat(40).as_bytes()).expect("sent");
+    let response = Response::new(200).with_body("text/plain", vec![b'x'; 500_000]);
+    let mut received = listener.poll(Moment(0));
+    let mut answered = 0;
+    while let Some(Received { conn, .. }) = received.pop() {
+        answered += 1;
+        listener.server.respond(conn, &response, Moment(0));
+        received.extend(listener.server.resume(Moment(0)));
+    }
+    assert!(answered < 40, "all of {answered} requests were answered");
+    assert!(listener.server.messages() <= 1_500_000, "{} bytes", listener.server.messages());
+    listener.server.expire(Moment(1_001));
+    assert_eq!((listener.server.len(), listener.server.messages()), (0, 0));
+}
+
+/// Guards against a connection that is refused although others do nothing, and against one that is closed while its
+/// request is being handled.
+#[test]
+fn least_active_connection_makes_room_for_a_new_one() {
+    let mut listener = Listener::open(SERVER_BOUNDS);
+    let mut serving = listener.connect();
+    serving.write_all(b"GET / HTTP/1.1\r\n\r\n").expect("sent");
+    let received = listener.poll(Moment(0));
+    assert_eq!(received.len(), 1);
+    let mut callers: Vec<TcpStream> = (0..5).map(|_| listener.connect()).collect();
+    assert_eq!((listener.server.len(), listener.server.take_disconnected()), (3, Vec::new()));
+    let newest = callers.last_mut().expect("a caller");
+    newest.write_all(b"GET /new HTTP/1.1\r\n\r\n").expect("sent");
+    assert_eq!(listener.poll(Moment(1)).len(), 1);
+    listener.server.respond(received[0].conn, &Response::new(200), Moment(2));
+    assert_eq!(listener.server.len(), 3);
+}
+
+/// Guards against a body that stops short of its end and keeps its memory for ever, and against one that is cut
+/// off while it arrives.
+#[test]
+fn body_ends_with_its_progress() {
+    let mut listener = Listener::open(SERVER_BOUNDS);
+    let mut slow = listener.connect();
+    slow.write_all(b"POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n").expect("sent");
+    assert_eq!(listener.poll(Moment(0)).len(), 0);
+    for now in [900, 1_800, 2_700] {
+        slow.write_all(b"x").expect("sent");
+        assert_eq!(listener.poll(Moment(now)).len(), 0);
+        listener.server.expire(Moment(now + 900));
+        assert_eq!(listener.server.len(), 1, "at {now}");
+    }
+    listener.server.expire(Moment(2_700 + 1_001));
+    assert_eq!((listener.server.len(), listener.server.messages()), (0, 0));
+}
