--- a/tests/platform/soak.rs
+++ b/tests/platform/soak.rs
@@ -12,12 +12,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Instant;
 
-use crate::fleet::{DaemonProcess, call, eventually};
+use crate::fleet::{DaemonProcess, HostLimits, call, eventually};
 use crate::proxy::{LinkState, Proxy};
 use callers::{Caller, Job, KEY, Outcome, Shared};
 use troubles::Fault;
 
 mod callers;
+mod crowds;
 mod troubles;
 
 /// Daemons of a soak.
@@ -26,6 +27,8 @@
 const WORKERS: usize = 6;
 /// Capacity of a worker, unless a fault has changed it.
 const CAPACITY: Resources = Resources { cpu: 16_000, memory: 65_536, accelerators: 8 };
+/// Memory and descriptors of a daemon's host, few enough that crowds of callers meet the limits.
+const HOST: HostLimits = HostLimits { memory_mb: 48, descriptors: 512 };
 /// Callers of a soak.
 const CALLERS: u64 = 6;
 /// Version of the first configuration.
@@ -62,7 +65,7 @@
         }
         let stores: Vec<Proxy> = (0..DAEMONS).map(|_| Proxy::open(emulator.store())).collect();
         let spawn = |(n, store): (usize, &Proxy)| {
-            DaemonProcess::spawn(format!("d{n}"), &store.addr().to_string())
+            DaemonProcess::spawn_on(format!("d{n}"), &store.addr().to_string(), Some(HOST))
         };
         let daemons: Vec<DaemonProcess> = stores.iter().enumerate().map(spawn).collect();
         let shared = Arc::new(Shared {
@@ -101,6 +104,11 @@
         self.workers.len()
     }
 
+    /// Returns the address for callers of a random daemon.
+    pub(crate) fn random_daemon(&self, random: &mut fastrand::Rng) -> String {
+        self.daemons[random.usize(..self.daemons.len())].callers.clone()
+    }
+
     fn restart(&mut self, daemon: usize) {
         self.daemons[daemon].restart();
         let addr = self.daemons[daemon].callers.clone();
--- a/tests/platform/soak/troubles.rs
+++ b/tests/platform/soak/troubles.rs
@@ -1,5 +1,6 @@
 //! Injected faults, drawn from a seed.
 
+use super::crowds::Crowd;
 use super::{CAPACITY, Deployment};
 use crate::proxy::{LinkState, NARROW_RATE};
 
@@ -7,6 +8,8 @@
 const MAX_PAUSE_MS: u64 = 500;
 /// Longest time that a fault lasts.
 const MAX_FAULT_MS: u64 = 2_500;
+/// Longest pause before the next crowd.
+const MAX_CROWD_PAUSE_MS: u64 = 2_000;
 /// Unused queues of a large configuration, which then takes 1 MB.
 const LARGE_QUEUES: usize = 4_200;
 
@@ -84,8 +87,11 @@
     }
 }
 
-/// Injects faults until `end`, in milliseconds from the start, and then reverts them all.
+/// Injects faults until `end`, in milliseconds from the start, and then reverts them all. Crowds of callers that don't
+/// behave come beside them, drawn from another sequence.
 pub(crate) fn inject_until(deployment: &mut Deployment, random: &mut fastrand::Rng, end: u64) {
+    let mut crowd_random = random.clone();
+    let (mut crowds, mut next_crowd) = (Vec::new(), crowd_random.u64(..MAX_CROWD_PAUSE_MS));
     let mut ongoing: Vec<Ongoing> = Vec::new();
     let mut next = random.u64(..MAX_PAUSE_MS);
     while deployment.elapsed_ms() < end {
@@ -93,6 +99,15 @@
         let ended: Vec<Ongoing> = ongoing.extract_if(.., |(until, _)| *until <= now).collect();
         ended.into_iter().for_each(|(_, fault)| deployment.revert(fault));
         deployment.restart_exited();
+        crowds.retain(|(until, _): &(u64, Crowd)| *until > now);
+        if now >= next_crowd {
+            let until = now + crowd_random.u64(50..MAX_FAULT_MS);
+            crowds.push((
+                until,
+                Crowd::open(&deployment.random_daemon(&mut crowd_random), &mut crowd_random),
+            ));
+            next_crowd = now + crowd_random.u64(..MAX_CROWD_PAUSE_MS);
+        }
         if now >= next {
             let fault = draw(random, deployment.daemons(), deployment.workers());
             println!("{now} {fault:?}");
