Bound the memory of accepted jobs

Callers would see: the placer was ended for want of memory by jobs of the largest legal size, submitted one after the other by a caller with a key: each takes some 110 KB in the placer until it has been over for minutes, and nothing limited their number. 800 of them, not due for decades, took 98 MB of 64.

The placer adds up what its jobs take. From half of `intake.jobs_kb` on (a sixth of the memory by default) it writes a key under its lease whose absence the commits of large jobs expect, and from all of it on one for all jobs. So any daemon refuses, by the same commit that would have created the job: 503, or an unknown outcome if an earlier commit of the request may still take effect. Small jobs are accepted while large ones are refused.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -415,6 +415,10 @@
         }
         let key = keys::job(id);
         let Some(item) = items.iter().find(|i| i.key == key && i.rev != Rev::ABSENT) else {
+            let full = [keys::FULL, keys::FULL_LARGE];
+            if items.iter().any(|i| full.contains(&i.key.as_str()) && i.rev != Rev::ABSENT) {
+                return self.refuse(ctx, "accepted jobs take all memory for them; not accepted");
+            }
             // The configuration changed after the view was read.
             return self.begin(ctx);
         };
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -58,6 +58,10 @@
 const MESSAGES_DIVISOR: usize = 4;
 /// Share of the memory for the store calls of callers, as a divisor.
 const STORE_CALLS_DIVISOR: usize = 5;
+/// Share of the memory for the accepted jobs in the placer, as a divisor.
+const JOBS_DIVISOR: usize = 6;
+/// Share of the memory that is left for the rest of the daemon's state, as a divisor.
+const OWN_DIVISOR: usize = 10;
 /// Share of the descriptors for callers, in eighths; the rest is for workers, the store and files.
 const DESCRIPTORS_EIGHTHS: usize = 3;
 /// Share of the descriptors for the store calls of callers, as a divisor.
@@ -77,7 +81,7 @@
 /// Memory of a store call with its reply, in bytes: the record of a job with the largest body, encoded.
 const STORE_CALL_BYTES: usize = 500_000;
 /// Least and largest number of store calls by default.
-const STORE_CALLS: (usize, usize) = (16, 64);
+const STORE_CALLS: (usize, usize) = (8, 64);
 /// Bytes of framing for each byte that a body may have, by default; chunks of one byte take 5.
 const FRAMING_FACTOR: usize = 32;
 /// Time for a whole body to arrive by default, in seconds.
@@ -101,12 +105,14 @@
     pub framing_factor: Option<usize>,
     /// Time for a whole body to arrive, in seconds.
     pub body_s: Option<usize>,
+    /// Memory of the accepted jobs in the placer, in kilobytes.
+    pub jobs_kb: Option<usize>,
 }
 
 /// Limits on what callers make the process hold.
 ///
-/// The memory of all connections, of messages and of store calls is at most three quarters of that of the
-/// process; the rest is for its own state.
+/// The memory of all connections, of messages, of store calls and of jobs leaves a tenth of that of the process at
+/// least.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Intake {
     /// Largest number of open connections of callers.
@@ -125,6 +131,8 @@
     pub framing_factor: usize,
     /// Time for a whole body to arrive.
     pub body_timeout: Span,
+    /// Memory that the jobs which callers have submitted may take in the placer, in bytes.
+    pub jobs: u64,
 }
 
 impl IntakeSettings {
@@ -141,6 +149,7 @@
             ("store_calls", self.store_calls),
             ("framing_factor", self.framing_factor),
             ("body_s", self.body_s),
+            ("jobs_kb", self.jobs_kb),
         ];
         for (name, value) in given {
             if value.is_some_and(|v| v == 0 || v > SETTING_MAX) {
@@ -169,16 +178,17 @@
             store_calls: self.store_calls.unwrap_or(store_calls),
             framing_factor: self.framing_factor.unwrap_or(FRAMING_FACTOR),
             body_timeout: Span::from_secs(self.body_s.map_or(BODY_S, |s| s as u64)),
+            jobs: self.jobs_kb.map_or(memory / JOBS_DIVISOR, |kb| kb * 1_024) as u64,
         };
         let parts = [
             intake.connections.saturating_mul(per_connection),
             intake.messages,
             intake.store_calls.saturating_mul(STORE_CALL_BYTES),
+            intake.jobs as usize,
         ];
         let sum = parts.into_iter().fold(0, usize::saturating_add);
-        if sum > memory / 4 * 3 + STORE_CALL_BYTES {
-            let text =
-                format!("callers may take {sum} of {memory} bytes, more than three quarters");
+        if sum > memory - memory / OWN_DIVISOR {
+            let text = format!("callers may take {sum} of {memory} bytes, and leave too little");
             return Err(Error::at(Code::SettingsInvalid, "/intake", text));
         }
         let sockets = intake.connections + 2 * intake.admin_connections + intake.store_calls;
--- a/crates/fleet/src/lead.rs
+++ b/crates/fleet/src/lead.rs
@@ -152,6 +152,14 @@
         }
     }
 
+    /// Returns the lease of the leader's key, while this daemon is the leader.
+    pub(crate) fn leader_lease(&self) -> Option<LeaseId> {
+        match self.phase {
+            Phase::Leading { lease, .. } => Some(lease),
+            _ => None,
+        }
+    }
+
     pub(crate) fn due(&self) -> Option<Moment> {
         match self.phase {
             Phase::Waiting(until) => Some(until),
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -8,6 +8,12 @@
 pub const JOB_TASKS_MAX: u64 = 4_096;
 /// Maximum number of steps of a job; bounds the memory that a job takes.
 pub const JOB_STEPS_MAX: usize = 256;
+/// Memory of a job besides its steps and its text, in bytes.
+const JOB_BYTES: u64 = 1_024;
+/// Memory of a step besides its dependencies and its tasks, in bytes.
+const STEP_BYTES: u64 = 400;
+/// Memory of a task's progress, in bytes.
+const TASK_BYTES: u64 = 128;
 /// Maximum length of a job's text in bytes; each start of a task sends it to a worker.
 pub const JOB_TEXT_BYTES: usize = 4_000;
 /// Maximum number of rounds of a job; the state of a job lists the rounds that are done.
@@ -228,6 +234,18 @@
         self.chains(duration).into_iter().max().unwrap_or_default()
     }
 
+    /// Returns about how much memory a placer needs for the job, in bytes: for its specification, and for the
+    /// progress of each task of a round.
+    pub(crate) fn memory(&self) -> u64 {
+        let step = |step: &Step| {
+            STEP_BYTES
+                + step.label.as_ref().map_or(0, String::len) as u64
+                + step.after.len() as u64 * size_of::<u16>() as u64
+                + u64::from(step.tasks) * TASK_BYTES
+        };
+        JOB_BYTES + self.text.len() as u64 + self.steps.iter().map(step).sum::<u64>()
+    }
+
     /// Returns the number of rounds.
     pub fn rounds(&self) -> u32 {
         self.schedule.map_or(1, |s| s.rounds)
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -33,6 +33,8 @@
     /// [`Output::Exit`] has been returned.
     exited: bool,
     activity: Activity,
+    /// Memory that accepted jobs may take, in bytes.
+    job_memory: u64,
 }
 
 impl Node {
@@ -50,9 +52,16 @@
             stopping: None,
             exited: false,
             activity: Activity::default(),
+            job_memory: u64::MAX,
         }
     }
 
+    /// Limits the memory that accepted jobs may take, in bytes.
+    #[must_use]
+    pub fn with_job_memory(self, job_memory: u64) -> Self {
+        Self { job_memory, ..self }
+    }
+
     /// Lets the node show what it is doing.
     #[must_use]
     pub fn with_activity(self, activity: Activity) -> Self {
@@ -271,6 +280,8 @@
             evacuated: self.view.evacuated(),
             holds_lease: self.election.holds_lease(clock.now),
             extends_leases: self.election.extends_leases(clock.now),
+            lease: self.election.leader_lease(),
+            job_memory: self.job_memory,
             strong_host: self.settings.host.is_strong(),
             activity: &self.activity,
             out,
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -13,7 +13,7 @@
 use crate::edge::{
     Clock, Fault, Output, StoreOp, StoreReply, Tag, WorkerCall, WorkerOp, WorkerReply,
 };
-use crate::ids::{Epoch, JobId, Rev, Run, TaskId};
+use crate::ids::{Epoch, JobId, LeaseId, Rev, Run, TaskId};
 use crate::lead::UNSURE_LEASE;
 use crate::policy::{Breakers, Reserve, RunTimes, Standing, Widths};
 use crate::settings::{Bounds, Features};
@@ -23,6 +23,7 @@
 use field::FleetSnapshot;
 use flush::Flight;
 use forecast::Forecaster;
+use fullness::Fullness;
 use job::Job;
 use jobs::Jobs;
 use reclaim::Claim;
@@ -37,6 +38,7 @@
 mod field;
 mod flush;
 mod forecast;
+mod fullness;
 mod groups;
 mod holds;
 mod inbox;
@@ -102,6 +104,8 @@
     SaveTimes(u64),
     /// Write of the forecast for admission, with its ordinal.
     Forecast(u64),
+    /// Write of what is refused because of the memory of jobs, with its ordinal.
+    Fullness(u64),
     /// Start of a run, with the fence of the worker boot that it was sent to.
     Start(WorkerId, u32, TaskId, Run),
     /// Stop of a run, with the fence of the worker boot that it was sent to.
@@ -133,6 +137,10 @@
     pub(crate) holds_lease: bool,
     /// The leader's lease was renewed recently enough for the leases of runs to be extended.
     pub(crate) extends_leases: bool,
+    /// The lease of the leader's key.
+    pub(crate) lease: Option<LeaseId>,
+    /// Memory that accepted jobs may take, in bytes.
+    pub(crate) job_memory: u64,
     /// The host has the processor time that hundreds of workers need.
     pub(crate) strong_host: bool,
     /// Shows what the placer is doing.
@@ -225,6 +233,7 @@
     snapshot: SnapshotState,
     flights: Vec<Flight>,
     forecaster: Forecaster,
+    fullness: Fullness,
     reading: Reading,
     watching: Watching,
     /// Fence given to the most recently learned worker boot.
@@ -281,6 +290,7 @@
             snapshot: SnapshotState::default(),
             flights: Vec::new(),
             forecaster: Forecaster::default(),
+            fullness: Fullness::default(),
             reading: Reading { next: now, ..Reading::default() },
             watching: Watching::default(),
             fences: 0,
@@ -362,6 +372,7 @@
         self.flush(ctx);
         ctx.activity.enter(Part::Forecast);
         self.write_forecast(ctx);
+        self.write_fullness(ctx);
         ctx.activity.enter(Part::Holds);
         self.send_holds(ctx);
         self.sweep(ctx);
@@ -404,6 +415,7 @@
             PlacerTag::Workers(n) => self.workers_read(ctx, n, result),
             PlacerTag::Commit(n) => self.commit_answered(ctx, n, result),
             PlacerTag::Forecast(n) => self.forecast_answered(n, result),
+            PlacerTag::Fullness(n) => self.fullness_answered(ctx, n, result),
             PlacerTag::Sweep => {
                 if let Err(fault) = result {
                     log::info!(event = "sweep_failed", cause:% = fault; "removal of old records failed; the next placer removes any that remain");
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -19,6 +19,8 @@
 pub(crate) struct Job {
     pub(crate) id: JobId,
     pub(crate) spec: JobSpec,
+    /// Memory that the job takes, in bytes; it doesn't change.
+    pub(crate) bytes: u64,
     /// The job's queue as it was when the job was accepted.
     pub(crate) accepted_queue: Queue,
     /// When the job was accepted, converted to this process's clock.
@@ -103,6 +105,7 @@
         let paces = vec![StepPace::default(); record.spec.steps.len()];
         Self {
             id,
+            bytes: record.spec.memory(),
             spec: record.spec,
             accepted_queue: record.queue,
             accepted,
--- a/crates/fleet/src/placer/jobs.rs
+++ b/crates/fleet/src/placer/jobs.rs
@@ -16,6 +16,8 @@
     /// Identifiers of `list`, in its order.
     ids: Vec<JobId>,
     list: Vec<Job>,
+    /// Sum of the memory of `list`, in bytes.
+    bytes: u64,
 }
 
 impl Jobs {
@@ -27,13 +29,16 @@
     /// Inserts a job at the position at which it belongs.
     pub(crate) fn insert(&mut self, at: usize, job: Job) {
         self.ids.insert(at, job.id);
+        self.bytes += job.bytes;
         self.list.insert(at, job);
     }
 
     /// Removes the job at a position.
     pub(crate) fn remove(&mut self, at: usize) -> Job {
         self.ids.remove(at);
-        self.list.remove(at)
+        let job = self.list.remove(at);
+        self.bytes -= job.bytes;
+        job
     }
 
     /// Removes the jobs that don't match.
@@ -41,6 +46,12 @@
         self.list.retain(matches);
         self.ids.clear();
         self.ids.extend(self.list.iter().map(|j| j.id));
+        self.bytes = self.list.iter().map(|j| j.bytes).sum();
+    }
+
+    /// Returns the memory that the jobs take, in bytes.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
     }
 }
 
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -152,6 +152,8 @@
             evacuated: &[],
             holds_lease: true,
             extends_leases: true,
+            lease: None,
+            job_memory: u64::MAX,
             strong_host: true,
             activity: &self.activity,
             out: &mut self.out,
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -310,6 +310,10 @@
     pub(crate) const TIMES: &str = "bulrushlink/times";
     /// Key of the forecast for admission, which only the placer writes.
     pub(crate) const LOAD: &str = "bulrushlink/load";
+    /// Key that exists while no further jobs are accepted.
+    pub(crate) const FULL: &str = "bulrushlink/full/all";
+    /// Key that exists while no further large jobs are accepted.
+    pub(crate) const FULL_LARGE: &str = "bulrushlink/full/large";
     /// Prefix of the callers' requests to the placer: jobs and cancellations.
     pub(crate) const INBOX: &str = "bulrushlink/in/";
     /// Prefix of the accepted jobs.
--- a/crates/fleet/tests/callers.rs
+++ b/crates/fleet/tests/callers.rs
@@ -499,3 +499,38 @@
     assert!(!answered(&node.handle(clock(50_000), Input::Tick)));
     assert!(answered(&node.handle(clock(60_010), Input::Tick)));
 }
+
+/// Guards against a refusal that isn't true while the accepted jobs take all memory for them: the job may be in the
+/// store, or a commit of it may still take effect.
+#[test]
+fn submission_while_no_jobs_are_accepted_is_refused_only_if_it_never_runs() {
+    let commit = |outputs: &[Output]| {
+        outputs.iter().find_map(|o| match o {
+            Output::Store(tag @ Tag::Front(..), StoreOp::Commit(commit), _) => {
+                Some((tag.clone(), commit.clone()))
+            }
+            _ => None,
+        })
+    };
+    let full = || {
+        let item = Item { key: "bulrushlink/full/all".to_string(), value: Vec::new(), rev: Rev(7) };
+        Ok(StoreReply::Conflict(vec![item], None))
+    };
+    let mut node = ready_node();
+    let outputs = node.handle(clock(10), Input::Caller(RequestId(1), call(3_000)));
+    let (tag, sent) = commit(&outputs).expect("a commit");
+    let condition = (Subject::Key("bulrushlink/full/all".to_string()), Rev::ABSENT);
+    assert!(sent.expect.contains(&condition), "{sent:?}");
+    let outputs = node.handle(clock(20), Input::Store(tag, full()));
+    assert!(matches!(first_answer(&outputs), Some(Answer::Unavailable(..))), "{outputs:?}");
+
+    let outputs = node.handle(clock(30), Input::Caller(RequestId(2), call(3_000)));
+    let (tag, _) = commit(&outputs).expect("a commit");
+    node.handle(clock(40), Input::Store(tag, Err(Fault::Unknown("lost".to_string()))));
+    let outputs = node.handle(clock(200), Input::Tick);
+    let (tag, _) = commit(&outputs).expect("the commit is repeated");
+    let outputs = node.handle(clock(210), Input::Store(tag, full()));
+    assert_eq!(first_answer(&outputs), None);
+    let outputs = node.handle(clock(3_000), Input::Tick);
+    assert_eq!(first_answer(&outputs), Some(&Answer::Unknown));
+}
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -173,3 +173,22 @@
     crowd.iter().for_each(|stream| send(stream, b"POST /replay/"));
     host.check(&crowd);
 }
+
+/// Guards against memory in proportion to the jobs of the largest size that are accepted one after the other and
+/// aren't due for decades: the placer keeps them.
+#[test]
+fn accepted_jobs_of_the_largest_size_stay_within_memory() {
+    const JOBS: u64 = 800;
+    let mut host = Host::spawn(LIMITS);
+    let body = large_job(BODY_BYTES);
+    let mut crowd = Vec::new();
+    for job in 0..JOBS {
+        let stream = open(&host.daemon.callers).expect("a connection");
+        let length = format!("Content-Length: {BODY_BYTES}\r\n");
+        send(&stream, head(job, KEY, &length).as_bytes());
+        send(&stream, &body);
+        read_status(&stream);
+        crowd.push(stream);
+    }
+    host.check(&crowd);
+}
