Tests of processor time take the least of twelve samples

time_for_new_workers_does_not_grow_with_the_lost_runs_of_a_job failed once in a run of all tests (24 us for 1,024, 208 us for 4,096, of eight times at most). The other tests take the caches, which slows the larger job more, and three samples of each size came within less than a millisecond.

--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -140,6 +140,9 @@
     });
 }
 
+/// Times that each size is measured.
+const SAMPLES: usize = 12;
+
 /// Returns the processor time that this thread has used.
 fn used_time() -> Duration {
     let time = rustix::time::clock_gettime(rustix::time::ClockId::ThreadCPUTime);
@@ -165,9 +168,14 @@
         work(&mut prepared);
         used_time() - began
     };
-    let least = |tasks| (0..3).map(|_| time(tasks)).min().unwrap_or_default();
     let tasks = JOB_TASKS_MAX as u32;
-    let (quarter, whole) = (least(tasks / 4), least(tasks));
+    // Beside other tests the caches are shared, which slows the larger job more: the least time of each is that of
+    // the work itself.
+    let (mut quarter, mut whole) = (time(tasks / 4), time(tasks));
+    for _ in 1..SAMPLES {
+        quarter = quarter.min(time(tasks / 4));
+        whole = whole.min(time(tasks));
+    }
     assert!(
         whole <= quarter * growth_max,
         "{name}: {quarter:?} for {}, {whole:?} for {tasks}",
