--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -417,6 +417,7 @@
         let Some(item) = items.iter().find(|i| i.key == key && i.rev != Rev::ABSENT) else {
             let full = [keys::FULL, keys::FULL_LARGE];
             if items.iter().any(|i| full.contains(&i.key.as_str()) && i.rev != Rev::ABSENT) {
+                metrics::counter!("bulrushlink_full_refusals_total").increment(1);
                 return self.refuse(ctx, "accepted jobs take all memory for them; not accepted");
             }
             // The configuration changed after the view was read.
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -518,6 +518,8 @@
             if !timed_out {
                 at += 1;
             } else if conn.state == State::Reading {
+                metrics::counter!("bulrushlink_request_timeouts_total", "listener" => self.name)
+                    .increment(1);
                 let before = self.conns.len();
                 self.send(at, &Response::new(408), true, now);
                 at += usize::from(self.conns.len() == before);
