--- a/crates/http/src/message.rs
+++ b/crates/http/src/message.rs
@@ -75,9 +75,10 @@
         find_header(&self.headers, name)
     }
 
-    /// Returns the size of the request in bytes: its target, headers and body.
+    /// Returns the memory that the request takes, in bytes: its target, headers and body.
     pub fn size(&self) -> usize {
-        let headers = self.headers.iter().map(|(name, value)| name.len() + value.len());
+        let header = size_of::<(String, String)>();
+        let headers = self.headers.iter().map(|(name, value)| header + name.len() + value.len());
         self.target.len() + headers.sum::<usize>() + self.body.len()
     }
 
--- a/crates/http/src/parse.rs
+++ b/crates/http/src/parse.rs
@@ -51,9 +51,9 @@
 }
 
 impl RequestParser {
-    /// Returns the memory that the part of a body that has arrived takes, in bytes.
+    /// Returns the memory that a head and the part of its body that has arrived take, in bytes.
     pub(crate) fn memory(&self) -> usize {
-        self.body.as_ref().map_or(0, |(_, body)| body.memory())
+        self.body.as_ref().map_or(0, |(request, body)| request.size() + body.memory())
     }
 
     /// Returns the length of the part of a head that was parsed last, in bytes.
--- a/tests/crowds/crowd.rs
+++ b/tests/crowds/crowd.rs
@@ -192,3 +192,25 @@
     }
     host.check(&crowd);
 }
+
+/// Guards against memory in proportion to the heads of requests whose bodies have begun: the decoded heads weren't
+/// part of the account.
+#[test]
+fn heads_of_begun_bodies_stay_within_memory() {
+    let mut host = Host::spawn(RequestLimits { head: BODY_BYTES, ..LIMITS });
+    let crowd = host.open_crowd(CROWD);
+    let head = head(1, "", "Content-Length: 9\r\n");
+    let mut request = format!("{}\r\nX: ", head.trim_end()).into_bytes();
+    request.resize(BODY_BYTES - 4, b'x');
+    request.extend_from_slice(b"\r\n\r\n12345678");
+    for stream in &crowd {
+        send(stream, &request);
+        // One at a time, so that no head is refused for those that arrive with it.
+        let ready = open(&host.daemon.ready).expect("the load balancer gets a connection");
+        for _ in 0..4 {
+            send(&ready, b"GET /api/ready HTTP/1.1\r\nHost: h\r\n\r\n");
+            assert!(read_status(&ready).is_some(), "the readiness check is answered");
+        }
+    }
+    host.check(&crowd);
+}
