--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -65,7 +65,7 @@
 }
 
 /// Why a connection or a request was given up although it is within its own limits.
-#[derive(Clone, Copy, Debug, Display, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, Display, PartialEq, Eq)]
 enum Shed {
     /// The messages of all connections take too much memory.
     #[display("memory")]
@@ -114,7 +114,8 @@
     /// If the socket can't be registered for polling.
     pub fn open(
         poll: &MioPoll,
-        (name, listener): (&'static str, std::net::TcpListener),
+        name: &'static str,
+        listener: std::net::TcpListener,
         bounds: ServerBounds,
         buffers: SocketBuffers,
         ready: Fwd<Ready>,
@@ -380,12 +381,8 @@
     }
 
     fn report_shed(&mut self, reason: Shed, now: Moment) {
-        let label = match reason {
-            Shed::Memory => "memory",
-            Shed::Connections => "connections",
-        };
         metrics::counter!(
-            "bulrushlink_connections_shed_total", "listener" => self.name, "reason" => label
+            "bulrushlink_connections_shed_total", "listener" => self.name, "reason" => reason.to_string()
         )
         .increment(1);
         let line = match reason {
--- a/crates/http/src/tests.rs
+++ b/crates/http/src/tests.rs
@@ -248,7 +248,7 @@
         let buffers = SocketBuffers { receive: 4_096, send: 4_096 };
         let accept = Fwd::new(|_: Ready| {});
         let server =
-            Server::open(&poll, ("test", socket), bounds, buffers, accept).expect("registered");
+            Server::open(&poll, "test", socket, bounds, buffers, accept).expect("registered");
         Self { poll, server, events: Rc::default(), addr }
     }
 
