--- a/tests/crowds/host.rs
+++ b/tests/crowds/host.rs
@@ -21,7 +21,7 @@
 const CALLER_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Held by the test that runs: crowds share the processor and the memory of the machine.
-static TURN: Mutex<()> = Mutex::new(());
+pub(crate) static TURN: Mutex<()> = Mutex::new(());
 
 /// Limits of the configuration on callers' requests.
 #[derive(Clone, Copy, Debug)]
@@ -102,7 +102,7 @@
     /// Checks that the daemon lives, and that its memory and descriptors stay within those of the host.
     pub(crate) fn check_usage(&mut self) {
         assert!(self.daemon.is_running(), "the daemon has ended");
-        let resident = self.resident_bytes_max();
+        let resident = resident_bytes_max(self.daemon.pid());
         let queued = self.queued_bytes();
         println!("{resident} bytes resident at most, {queued} in its sockets");
         assert!(
@@ -117,15 +117,6 @@
         );
     }
 
-    /// Returns the largest resident memory of the daemon so far.
-    fn resident_bytes_max(&self) -> u64 {
-        let status = std::fs::read_to_string(format!("/proc/{}/status", self.daemon.pid()));
-        let status = status.expect("the daemon's status can be read");
-        let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
-        let kilobytes = line.trim().trim_end_matches(" kB").parse::<u64>();
-        kilobytes.expect("a number of kilobytes") * 1_024
-    }
-
     /// Returns the bytes in the buffers of the sockets of all listeners on the daemon's side.
     fn queued_bytes(&self) -> u64 {
         let port = |addr: &String| {
@@ -153,6 +144,15 @@
     }
 }
 
+/// Returns the largest resident memory of a process so far, in bytes.
+pub(crate) fn resident_bytes_max(process: u32) -> u64 {
+    let status = std::fs::read_to_string(format!("/proc/{process}/status"));
+    let status = status.expect("the status of the process can be read");
+    let line = status.lines().find_map(|l| l.strip_prefix("VmHWM:")).expect("a peak");
+    let kilobytes = line.trim().trim_end_matches(" kB").parse::<u64>();
+    kilobytes.expect("a number of kilobytes") * 1_024
+}
+
 /// Opens a connection of a caller; `None` if the daemon refuses it.
 pub(crate) fn open(addr: &str) -> Option<TcpStream> {
     let addr = addr.parse().expect("an address");
--- a/tests/crowds/main.rs
+++ b/tests/crowds/main.rs
@@ -14,4 +14,5 @@
 mod calm;
 mod crowd;
 mod host;
+mod older;
 mod responses;
