--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -24,8 +24,6 @@
 
 /// Timeout of a caller that sends none.
 const CALLER_TIMEOUT_DEFAULT: Span = Span(3_000);
-/// Longest time for which a request is held and its store calls are retried, whatever its caller says.
-const CALLER_TIMEOUT_MAX: Span = Span(60_000);
 /// Upper limit of the time reserved for the answer to reach the caller before its timeout.
 const ANSWER_MARGIN_MAX: Span = Span(200);
 /// For short timeouts, the margin is the timeout divided by this.
@@ -95,6 +93,8 @@
     pub(crate) clock: Clock,
     pub(crate) bounds: &'a Bounds,
     pub(crate) view: &'a mut View,
+    /// Longest time for which a request is held, whatever its caller says.
+    pub(crate) hold_max: Span,
     /// The forecast for admission; `None` if the settings leave admission off.
     pub(crate) load: Option<&'a LoadView>,
     pub(crate) out: &'a mut Vec<Output>,
@@ -115,7 +115,7 @@
         if self.requests.len() >= REQUESTS_MAX {
             return ctx.answer(id, Answer::Busy(BUSY_RETRY_AFTER), "too many requests in flight");
         }
-        let timeout = call.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT).min(CALLER_TIMEOUT_MAX);
+        let timeout = call.timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT).min(ctx.hold_max);
         let margin = ANSWER_MARGIN_MAX.min(Span(timeout.millis() / ANSWER_MARGIN_DIVISOR));
         let deadline = (now + timeout) - margin;
         let mut request = Request {
--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -86,6 +86,8 @@
 const FRAMING_FACTOR: usize = 32;
 /// Time for a whole body to arrive by default, in seconds.
 const BODY_S: u64 = 60;
+/// Longest time for which a request is held by default, 20 times what the users' callers wait.
+pub(crate) const HOLD_MAX: Span = Span(60_000);
 /// Largest value of a setting; sums and products can't overflow.
 const SETTING_MAX: usize = 1 << 24;
 
@@ -107,6 +109,8 @@
     pub body_s: Option<usize>,
     /// Memory of the accepted jobs in the placer, in kilobytes.
     pub jobs_kb: Option<usize>,
+    /// Longest time for which a request is held, in seconds.
+    pub hold_s: Option<usize>,
 }
 
 /// Limits on what callers make the process hold.
@@ -131,6 +135,8 @@
     pub framing_factor: usize,
     /// Time for a whole body to arrive.
     pub body_timeout: Span,
+    /// Longest time for which a request is held and its store calls are repeated.
+    pub hold_max: Span,
     /// Memory that the jobs which callers have submitted may take in the placer, in bytes.
     pub jobs: u64,
 }
@@ -150,6 +156,7 @@
             ("framing_factor", self.framing_factor),
             ("body_s", self.body_s),
             ("jobs_kb", self.jobs_kb),
+            ("hold_s", self.hold_s),
         ];
         for (name, value) in given {
             if value.is_some_and(|v| v == 0 || v > SETTING_MAX) {
@@ -178,6 +185,7 @@
             store_calls: self.store_calls.unwrap_or(store_calls),
             framing_factor: self.framing_factor.unwrap_or(FRAMING_FACTOR),
             body_timeout: Span::from_secs(self.body_s.map_or(BODY_S, |s| s as u64)),
+            hold_max: self.hold_s.map_or(HOLD_MAX, |s| Span::from_secs(s as u64)),
             jobs: self.jobs_kb.map_or(memory / JOBS_DIVISOR, |kb| kb * 1_024) as u64,
         };
         let parts = [
--- a/crates/fleet/src/node.rs
+++ b/crates/fleet/src/node.rs
@@ -5,6 +5,7 @@
 use crate::activity::{Activity, Part};
 use crate::edge::{Clock, Fault, Input, Output, StoreReply, Tag};
 use crate::front::{self, Front};
+use crate::intake::{HOLD_MAX, Intake};
 use crate::lead::{Election, LeaderChange};
 use crate::load_view::LoadView;
 use crate::placer::{self, PassStats, Placer};
@@ -35,6 +36,8 @@
     activity: Activity,
     /// Memory that accepted jobs may take, in bytes.
     job_memory: u64,
+    /// Longest time for which a request is held.
+    hold_max: Span,
 }
 
 impl Node {
@@ -53,13 +56,14 @@
             exited: false,
             activity: Activity::default(),
             job_memory: u64::MAX,
+            hold_max: HOLD_MAX,
         }
     }
 
-    /// Limits the memory that accepted jobs may take, in bytes.
+    /// Limits what callers may make the node hold.
     #[must_use]
-    pub fn with_job_memory(self, job_memory: u64) -> Self {
-        Self { job_memory, ..self }
+    pub fn with_intake(self, intake: &Intake) -> Self {
+        Self { job_memory: intake.jobs, hold_max: intake.hold_max, ..self }
     }
 
     /// Lets the node show what it is doing.
@@ -259,7 +263,8 @@
     ) {
         let bounds = &self.settings.bounds;
         let load = Some(&self.load).filter(|_| self.settings.features.admission);
-        let mut ctx = front::Context { clock, bounds, view: &mut self.view, load, out };
+        let hold_max = self.hold_max;
+        let mut ctx = front::Context { clock, bounds, view: &mut self.view, hold_max, load, out };
         f(&mut self.front, &mut ctx);
     }
 
