--- a/crates/fleet/src/placer/tests/large_jobs.rs
+++ b/crates/fleet/src/placer/tests/large_jobs.rs
@@ -2,8 +2,8 @@
 //! its size.
 
 use bulrushlink_core::Span;
-use std::sync::mpsc;
 use std::sync::Mutex;
+use std::sync::mpsc;
 use std::time::Duration;
 
 use super::super::field::FleetSnapshot;
