--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -37,10 +37,10 @@
 mod catalog;
 mod edge;
 mod front;
-mod gate;
 mod ids;
 mod intake;
 mod lead;
+mod limiter;
 mod load_view;
 mod model;
 mod node;
@@ -61,10 +61,10 @@
     Subject, Tag, WorkerCall, WorkerEntry, WorkerOp, WorkerReply, WorkerState,
 };
 pub use front::FrontTag;
-pub use gate::Gate;
 pub use ids::{Boot, Epoch, FencingToken, JobId, LeaseId, Rev, Run, TaskId};
 pub use intake::{Intake, IntakeSettings, ProcessLimits};
 pub use lead::ElectionTag;
+pub use limiter::CallLimiter;
 pub use model::{
     BadSpec, JOB_ROUNDS_MAX, JOB_STEPS_MAX, JOB_TASKS_MAX, JOB_TEXT_BYTES, JobSpec, Resources,
     Schedule, Step, TASK_VALUE_MAX,
--- a/crates/fleet/src/gate.rs
+++ b/crates/fleet/src/limiter.rs
@@ -10,15 +10,15 @@
 ///
 /// `open` is at most `limit`.
 #[derive(Debug)]
-pub struct Gate<T> {
+pub struct CallLimiter<T> {
     limit: usize,
     open: usize,
     /// With the time until which each may wait, in order of arrival.
     waiting: VecDeque<(Moment, T)>,
 }
 
-impl<T> Gate<T> {
-    /// Returns a gate for so many calls at a time.
+impl<T> CallLimiter<T> {
+    /// Returns a limiter for so many calls at a time.
     pub fn new(limit: usize) -> Self {
         Self { limit, open: 0, waiting: VecDeque::new() }
     }
@@ -28,7 +28,7 @@
         self.waiting.push_back((deadline, call));
     }
 
-    /// Returns the next call that may start; it is in flight until [`leave`](Self::leave).
+    /// Returns the next call that may start; it is in flight until [`finish`](Self::finish).
     pub fn start(&mut self) -> Option<T> {
         if self.open >= self.limit {
             return None;
@@ -39,7 +39,7 @@
     }
 
     /// Records the end of a call in flight.
-    pub fn leave(&mut self) {
+    pub fn finish(&mut self) {
         self.open = self.open.saturating_sub(1);
     }
 
