--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -377,7 +377,9 @@
     /// Returns by how much the end of the latest lease is ahead of the estimated clock in milliseconds, for
     /// the log; 0 without a clock reading.
     pub(crate) fn lease_left_ms(&self, now: Moment) -> i64 {
-        self.estimated_clock(now).map_or(0, |clock| self.promised as i64 - clock as i64)
+        let signed = |reading: u64| i64::try_from(reading).unwrap_or(i64::MAX);
+        self.estimated_clock(now)
+            .map_or(0, |clock| signed(self.promised).saturating_sub(signed(clock)))
     }
 
     /// Stores the clock reading that came with a reply.
--- a/crates/fleet/src/placer/worker/tests.rs
+++ b/crates/fleet/src/placer/worker/tests.rs
@@ -20,6 +20,20 @@
     assert!(worker.has_expired_leases(Moment(9_000), Moment(0), Span(6_000)));
 }
 
+/// Guards against a difference of clock readings that overflows: a worker that reports a clock of 2^63 or more, while its
+/// lease is logged.
+#[test]
+fn difference_to_any_clock_reading_does_not_overflow() {
+    for (clock, promised) in [(1 << 63, 0), (1 << 63, u64::MAX), (0, u64::MAX), (u64::MAX, 0)] {
+        let boot = Boot { worker: "i-1".parse().expect("valid name"), born: 1 };
+        let mut worker = Worker::new(boot, 1, None, Moment(0));
+        worker.set_clock(Moment(10), clock);
+        worker.promised = promised;
+        let left = worker.lease_left_ms(Moment(10));
+        assert_eq!(left > 0, promised > clock && clock < 1 << 63, "{clock} and {promised}: {left}");
+    }
+}
+
 /// A successor waited 18.4 s before it gave up the runs of workers that had left during an outage of the
 /// store: as long as an earlier placer may extend leases, and then for a lease of full length
 /// (`fleetbench run`, 350 workers, `mix --seed 935359136894`). It has to wait for what the earlier placer
