--- a/review/standin3.py
+++ b/review/standin3.py
@@ -20,6 +20,8 @@
 import urllib.parse
 
 REPO = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+# A case that takes longer couldn't run.
+LIMIT_S = 115
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HOST = "127.0.0.1"
 
@@ -274,8 +276,9 @@
         self.lives = 0
         self.id = None
         self.up = False
-        # Called once a start is carried out.
+        # Called once a start or a stop is carried out.
         self.on_start = lambda worker, task, run: None
+        self.on_stop = lambda worker, task, run: None
         self.cond = threading.Condition()
 
     def boot(self, same_id=False, kind=None):
@@ -374,6 +377,8 @@
                 answer = 400, {}
         if target == "/api/run-start" and answer[0] == 200:
             self.on_start(self, call["task"], call["run"])
+        if target == "/api/run-stop" and answer[0] == 200:
+            self.on_stop(self, call["task"], call["run"])
         # A life that has ended says nothing more.
         return answer if self.up and self.lives == life else None
 
@@ -625,6 +630,14 @@
     if the case couldn't run."""
     case = Case(folder)
     status = 2
+
+    def give_up():
+        time.sleep(LIMIT_S)
+        case.record.add("the case took too long")
+        case.close()
+        os._exit(2)
+
+    threading.Thread(target=give_up, daemon=True).start()
     try:
         broken = play(case)
         for line in broken:
