--- a/review/12/case.py
+++ b/review/12/case.py
@@ -104,7 +104,7 @@
             with worker.cond:
                 used += len(worker.running)
                 runs += sum(1 for k in worker.running if k[0].startswith(job))
-                done += sum(1 for e in worker.ended if e[1].startswith(job))
+                done += sum(1 for e in worker.history if e[0].startswith(job))
         if runs or done:
             break
         # Each run takes one accelerator: there is room for the job twice over while less than half is used.
--- a/review/standin3.py
+++ b/review/standin3.py
@@ -279,6 +279,8 @@
         # Called once a start or a stop is carried out.
         self.on_start = lambda worker, task, run: None
         self.on_stop = lambda worker, task, run: None
+        # All ends of all lives: task, run and how.
+        self.history = []
         self.cond = threading.Condition()
 
     def boot(self, same_id=False, kind=None):
@@ -339,6 +341,7 @@
         self.last_end += 1
         saved = ""
         self.ended.append([self.last_end, key[0], key[1], how, saved])
+        self.history.append((key[0], key[1], how))
         self.blocked[key[0]] = max(self.blocked.get(key[0], 0), key[1])
         self.record.add("worker %s: %s run %d ends %s" % (self.name, key[0], key[1], how))
         self.cond.notify_all()
