--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,4 +1,4 @@
-"""A key is taken away, and its holder goes on using it on a queue that needs none."""
+"""An idle worker is lost for good, and a job is placed on it before its entry is gone."""
 
 import os
 import sys
@@ -8,46 +8,44 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 from standin3 import BOUNDS, TROUBLE, config, route, run
 
+WORKERS = 8
+JOB = "00000000000d00d1"
+
 
 def play(case):
-    routes = [route("q-roster", "etch", "/roster/"), route("q-open", "etch", "/open/", allowAnonymous=True)]
-    tenants = lambda keys: [{"name": "north", "apiKeys": keys, "guaranteed": {"gpu": 0}},
-                            {"name": "south", "apiKeys": ["key-south"], "guaranteed": {"gpu": 0}}]
-    case.store.put("op/config", config(1, routes, tenants(["key-north", "key-north-2"])))
-    for n in range(8):
+    case.store.put("op/config", config(
+        1, [route("q-render", "etch", "/render/"), route("q-score", "etch", "/score/")],
+        [{"name": "t1", "apiKeys": ["key-1"], "guaranteed": {"gpu": 0}}]))
+    for n in range(WORKERS):
         case.worker("w%d" % n, "etch")
     daemons = [case.daemon("front-%d" % n) for n in range(2)]
     case.wait_until_placing()
+    # All workers but one are busy for the rest of the case.
+    case.submit(daemons[0], "/score/00000000000b0051", {"spec": "60000", "steps": [
+        {"count": WORKERS - 1, "cpu": 40000, "memMb": 4000, "gpu": 8, "estRuntimeMs": 60000}]}, key="key-1")
+    case.wait("a run on each other worker", lambda: sum(len(w.running) for w in case.workers) == WORKERS - 1, 5)
+    idle = [w for w in case.workers if not w.running][0]
+    time.sleep(4)
+    if TROUBLE:
+        idle.crash()
+        time.sleep(0.3)
     starts = []
     for worker in case.workers:
-        worker.on_start = lambda worker, task, number: starts.append(task)
-    body = lambda ms: {"spec": str(ms), "steps": [{"count": 1, "cpu": 4000, "memMb": 1000, "gpu": 1, "estRuntimeMs": ms}]}
-    # South's job, on a queue that needs a key.
-    south = "20261207000000e5"
-    case.submit(daemons[0], "/roster/" + south, body(40000), key="key-south")
-    if TROUBLE:
-        case.store.put("op/config", config(2, routes, tenants(["key-north-2"])))
-        case.record.add("the store confirms version 2, without key-north")
-    time.sleep(BOUNDS["revokeMs"] / 1000 + 2)
+        worker.on_start = lambda worker, task, number: task.startswith(JOB) and starts.append(task)
+    case.submit(daemons[0], "/render/" + JOB, {"spec": "2000", "steps": [
+        {"count": 1, "cpu": 20000, "memMb": 4000, "gpu": 8, "estRuntimeMs": 2000}]}, key="key-1")
+    accepted = time.monotonic()
     broken = []
-    for n, daemon in enumerate(daemons):
-        job = "20261207000000f%d" % n
-        keyed, _ = case.ask(daemon, "GET", "/roster/", key="key-north")
-        status, _ = case.ask(daemon, "POST", "/open/" + job, body(500), key="key-north")
-        time.sleep(1)
-        if TROUBLE and status == 200:
-            broken.append("CONFIG: %s answered 200 to a POST with key-north, 7 s after the config without it; "
-                          "the task %s (with the same key, the other queue says %d)" % (
-                              daemon.name, "ran" if any(t.startswith(job) for t in starts) else "did not run", keyed))
-    if TROUBLE:
-        for method in ("GET", "DELETE"):
-            status, _ = case.ask(daemons[1], method, "/open/" + south, key="key-north")
-            if status == 200:
-                broken.append("CONFIG: a %s of south's job with key-north was answered 200" % method)
-        time.sleep(2)
-    status, reply = case.ask(daemons[0], "GET", "/roster/" + south, key="key-south")
-    if status == 200 and reply.get("state") == "cancelled":
-        broken.append("LOST: south's job is shown as cancelled")
+    grace = (BOUNDS["visible_ms"] + 2000) / 1000 + 0.3
+    while time.monotonic() < accepted + grace + 2 and not starts and not broken:
+        time.sleep(0.5)
+        age = time.monotonic() - accepted
+        for daemon in daemons:
+            status, reply = case.ask(daemon, "GET", "/render/", key="key-1")
+            if age > grace and not starts and status == 200 and reply.get("pending", 0) * 2 < 1:
+                broken.append("MIXED: %s gives %d jobs as pending, and job %s, accepted %.1f s before, "
+                              "hasn't begun" % (daemon.name, reply["pending"], JOB, age))
+    case.ask(daemons[1], "GET", "/render/" + JOB, key="key-1")
     return broken
 
 
--- a/review/standin3.py
+++ b/review/standin3.py
@@ -296,6 +296,8 @@
             self.running, self.ended, self.blocked = {}, [], {}
             self.last_end = 0
             self.lease = 0
+            # When this life first answered a hold.
+            self.held = None
             self.up = True
         self.server = HttpServer(self.handle, self.port)
         self.port = self.server.port
@@ -382,6 +384,8 @@
             self.on_start(self, call["task"], call["run"])
         if target == "/api/run-stop" and answer[0] == 200:
             self.on_stop(self, call["task"], call["run"])
+        if target == "/api/hold" and answer[0] == 200:
+            self.held = self.held or time.monotonic()
         # A life that has ended says nothing more.
         return answer if self.up and self.lives == life else None
 
