review: no daemon is started while a case ends

A thread that starts killed daemons again could have started one after the others were ended. It wasn't seen.

--- a/review/standin3.py
+++ b/review/standin3.py
@@ -503,9 +503,13 @@
     def start(self):
         log = open(os.path.join(self.case.temp, self.name + ".log"), "a", encoding="utf-8")
         program = os.path.join(REPO, "target", "release", "bulrushlinkd")
-        self.process = subprocess.Popen(
-            [program, "platform", "--settings", self.settings], cwd=REPO, stdout=log, stderr=log,
-            env={"PATH": os.environ.get("PATH", ""), "BULRUSHLINK_SETTINGS": self.settings})
+        # A thread may start a process again while the case ends.
+        with self.case.ending:
+            if self.case.ended:
+                return
+            self.process = subprocess.Popen(
+                [program, "platform", "--settings", self.settings], cwd=REPO, stdout=log, stderr=log,
+                env={"PATH": os.environ.get("PATH", ""), "BULRUSHLINK_SETTINGS": self.settings})
         self.case.record.add("daemon %s: starts" % self.name)
 
     def kill(self):
@@ -558,6 +562,7 @@
         self.temp = tempfile.mkdtemp(prefix="bulrushlink-case-")
         self.store = Store()
         self.daemons, self.workers = [], []
+        self.ending, self.ended = threading.Lock(), False
 
     def worker(self, name, service, **more):
         worker = Worker(self.store, self.record, name, service, **more)
@@ -617,6 +622,8 @@
         return None
 
     def close(self):
+        with self.ending:
+            self.ended = True
         for daemon in self.daemons:
             if daemon.process and daemon.process.poll() is None:
                 daemon.process.kill()
