Keep a run on an earlier boot until the next boot has reported

Cause: a start names its worker by the identifier, so the next boot accepts it. Loading the records took a run for lost if its recorded boot wasn't the registered one, and the task was placed again before that worker had replied. The same happened with a recorded boot that is later than the registered one, and with records that name two boots of a worker without an entry.

Change: the run occupies the latest boot that is known, unheard, until that boot has replied to a hold of the new epoch or the longest lease has ended. A registered boot that replies although a record names a later one replaces it.

Evidence: the successor's log has crash_counted and placed within 3 ms of placer_active, and stray_run with the first reply.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -132,6 +132,11 @@
             Ok(WorkerReply::Lists { born, running, ended }) => {
                 let known = self.workers[at].boot.born;
                 let born = born.unwrap_or(known);
+                if self.workers[at].is_disproved_by(born) {
+                    log::info!(event = "boot_disproved", worker:% = id, recorded = known, present = born; "an earlier boot than the recorded one is registered and replies");
+                    self.replace_boot(at, born, now);
+                    return;
+                }
                 if born < known {
                     // Its lists say nothing about the boot that the entry names.
                     self.hold_unanswered(at, now, &Fault::NotDone(format!("boot {born} replies")));
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -164,25 +164,35 @@
         self.apply_pending_cancels(ctx);
     }
 
-    /// Puts a recorded run on its worker, or clears its place if that boot is known to be gone, for
-    /// which it returns false.
+    /// Puts a recorded run on its worker, where it stays until the worker's present boot has reported. That may be
+    /// a later boot than the recorded one: the former leader sends starts to the identifier, and a boot that it
+    /// doesn't know of yet accepts them. It may also be an earlier one, if the entry of the recorded boot isn't in
+    /// the store yet. Returns false if a later boot has replaced the recorded one.
     fn restore_run(&mut self, boot: &Boot, slot: Slot, now: Moment) -> bool {
-        match self.worker_index(&boot.worker) {
-            Ok(at) if self.workers[at].boot == *boot => self.workers[at].insert_slot(slot),
-            Ok(_) => {
-                if let Ok(at) = self.job_index(slot.task.job) {
-                    self.jobs[at].clear_place(&slot.task, slot.run);
-                }
-                return false;
-            }
-            Err(at) => {
-                self.fences += 1;
-                let mut worker = Worker::new(boot.clone(), self.fences, None, now);
-                worker.insert_slot(slot);
-                self.workers.insert(at, worker);
+        let at = self.worker_index(&boot.worker).unwrap_or_else(|at| {
+            self.fences += 1;
+            self.workers.insert(at, Worker::new(boot.clone(), self.fences, None, now));
+            at
+        });
+        if self.workers[at].boot.born < boot.born {
+            self.replace_boot(at, boot.born, now);
+        }
+        let worker = &mut self.workers[at];
+        let is_replaced = worker.boot.born > boot.born;
+        if is_replaced {
+            log::info!(
+                event = "run_moved", task:% = slot.task, run = slot.run.0, worker:% = worker.id(),
+                recorded = boot.born, present = worker.boot.born;
+                "the run is recorded on an earlier boot; the present one has to report whether it has it"
+            );
+            // Leases of late starts begin when they reach the present boot.
+            worker.rebooted = Some(now);
+            if let Ok(j) = self.jobs.position(slot.task.job) {
+                self.jobs[j].move_to_boot(&slot.task, slot.run, &worker.boot);
             }
         }
-        true
+        worker.insert_slot(slot);
+        !is_replaced
     }
 
     pub(super) fn read_workers(&mut self, ctx: &mut Context<'_>) {
@@ -326,6 +336,13 @@
             event = "worker_reborn", worker:% = worker.id(), born = born,
             runs = worker.slots.len(); "the worker has rebooted under the same identifier"
         );
+        self.replace_boot(at, born, now);
+    }
+
+    /// Replaces a boot by another one. What was on the earlier one may be on the other one, until that has
+    /// reported.
+    pub(super) fn replace_boot(&mut self, at: usize, born: u64, now: Moment) {
+        let worker = &mut self.workers[at];
         let boot = Boot { worker: worker.id().clone(), born };
         self.fences += 1;
         let mut rebooted = Worker::new(boot.clone(), self.fences, worker.entry.clone(), now);
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -473,7 +473,14 @@
     let now = bench.now;
     bench.report(1, now, 10, vec![report]);
     bench.pass();
-    assert_eq!(bench.closing(), 1);
+    // The third run may have reached the next boot of its worker, so it is stopped there too.
+    let closing = |at: usize| {
+        let slots = bench.placer.workers[at].slots.iter();
+        let closing = slots.filter(|s| matches!(s.phase, Phase::Closing { .. }));
+        closing.map(|s| (s.task, s.run)).collect::<Vec<_>>()
+    };
+    assert_eq!(closing(0), [(task(1, 0), Run(3))]);
+    assert_eq!(closing(1), [(task(1, 1), Run(1))]);
 }
 
 /// A suspected task got a worker without other runs, and the same placement put other jobs' runs
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -306,6 +306,13 @@
         born > self.boot.born || (born < self.boot.born && unheard)
     }
 
+    /// Returns true if a reply of this earlier boot shows that the present one, which only a record names, isn't
+    /// there: an entry of another writer had named it, and the registered boot replies.
+    pub(crate) fn is_disproved_by(&self, born: u64) -> bool {
+        let registered = self.entry.as_ref().is_some_and(|e| e.born == born);
+        born < self.boot.born && self.clock.is_none() && registered
+    }
+
     pub(crate) fn reachability(&self) -> Reachability {
         match () {
             () if self.silent > 0 => Reachability::Silent,
