Check everything that made a worker eligible when a start is sent

Cause: when the commit is answered, only the worker's state and its capacity were checked again, not the label, the endpoint of the worker and of the queue, the number of tasks of the step on the worker, nor the leader's own lease.

Change: find_obstacle checks all of them by the present entry and configuration; a gang is sent or withheld as a whole.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -447,7 +447,7 @@
     }
 
     /// Returns true if a worker belongs to an endpoint and has a label, if one is given.
-    fn serves(&self, at: usize, endpoint: &str, label: Option<&String>) -> bool {
+    pub(super) fn serves(&self, at: usize, endpoint: &str, label: Option<&String>) -> bool {
         self.workers[at].entry.as_ref().is_some_and(|entry| {
             entry.endpoint == endpoint && label.is_none_or(|l| entry.labels.contains(l))
         })
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -27,17 +27,12 @@
 pub(super) type RecordedStart = (usize, TaskId, Run);
 
 impl Placer {
-    /// Sends the starts of a job that are recorded up to `version`. A start is withheld if its
-    /// worker may get no new runs any more, or has shrunk meanwhile and has no room for it; if it
-    /// belongs to a gang, so are the starts of the other members.
+    /// Sends the starts of a job that are recorded up to `version`. All that made its worker eligible is checked
+    /// again, as the worker, its entry and the configuration may have changed since the start was planned. If a
+    /// start is withheld that belongs to a gang, so are the starts of the other members.
     pub(super) fn send_starts(&mut self, ctx: &mut Context<'_>, id: JobId, version: u64) {
         for together in self.recorded_starts(id, version) {
-            let open = together.iter().all(|(at, ..)| self.may_start(ctx, *at));
-            let why = match () {
-                () if !open => Some("a worker may get no new runs any more"),
-                () if !self.starts_fit(&together) => Some("a worker has shrunk and has no room"),
-                () => None,
-            };
+            let why = self.find_obstacle(ctx, &together);
             for (at, task, run) in &together {
                 match why {
                     Some(why) => self.withhold_start(*at, task, *run, why),
@@ -47,6 +42,47 @@
         }
     }
 
+    /// Returns why starts that are to be sent together must be withheld, if there is a reason.
+    fn find_obstacle(&self, ctx: &Context<'_>, starts: &[RecordedStart]) -> Option<&'static str> {
+        let all = |holds: &dyn Fn(usize, &TaskId) -> bool| {
+            starts.iter().all(|(at, task, _)| holds(*at, task))
+        };
+        match () {
+            () if !ctx.extends_leases => Some("the leader's lease may have ended"),
+            () if !all(&|at, _| self.may_start(ctx, at)) => {
+                Some("a worker may get no new runs any more")
+            }
+            () if !all(&|at, task| self.is_still_eligible(ctx, at, task)) => {
+                Some("a worker has another endpoint or lacks the required label")
+            }
+            () if !all(&|at, task| self.is_within_limit(at, task)) => {
+                Some("a worker has more tasks of the step than may run there")
+            }
+            () if !self.starts_fit(starts) => Some("a worker has shrunk and has no room"),
+            () => None,
+        }
+    }
+
+    /// Returns true if a worker belongs to the endpoint of the task's queue and has the label that its step
+    /// requires, by the present entry and configuration.
+    fn is_still_eligible(&self, ctx: &Context<'_>, at: usize, task: &TaskId) -> bool {
+        let Ok(j) = self.job_index(task.job) else { return false };
+        let job = &self.jobs[j];
+        let endpoint = &job.queue(ctx.catalog).endpoint;
+        job.step(task).is_some_and(|step| self.serves(at, endpoint, step.label.as_ref()))
+    }
+
+    /// Returns true if the runs of the task's step on a worker, with those that are planned there, are no more than
+    /// the step allows. The worker may have reported a run that no record names.
+    fn is_within_limit(&self, at: usize, task: &TaskId) -> bool {
+        let step = self.job_index(task.job).ok().and_then(|j| self.jobs[j].step(task));
+        let Some(most) = step.and_then(|s| s.per_worker) else { return true };
+        let same = |s: &&Slot| {
+            (s.task.job, s.task.round, s.task.step) == (task.job, task.round, task.step)
+        };
+        self.workers[at].slots.iter().filter(same).count() as u64 <= u64::from(most)
+    }
+
     /// Lists the starts of a job that are recorded up to `version` and not sent: the members of a
     /// gang together, and each other start by itself.
     fn recorded_starts(&self, id: JobId, version: u64) -> Vec<Vec<RecordedStart>> {
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -27,6 +27,7 @@
 mod silent;
 mod snapshot;
 mod times;
+mod withheld;
 
 const BOUNDS: Bounds = Bounds {
     revoke_ms: 5_000,
@@ -106,6 +107,7 @@
     placer: Placer,
     catalog: Catalog,
     features: Features,
+    extends_leases: bool,
     now: Moment,
     activity: Activity,
     out: Vec<Output>,
@@ -137,7 +139,9 @@
             Catalog { version, rev, size: 500, queues, workspaces: vec![workspace], limits };
         let features = Features::default();
         let activity = Activity::default();
-        let mut bench = Self { placer, catalog, features, now, activity, out: Vec::new() };
+        let out = Vec::new();
+        let mut bench =
+            Self { placer, catalog, features, extends_leases: true, now, activity, out };
         bench.show(capacities.iter().map(|c| (1, *c)).collect());
         bench
     }
@@ -151,7 +155,7 @@
             view_fresh: true,
             evacuated: &[],
             holds_lease: true,
-            extends_leases: true,
+            extends_leases: self.extends_leases,
             lease: None,
             job_memory: u64::MAX,
             strong_host: true,
@@ -181,7 +185,12 @@
     /// Lets the placer read the entries of all workers: the boot and the capacity of each.
     fn show(&mut self, workers: Vec<(u64, Resources)>) {
         let entries = (0..).zip(workers).map(|(n, (born, capacity))| entry(n, born, capacity));
-        let reply = Ok(StoreReply::Workers(entries.collect(), 0));
+        self.list(entries.collect());
+    }
+
+    /// Lets the placer read these entries.
+    fn list(&mut self, entries: Vec<WorkerEntry>) {
+        let reply = Ok(StoreReply::Workers(entries, 0));
         let now = self.now;
         self.placer.reading.under_way = Some((now.0, now));
         self.with(|p, ctx| p.workers_read(ctx, now.0, reply));
--- a/crates/fleet/src/placer/tests/reboots.rs
+++ b/crates/fleet/src/placer/tests/reboots.rs
@@ -120,10 +120,7 @@
     bench.placer.stage = Stage::States;
     let entries = (0..).zip(listed);
     let entries = entries.filter_map(|(n, born)| Some(entry(n, (*born)?, accelerators(8))));
-    let reply = Ok(StoreReply::Workers(entries.collect(), 0));
-    let now = bench.now;
-    bench.placer.reading.under_way = Some((now.0, now));
-    bench.with(|p, ctx| p.workers_read(ctx, now.0, reply));
+    bench.list(entries.collect());
     bench.add_job(1, 1, step);
     let mut job = bench.placer.jobs[0].clone();
     job.open_rounds(1_800_000_000_000);
