Bound the delay of placements and the units that each looks at

Cause: each 20 waiting units delayed the next placement by a millisecond, without a bound, and each placement ranked and tried all of them.

Change: the delay is at most 200 ms. A placement looks at about 4,000 units, at most 3,000 of them of guaranteed jobs; if more wait, it goes on next time with the jobs after those.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -76,6 +76,8 @@
 /// waiting units, the backlog of deployments of 350 workers on their worst days, this gives 23
 /// placements a second.
 const DECIDE_UNITS_PER_MS: u64 = 20;
+/// Longest of these delays: far below the time within which a guaranteed job has to start.
+const DECIDE_DELAY_MAX: Span = Span(200);
 /// Interval between reviews, the checks that depend on time alone.
 const REVIEW_INTERVAL: Span = Span(100);
 
@@ -212,6 +214,8 @@
     since: Moment,
     stage: Stage,
     jobs: Jobs,
+    /// The jobs at which the next list of waiting units begins, of the guaranteed ones and of the others.
+    cursors: [JobId; 2],
     /// Sorted by identifier.
     workers: Vec<Worker>,
     /// Cancellations that were read before their jobs, or before all records were loaded.
@@ -277,6 +281,7 @@
             since: now,
             stage: Stage::Inbox,
             jobs: Jobs::default(),
+            cursors: [JobId(0); 2],
             workers: Vec::new(),
             cancels: Vec::new(),
             claims: Vec::new(),
@@ -366,7 +371,7 @@
         if self.stale && now >= self.decide_next {
             self.stale = false;
             let units = self.place_units(ctx) as u64;
-            self.decide_next = now + Span(units / DECIDE_UNITS_PER_MS);
+            self.decide_next = now + Span(units / DECIDE_UNITS_PER_MS).min(DECIDE_DELAY_MAX);
         }
         ctx.activity.enter(Part::Commit);
         self.flush(ctx);
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -16,6 +16,7 @@
 use crate::record::{CrashEvidence, CrashRecord, Item, JobRecord, StateRecord, encode, keys};
 use crate::settings::{Bounds, Features};
 
+mod backlog;
 mod ceilings;
 mod endpoints;
 mod forecasts;
--- /dev/null
+++ b/crates/fleet/src/placer/tests/backlog.rs
@@ -0,0 +1,58 @@
+//! Placements with a long backlog.
+
+use super::{Bench, accelerators, step, task};
+use crate::model::{JobSpec, Step};
+use crate::placer::DECIDE_DELAY_MAX;
+use crate::placer::units::UNITS_MAX;
+
+/// Each 20 waiting units delayed the next placement by a millisecond, without an end: with 100 scheduled jobs idle
+/// workers got nothing for 20 s (review case 12).
+#[test]
+fn waiting_units_do_not_keep_a_guaranteed_job_from_idle_workers() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    // No worker has the label, so none of these units is placed.
+    let stuck = Step { label: Some("none".to_string()), ..step(1, false, 1) };
+    for id in 1..=200 {
+        let steps = vec![stuck.clone(); 200];
+        bench.add_spec(id, 1, JobSpec { text: String::new(), steps, schedule: None });
+    }
+    bench.pass();
+    assert!(bench.placer.decide_next.since(bench.now) <= DECIDE_DELAY_MAX);
+    bench.add_job(1_000, 0, step(2, true, 1));
+    bench.now = bench.now.max(bench.placer.decide_next);
+    bench.pass();
+    assert_eq!(bench.commit().len(), 2);
+}
+
+/// A placement must look at a limited number of units, and all of them must get their turn: those that can't be placed
+/// must not keep the others out, be they guaranteed or not.
+#[test]
+fn all_units_get_their_turn() {
+    for (priority, accelerators_each) in [(1, 1), (0, 0)] {
+        let mut bench = Bench::open(&[accelerators(8)]);
+        let need = step(1, false, accelerators_each);
+        let stuck = Step { label: Some("none".to_string()), ..need.clone() };
+        for id in 1..=12_000 {
+            bench.add_job(id, priority, stuck.clone());
+        }
+        bench.add_job(20_000, priority, need.clone());
+        let (mut passes, mut starts) = (0, Vec::new());
+        while starts.is_empty() && passes < 12 {
+            bench.now = bench.now.max(bench.placer.decide_next);
+            bench.pass();
+            assert!(bench.placer.decide_next.since(bench.now) <= DECIDE_DELAY_MAX);
+            starts = bench.commit();
+            passes += 1;
+        }
+        assert_eq!(starts, [task(20_000, 0)], "priority {priority}");
+    }
+    let mut bench = Bench::open(&[accelerators(8)]);
+    for id in 1..=12_000 {
+        bench.add_job(id, 1, step(1, false, 1));
+    }
+    let units = bench.with(|p, ctx| {
+        p.jobs.iter_mut().for_each(|j| j.open_rounds(ctx.clock.wall));
+        p.units(ctx, &[])
+    });
+    assert_eq!(units.len(), UNITS_MAX);
+}
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -13,6 +13,12 @@
 use super::worker::Phase;
 use super::{Context, Placer};
 
+/// Number of waiting units at which a placement looks at no further jobs, several times the backlog of
+/// deployments of 350 workers on their worst days.
+pub(super) const UNITS_MAX: usize = 4_000;
+/// The same for units of guaranteed jobs, so that the others get their turn.
+const GUARANTEED_UNITS_MAX: usize = 3_000;
+
 /// The tasks of one step that wait to be placed.
 #[derive(Clone, Debug)]
 pub(super) struct Unit {
@@ -83,33 +89,63 @@
         guaranteed
     }
 
-    /// Lists all units that may start.
+    /// Lists the units that may start: all of them, or about [`UNITS_MAX`], of other jobs each time.
+    ///
+    /// Load pattern: as many small jobs wait as there is memory for. A placement that looks at all of them would
+    /// take seconds on a weak host, and guaranteed jobs would wait beside idle workers.
     pub(super) fn units(&mut self, ctx: &Context<'_>, guaranteed: &[JobId]) -> Vec<Unit> {
         let postponed = self.postpone_suspects(ctx.clock.now);
-        let mut units = Vec::new();
         let orphaned_tasks = self.orphaned_tasks();
-        for job in self.jobs.iter().filter(|j| !j.is_over() && ctx.clock.now >= j.rest) {
-            ctx.activity.work_on(job.id);
-            let is_guaranteed = guaranteed.binary_search(&job.id).is_ok();
-            let chains = OnceCell::new();
-            for round in &job.state.rounds {
-                let steps = 0..round.steps.len();
-                let waiting = steps.filter_map(|n| {
-                    let expected = || self.expected_times(ctx, job, &chains, n);
-                    waiting_unit(ctx, job, (round, n), is_guaranteed, &orphaned_tasks, expected)
-                });
-                if job.state.crashes.is_empty() {
-                    units.extend(waiting);
-                } else {
-                    let parts = waiting.flat_map(|unit| split_suspects(job, unit));
-                    let postponed = postponed.contains(&job.id);
-                    units.extend(parts.filter(|u| !(u.suspects && postponed)));
+        let mut units = Vec::new();
+        for (class, most) in [(true, GUARANTEED_UNITS_MAX), (false, UNITS_MAX)] {
+            let mut cursor = self.cursors[usize::from(class)];
+            let first = self.jobs.position(cursor).unwrap_or_else(|at| at);
+            for at in (first..self.jobs.len()).chain(0..first) {
+                let job = &self.jobs[at];
+                if job.is_over()
+                    || ctx.clock.now < job.rest
+                    || guaranteed.binary_search(&job.id).is_ok() != class
+                {
+                    continue;
                 }
+                if units.len() >= most {
+                    cursor = job.id;
+                    break;
+                }
+                ctx.activity.work_on(job.id);
+                let held = (&orphaned_tasks[..], postponed.contains(&job.id));
+                self.list_units(ctx, job, class, held, &mut units);
             }
+            self.cursors[usize::from(class)] = cursor;
         }
         units
     }
 
+    /// Lists the units of a job that may start, without the suspected ones if these are postponed.
+    fn list_units(
+        &self,
+        ctx: &Context<'_>,
+        job: &Job,
+        guaranteed: bool,
+        (orphaned_tasks, postponed): (&[TaskId], bool),
+        units: &mut Vec<Unit>,
+    ) {
+        let chains = OnceCell::new();
+        for round in &job.state.rounds {
+            let steps = 0..round.steps.len();
+            let waiting = steps.filter_map(|n| {
+                let expected = || self.expected_times(ctx, job, &chains, n);
+                waiting_unit(ctx, job, (round, n), guaranteed, orphaned_tasks, expected)
+            });
+            if job.state.crashes.is_empty() {
+                units.extend(waiting);
+            } else {
+                let parts = waiting.flat_map(|unit| split_suspects(job, unit));
+                units.extend(parts.filter(|u| !(u.suspects && postponed)));
+            }
+        }
+    }
+
     /// Returns the expected run time of a step's tasks, and that of the longest chain that begins with the
     /// step. The chains of the job are computed once, in `chains`.
     fn expected_times(
