Count what accepted jobs take as they progress

Cause: a job's memory was counted for one round when it was accepted. Up to 4,096 tasks in open rounds, the list of rounds that are done and the runs were not counted, and starts in flight were not bounded.

Change: rounds are opened bit by bit while there is memory for them, one of each job always. Rounds, done rounds and runs count for the refusal of further jobs, and starts are planned as far as there is memory for them. Rounds of a stored state that have not begun are closed when it is loaded.

--- a/crates/fleet/src/intake.rs
+++ b/crates/fleet/src/intake.rs
@@ -6,6 +6,8 @@
 use bulrushlink_core::{Code, Error, Span};
 use serde::Deserialize;
 
+use crate::placer::RUNS_DIVISOR;
+
 /// Least memory of a process, in megabytes: less doesn't hold the daemon's own state.
 const MEMORY_MIN_MB: u64 = 32;
 /// Largest memory of a process, in megabytes; sizes in bytes can't overflow.
@@ -193,6 +195,7 @@
             intake.messages,
             intake.store_calls.saturating_mul(STORE_CALL_BYTES),
             intake.jobs as usize,
+            (intake.jobs / RUNS_DIVISOR) as usize,
         ];
         let sum = parts.into_iter().fold(0, usize::saturating_add);
         if sum > memory - memory / OWN_DIVISOR {
--- a/crates/fleet/src/model.rs
+++ b/crates/fleet/src/model.rs
@@ -12,6 +12,10 @@
 const JOB_BYTES: u64 = 1_024;
 /// Memory of a step besides its dependencies and its tasks, in bytes.
 const STEP_BYTES: u64 = 400;
+/// Memory of a round's progress besides its steps, in bytes.
+const ROUND_BYTES: u64 = 64;
+/// Memory of a step's progress besides its tasks, in bytes.
+const STEP_RECORD_BYTES: u64 = 128;
 /// Memory of a task's progress, in bytes.
 const TASK_BYTES: u64 = 128;
 /// Maximum length of a job's text in bytes; each start of a task sends it to a worker.
@@ -188,9 +192,8 @@
         if self.steps.is_empty() || self.steps.iter().any(|s| s.tasks == 0) {
             return Err(BadSpec::Empty);
         }
-        let tasks: u64 = self.steps.iter().map(|s| u64::from(s.tasks)).sum();
         if self.steps.len() > JOB_STEPS_MAX
-            || tasks > JOB_TASKS_MAX
+            || self.tasks() > JOB_TASKS_MAX
             || self.rounds() > JOB_ROUNDS_MAX
         {
             return Err(BadSpec::TooLarge);
@@ -240,12 +243,24 @@
         let step = |step: &Step| {
             STEP_BYTES
                 + step.label.as_ref().map_or(0, String::len) as u64
+                + step.near.as_ref().map_or(0, |rack| rack.as_str().len()) as u64
                 + step.after.len() as u64 * size_of::<u16>() as u64
                 + u64::from(step.tasks) * TASK_BYTES
         };
         JOB_BYTES + self.text.len() as u64 + self.steps.iter().map(step).sum::<u64>()
     }
 
+    /// Returns about how much memory a placer needs for the progress of one round, in bytes. That of the first
+    /// one is part of [`memory`](Self::memory).
+    pub(crate) fn round_memory(&self) -> u64 {
+        ROUND_BYTES + self.steps.len() as u64 * STEP_RECORD_BYTES + self.tasks() * TASK_BYTES
+    }
+
+    /// Returns the number of tasks of a round.
+    pub(crate) fn tasks(&self) -> u64 {
+        self.steps.iter().map(|s| u64::from(s.tasks)).sum()
+    }
+
     /// Returns the number of rounds.
     pub fn rounds(&self) -> u32 {
         self.schedule.map_or(1, |s| s.rounds)
--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -31,6 +31,8 @@
 use waits::Wait;
 use worker::{Target, Worker};
 
+pub(crate) use held::RUNS_DIVISOR;
+
 mod crash;
 mod decide;
 mod endpoints;
@@ -40,6 +42,7 @@
 mod forecast;
 mod fullness;
 mod groups;
+mod held;
 mod holds;
 mod inbox;
 mod job;
@@ -214,6 +217,8 @@
     since: Moment,
     stage: Stage,
     jobs: Jobs,
+    /// Memory that the jobs take beyond what was counted when they were accepted, in bytes.
+    extra_memory: u64,
     /// The jobs at which the next list of waiting units begins, of the guaranteed ones and of the others.
     cursors: [JobId; 2],
     /// Sorted by identifier.
@@ -281,6 +286,7 @@
             since: now,
             stage: Stage::Inbox,
             jobs: Jobs::default(),
+            extra_memory: 0,
             cursors: [JobId(0); 2],
             workers: Vec::new(),
             cancels: Vec::new(),
--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -10,6 +10,7 @@
 
 use super::endpoints::Endpoints;
 use super::field::{FleetSnapshot, Shape, WorkerView};
+use super::held::RunBudget;
 use super::job::Job;
 use super::reserve::Stay;
 use super::units::Unit;
@@ -40,6 +41,8 @@
     pub(super) shares: Shares,
     /// Jobs within the guarantees of their workspaces, sorted.
     pub(super) guaranteed: Vec<JobId>,
+    /// Memory that is left for runs.
+    pub(super) runs: RunBudget,
 }
 
 impl Placer {
@@ -63,9 +66,7 @@
         if !ctx.holds_lease || ctx.catalog.is_none() {
             return 0;
         }
-        for job in self.jobs.iter_mut().filter(|j| !j.is_over()) {
-            job.open_rounds(ctx.clock.wall);
-        }
+        self.open_due_rounds(ctx);
         ctx.activity.enter(Part::Rank);
         self.withdraw_starts_over_ceilings(ctx);
         let guaranteed = self.guaranteed_jobs(ctx);
@@ -81,7 +82,8 @@
         let view = |at| self.worker_view(ctx, at, &speeds, &priorities);
         fleet.start_placement((0..self.workers.len()).map(view));
         let (quotas, shares) = (self.quotas(ctx), Shares::default());
-        let mut placement = Placement { fleet, quotas, shares, guaranteed };
+        let runs = self.run_budget(ctx);
+        let mut placement = Placement { fleet, quotas, shares, guaranteed, runs };
         if self.start_claimed_gangs(ctx, &mut placement) {
             units = self.units(ctx, &placement.guaranteed);
         }
@@ -304,6 +306,11 @@
             placed.retain(|at| Some(*at) == first);
         }
         fleet.limit_trials(shape, &mut placed);
+        if let Ok(j) = self.job_index(unit.job) {
+            let spec = &self.jobs[j].spec;
+            placed.truncate(placement.runs.allowed(spec, placed.len(), shape.step.gang));
+            placement.runs.take(spec, placed.len());
+        }
         if placed.is_empty() {
             return 0;
         }
--- a/crates/fleet/src/placer/fullness.rs
+++ b/crates/fleet/src/placer/fullness.rs
@@ -52,7 +52,7 @@
 impl Placer {
     /// Writes the keys if they have to change.
     pub(super) fn write_fullness(&mut self, ctx: &mut Context<'_>) {
-        let (held, limit) = (self.jobs.bytes(), ctx.job_memory);
+        let (held, limit) = (self.held_memory(), ctx.job_memory);
         let wanted = refused(held, limit, self.fullness.written);
         let now = ctx.clock.now;
         let Some(lease) = ctx.lease else { return };
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -14,6 +14,10 @@
 use super::pace::StepPace;
 use super::times::SavedWork;
 
+/// Tasks in open rounds of a job that have not begun at which no further round is opened; enough for a pass to fill
+/// the largest part of a fleet.
+const WAITING_TASKS_MAX: u64 = 64;
+
 /// A job with its state in memory, which may be newer than the stored one.
 #[derive(Clone, Debug)]
 pub(crate) struct Job {
@@ -184,27 +188,64 @@
         self.step_mut(task)?.tasks.get_mut(task.index as usize)
     }
 
-    /// Opens the rounds that are due at `wall`, in milliseconds since the Unix epoch.
-    ///
-    /// Rounds that are due while the open ones have [`JOB_TASKS_MAX`] tasks are opened later: with a
-    /// short interval, all rounds of a job may be due at once.
-    pub(crate) fn open_rounds(&mut self, wall: u64) {
-        let tasks: u64 = self.spec.steps.iter().map(|s| u64::from(s.tasks)).sum();
-        let open_max = (JOB_TASKS_MAX / tasks.max(1)).max(1) as usize;
+    /// Opens the rounds that are due at `wall`, in milliseconds since the Unix epoch, bit by bit: with a short
+    /// interval, all rounds of a job may be due at once. While rounds wait that have not begun, further ones would
+    /// only take memory. One round is always open; others are as long as their progress fits into `room` bytes.
+    pub(crate) fn open_rounds(&mut self, wall: u64, mut room: u64) {
         // Rounds are opened in their order, and are in one of the two lists from then on.
-        let opened = (self.state.finished.len() + self.state.rounds.len()) as u32;
+        let opened = self.opened_rounds();
+        if opened >= self.spec.rounds() || self.spec.due(opened) > wall {
+            return;
+        }
+        let (tasks, bytes) = (self.spec.tasks().max(1), self.spec.round_memory());
+        let open_max = (JOB_TASKS_MAX / tasks).max(1) as usize;
+        let waiting_max = (WAITING_TASKS_MAX / tasks).max(1) as usize;
+        let untouched = self.state.rounds.iter().filter(|r| !r.has_begun());
+        let mut waiting = untouched.take(waiting_max).count();
         for round in opened..self.spec.rounds() {
-            if self.spec.due(round) > wall || self.state.rounds.len() >= open_max {
+            let is_first = self.state.rounds.is_empty();
+            if self.spec.due(round) > wall
+                || waiting >= waiting_max
+                || self.state.rounds.len() >= open_max
+                || (!is_first && room < bytes)
+            {
                 break;
             }
             let is_finished = self.state.finished.binary_search(&round).is_ok();
             if is_finished || self.round(round).is_some() {
                 continue;
             }
+            if !is_first {
+                room -= bytes;
+            }
             let record = RoundRecord::new(round, &self.spec);
             let at = self.state.rounds.partition_point(|r| r.round < round);
             self.state.rounds.insert(at, record);
+            waiting += 1;
+        }
+    }
+
+    /// Returns the number of rounds that have been opened, which are the first ones.
+    fn opened_rounds(&self) -> u32 {
+        (self.state.finished.len() + self.state.rounds.len()) as u32
+    }
+
+    /// Closes the latest rounds while they have not begun; they are opened again later. A state that an earlier
+    /// version stored may have thousands.
+    pub(crate) fn close_untouched_rounds(&mut self) {
+        while let Some(last) = self.state.rounds.last()
+            && last.round + 1 == self.opened_rounds()
+            && !last.has_begun()
+        {
+            self.state.rounds.pop();
         }
+        self.state.rounds.shrink_to_fit();
+    }
+
+    /// Returns the memory that the job takes beyond what was counted when it was accepted, in bytes.
+    pub(crate) fn extra_memory(&self) -> u64 {
+        let rounds = self.state.rounds.len().saturating_sub(1) as u64 * self.spec.round_memory();
+        rounds + (self.state.finished.capacity() * size_of::<u32>()) as u64
     }
 
     /// Returns when a round was due, on the monotonic clock.
@@ -439,6 +480,8 @@
         }
         let at = self.state.finished.partition_point(|r| *r < round);
         self.state.finished.insert(at, round);
+        self.preempted.retain(|(r, _)| *r != round);
+        self.stopped.retain(|((r, _), _)| *r != round);
         if self.state.finished.len() as u32 == self.spec.rounds() {
             self.finish(Outcome::Completed, wall);
         }
--- a/crates/fleet/src/placer/job/tests.rs
+++ b/crates/fleet/src/placer/job/tests.rs
@@ -43,7 +43,7 @@
     let spec = JobSpec { text: String::new(), steps: vec![step], schedule: None };
     let record = JobRecord { spec, queue, workspace: None, accepted: 0 };
     let mut job = Job::new(TASK.job, record, StateRecord::default(), Rev(1), Moment(0));
-    job.open_rounds(0);
+    job.open_rounds(0, u64::MAX);
     job
 }
 
@@ -112,12 +112,12 @@
     let mut job = job(false);
     job.spec.schedule = Some(Schedule { first: 0, every: Span::ZERO, rounds: u32::MAX });
     job.spec.steps[0].tasks = 1_000;
-    job.open_rounds(1);
+    job.open_rounds(1, u64::MAX);
     let open: usize = job.state.rounds.iter().map(|r| r.steps[0].tasks.len()).sum();
     assert!(open as u64 <= JOB_TASKS_MAX, "{open} tasks are open");
     job.state.rounds.clear();
     job.state.finished = vec![0, 1, 2];
-    job.open_rounds(1);
+    job.open_rounds(1, u64::MAX);
     assert_eq!(job.state.rounds.first().map(|r| r.round), Some(3));
 }
 
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -90,7 +90,7 @@
         }
     }
 
-    fn load_state(&mut self, item: &Item) {
+    pub(super) fn load_state(&mut self, item: &Item) {
         let id = item.key.strip_prefix(keys::STATES).map(str::parse::<JobId>);
         let Some(Ok(id)) = id else {
             log::error!(event = "bad_key", key:% = item.key; "the key contains no valid job identifier");
@@ -102,6 +102,7 @@
                 let job = &mut self.jobs[at];
                 job.marked = !state.begun && job.spec.schedule.is_none();
                 job.state = state;
+                job.close_untouched_rounds();
                 job.rev = item.rev;
             }
             Err(error) => {
--- a/crates/fleet/src/placer/slots.rs
+++ b/crates/fleet/src/placer/slots.rs
@@ -24,12 +24,14 @@
     used: Resources,
     /// The bit of each job that has a run here; see [`job_bit`].
     jobs: u64,
-    /// Runs may have changed since `next_stop` and `closing` were determined.
+    /// Runs may have changed since `next_stop`, `closing` and `starting` were determined.
     changed: bool,
     /// Earliest time at which a stop has to be sent; `None` if there is no such run.
     next_stop: Option<Moment>,
     /// At least one run is being stopped.
     closing: bool,
+    /// The start of at least one run is planned or in flight.
+    starting: bool,
 }
 
 impl Slots {
@@ -100,7 +102,13 @@
         self.changed || self.closing
     }
 
-    /// Determines `next_stop` and `closing` anew if runs may have changed.
+    /// Returns true if the start of a run is planned or in flight.
+    pub(crate) fn may_be_starting(&mut self) -> bool {
+        self.refresh();
+        self.starting
+    }
+
+    /// Determines `next_stop`, `closing` and `starting` anew if runs may have changed.
     fn refresh(&mut self) {
         if !std::mem::take(&mut self.changed) {
             return;
@@ -110,7 +118,9 @@
             Phase::Closing { sent: None, answered: None, next } => Some(next),
             _ => None,
         };
+        let is_starting = |s: &Slot| matches!(s.phase, Phase::Planned(_) | Phase::Starting);
         self.closing = self.list.iter().any(is_closing);
+        self.starting = self.list.iter().any(is_starting);
         self.next_stop = self.list.iter().filter_map(unsent_stop).min();
     }
 }
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -20,6 +20,7 @@
 mod ceilings;
 mod endpoints;
 mod forecasts;
+mod held;
 mod large_jobs;
 mod odd_entries;
 mod preemption;
@@ -109,6 +110,7 @@
     catalog: Catalog,
     features: Features,
     extends_leases: bool,
+    job_memory: u64,
     now: Moment,
     activity: Activity,
     out: Vec<Output>,
@@ -141,8 +143,9 @@
         let features = Features::default();
         let activity = Activity::default();
         let out = Vec::new();
+        let (extends_leases, job_memory) = (true, u64::MAX);
         let mut bench =
-            Self { placer, catalog, features, extends_leases: true, now, activity, out };
+            Self { placer, catalog, features, extends_leases, job_memory, now, activity, out };
         bench.show(capacities.iter().map(|c| (1, *c)).collect());
         bench
     }
@@ -158,7 +161,7 @@
             holds_lease: true,
             extends_leases: self.extends_leases,
             lease: None,
-            job_memory: u64::MAX,
+            job_memory: self.job_memory,
             strong_host: true,
             activity: &self.activity,
             out: &mut self.out,
@@ -466,7 +469,7 @@
     let mut bench = Bench::open(&[accelerators(8), accelerators(8)]);
     bench.add_job(1, 1, Step { endless: true, ..step(2, false, 4) });
     let mut job = bench.placer.jobs[0].clone();
-    job.open_rounds(1_800_000_000_000);
+    job.open_rounds(1_800_000_000_000, u64::MAX);
     let boot = |number: u64, born| Boot { worker: entry(number, 1, accelerators(8)).id, born };
     // The first worker has crashed and booted again under the third run of the deadly task.
     job.plan_start(&task(1, 0), Run(3), boot(0, 0));
--- a/crates/fleet/src/placer/tests/backlog.rs
+++ b/crates/fleet/src/placer/tests/backlog.rs
@@ -51,7 +51,7 @@
         bench.add_job(id, 1, step(1, false, 1));
     }
     let units = bench.with(|p, ctx| {
-        p.jobs.iter_mut().for_each(|j| j.open_rounds(ctx.clock.wall));
+        p.open_due_rounds(ctx);
         p.units(ctx, &[])
     });
     assert_eq!(units.len(), UNITS_MAX);
--- a/crates/fleet/src/placer/tests/reboots.rs
+++ b/crates/fleet/src/placer/tests/reboots.rs
@@ -123,7 +123,7 @@
     bench.list(entries.collect());
     bench.add_job(1, 1, step);
     let mut job = bench.placer.jobs[0].clone();
-    job.open_rounds(1_800_000_000_000);
+    job.open_rounds(1_800_000_000_000, u64::MAX);
     for (index, (worker, born)) in (0..).zip(placed) {
         let boot = Boot { worker: entry(*worker, 1, accelerators(8)).id, born: *born };
         job.plan_start(&task(1, index), Run(1), boot);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -240,6 +240,11 @@
         Self { round, steps, done: Known::default() }
     }
 
+    /// Returns true if a run of the round has been recorded.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.steps.iter().flat_map(|s| &s.tasks).any(|t| t.run > Run(0))
+    }
+
     /// Returns true if all steps are done.
     pub(crate) fn is_done(&self) -> bool {
         self.done.covers(&self.steps, StepRecord::is_done)
