Remove the records of ended jobs as fast as jobs come

Records of ended jobs count for the memory of accepted jobs, and were removed at 7 jobs in 5 s, slower than the users' jobs come (3.4 a second): after hours, further jobs would have been refused.

Change: while more is left than one commit removes, the next one follows after 250 ms.

--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -275,6 +275,8 @@
     flush_next: Moment,
     /// When old records were last looked for.
     swept: Moment,
+    /// More old records were left at that time.
+    sweeps_more: bool,
     /// A reply has shown that another daemon is the leader.
     pub(crate) deposed: bool,
 }
@@ -320,6 +322,7 @@
             reviewed: now,
             flush_next: now,
             swept: now,
+            sweeps_more: false,
             deposed: false,
         }
     }
--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -18,6 +18,8 @@
 const INFLIGHT_COMMITS_MAX: usize = 32;
 /// Interval between removals of records that can't be asked for any more.
 const SWEEP_INTERVAL: Span = Span(5_000);
+/// The same while more is left to be removed than one commit takes: 28 jobs a second.
+const SWEEP_INTERVAL_MIN: Span = Span(250);
 /// Most jobs that one commit removes; at three keys each, with the leader's key, they stay below
 /// `COMMIT_ENTRIES_MAX`.
 const SWEEP_JOBS_MAX: usize = 7;
@@ -195,7 +197,8 @@
     /// Removes the records of jobs that ended long ago.
     pub(super) fn sweep(&mut self, ctx: &mut Context<'_>) {
         let now = ctx.clock.now;
-        if now.since(self.swept) < SWEEP_INTERVAL || !ctx.holds_lease {
+        let interval = if self.sweeps_more { SWEEP_INTERVAL_MIN } else { SWEEP_INTERVAL };
+        if now.since(self.swept) < interval || !ctx.holds_lease {
             return;
         }
         self.swept = now;
@@ -204,6 +207,7 @@
             |j: &&super::Job| j.is_over() && !j.is_dirty() && j.state.ended + keep < ctx.clock.wall;
         let ids: Vec<JobId> =
             self.jobs.iter().filter(old).take(SWEEP_JOBS_MAX).map(|j| j.id).collect();
+        self.sweeps_more = ids.len() == SWEEP_JOBS_MAX;
         if ids.is_empty() {
             return;
         }
--- a/crates/fleet/src/placer/tests/held.rs
+++ b/crates/fleet/src/placer/tests/held.rs
@@ -8,7 +8,7 @@
 use crate::model::{JobSpec, Resources, Schedule, Step};
 use crate::placer::job::Job;
 use crate::placer::worker::Slot;
-use crate::record::{Item, RoundRecord, StepRecord, TaskRecord, encode, keys};
+use crate::record::{Item, Outcome, RoundRecord, StepRecord, TaskRecord, encode, keys};
 
 /// Memory of jobs in these tests, in bytes.
 const JOB_MEMORY: u64 = 10_000_000;
@@ -111,6 +111,27 @@
     assert!(bench.placer.jobs[0].extra_memory() >= before + 36_000);
 }
 
+/// The records of ended jobs were removed at 1.4 jobs a second. At the rate of the users' jobs, 3.4 a second, they grew
+/// until they took all memory of accepted jobs, and further ones were refused.
+#[test]
+fn ended_jobs_are_removed_as_fast_as_jobs_come() {
+    let mut bench = Bench::open(&[accelerators(8)]);
+    for id in 1..=600 {
+        bench.add_job(id, 1, step(1, false, 1));
+    }
+    for job in bench.placer.jobs.iter_mut() {
+        job.finish(Outcome::Completed, 1);
+        job.stored = job.version;
+    }
+    let began = bench.now;
+    while bench.now.since(began) < Span(60_000) {
+        bench.now += Span(100);
+        bench.with(|p, ctx| p.sweep(ctx));
+    }
+    let removed = 600 - bench.placer.jobs.len();
+    assert!(removed >= 60 * 5, "{removed} jobs in a minute");
+}
+
 /// Returns the number of starts that were sent, and the bytes of their texts.
 fn sent(bench: &Bench) -> (usize, usize) {
     let texts = bench.out.iter().filter_map(|output| match output {
