Don't acknowledge the ends of a worker's next boot

Cause: each hold repeated the number up to which ends were acknowledged. A worker that had rebooted carried out a late start, which ended as its end 1, and a hold to the earlier boot, which arrived after that with lastSeen 38, made it forget the end. The placer then heard of neither run nor end.

Change: an acknowledgement is sent only if it is new, to a worker that has replied since a call to it failed, and while no start to it is unanswered.

The three new tests of placer/tests/reboots.rs failed before.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -524,11 +524,17 @@
         return None;
     }
     let unacked = worker.acked > worker.told;
+    // The worker may have rebooted since, and numbers its ends anew: an acknowledgement of the earlier boot's ends would
+    // make it forget the end of a run that it started late. So each one is sent only as often as it has to be, to a
+    // worker that has just replied, and while no start is under way.
+    let withheld = unacked && worker.slots.has_unanswered_start();
+    let acked = if unacked && !withheld && worker.silent == 0 { worker.acked } else { 0 };
     let needed = !worker.slots.is_empty() || unacked || !worker.fenced || worker.silent > 0;
     let overdue = now.since(worker.hold_next) >= HOLD_DELAY_MAX;
     // The worker repeats ends until they are acknowledged, which they can't be before they are
     // recorded.
-    if !needed || (!worker.ends.is_empty() && !unacked && !overdue) {
+    let repeats = withheld || (!worker.ends.is_empty() && !unacked);
+    if !needed || (repeats && !overdue) {
         return None;
     }
     if worker.missing.is_some() && worker.slots.is_empty() && !unacked {
@@ -551,5 +557,5 @@
         .filter(|_| extend)
         .zip(worker.estimated_clock(now))
         .map(|(l, c)| c.saturating_add(l.millis()));
-    Some(WorkerOp::Hold { lease_end, acked: worker.acked, wait })
+    Some(WorkerOp::Hold { lease_end, acked, wait })
 }
--- a/crates/fleet/src/placer/slots.rs
+++ b/crates/fleet/src/placer/slots.rs
@@ -108,6 +108,16 @@
         self.starting
     }
 
+    /// Returns true if a start has been sent to the worker that may not have been carried out yet.
+    pub(crate) fn has_unanswered_start(&self) -> bool {
+        let unanswered = |s: &Slot| match s.phase {
+            Phase::Starting | Phase::Unheard => true,
+            Phase::Closing { answered, .. } => !s.confirmed && answered.is_none(),
+            Phase::Planned(_) | Phase::Running => false,
+        };
+        self.list.iter().any(unanswered)
+    }
+
     /// Determines `next_stop`, `closing` and `starting` anew if runs may have changed.
     fn refresh(&mut self) {
         if !std::mem::take(&mut self.changed) {
--- a/crates/fleet/src/placer/tests/reboots.rs
+++ b/crates/fleet/src/placer/tests/reboots.rs
@@ -1,7 +1,7 @@
 //! Workers that boot again under their identifiers: calls that were sent to an earlier boot and reach the next
 //! one, and runs that a record places on another boot than the registered one.
 
-use bulrushlink_core::Span;
+use bulrushlink_core::{Moment, Span};
 
 use super::{Bench, accelerators, entry, step, task};
 use crate::edge::{EndCause, EndReport, Output, RunReport, StoreReply, WorkerOp, WorkerReply};
@@ -93,6 +93,52 @@
     assert_eq!(sent_ack(&bench), Some(1));
 }
 
+/// The worker had rebooted without the placer's knowledge and had started and ended a run. The next hold repeated the
+/// acknowledgement of the earlier boot's ends, so the worker forgot the end, and the task ran again (soak, seed 12).
+#[test]
+fn acknowledgement_is_not_repeated() {
+    let mut bench = bench_with_start();
+    bench.placer.workers[0].slots.take();
+    bench.add_job(2, 1, step(1, false, 8));
+    bench.pass();
+    bench.commit();
+    bench.placer.workers[0].slots.iter_mut().for_each(|s| s.phase = Phase::Running);
+    bench.placer.workers[0].hold = None;
+    assert_eq!(send_hold(&mut bench), Some(0));
+}
+
+/// An acknowledgement that may have been lost must not be sent to a worker that has not replied since: its next boot
+/// would take it for its own ends.
+#[test]
+fn acknowledgement_waits_until_a_silent_worker_has_replied() {
+    let mut bench = bench_with_start();
+    bench.placer.workers[0].slots.iter_mut().for_each(|s| s.phase = Phase::Running);
+    bench.placer.workers[0].told = ENDS - 1;
+    bench.placer.workers[0].silent = 1;
+    assert_eq!(send_hold(&mut bench), Some(0));
+    let running = RunReport { task: task(1, 0), run: Run(1), saved: String::new(), percent: 1 };
+    answer(&mut bench, 1, vec![running], Vec::new());
+    assert_eq!(send_hold(&mut bench), Some(ENDS));
+}
+
+/// A start under way may be carried out by the next boot, and its end be forgotten by an acknowledgement that arrives
+/// after it (soak, seed 12). No hold is sent in the meantime, as the worker repeats its ends at once.
+#[test]
+fn acknowledgement_waits_for_starts_under_way() {
+    let mut bench = bench_with_start();
+    bench.placer.workers[0].told = ENDS - 1;
+    assert_eq!(send_hold(&mut bench), None);
+    bench.now += Span(1_300);
+    assert_eq!(send_hold(&mut bench), Some(0));
+    bench.placer.workers[0].hold = None;
+    let closing = |answered| Phase::Closing { sent: None, answered, next: Moment(0) };
+    bench.placer.workers[0].slots.iter_mut().for_each(|s| s.phase = closing(None));
+    assert_eq!(send_hold(&mut bench), Some(0));
+    bench.placer.workers[0].hold = None;
+    bench.placer.workers[0].slots.iter_mut().for_each(|s| s.phase = closing(Some(Moment(0))));
+    assert_eq!(send_hold(&mut bench), Some(ENDS));
+}
+
 /// A stop that the earlier boot has answered says nothing about the next one, which a late start may reach: the
 /// run must be kept until the new boot has answered a stop that has its own fence.
 #[test]
