Take a request for a job of its own queue and workspace only

Cause: records are kept by the identifier, and a repeat was recognized by the content alone. The state record didn't name the queue, so GET and DELETE at another queue, also one with allowAnonymous, showed and cancelled the job.

Change: the state record names the queue. A POST is a repeat only at the same queue and from a caller that may see the job; else it gets 409.

--- a/crates/fleet/src/front.rs
+++ b/crates/fleet/src/front.rs
@@ -4,7 +4,7 @@
 //! request. A request is refused as "not accepted" only when none of its commits can still take
 //! effect.
 
-use bulrushlink_core::{Moment, Span};
+use bulrushlink_core::{Moment, Span, WorkspaceId};
 
 use crate::catalog::{Catalog, Denial, Grant};
 use crate::edge::{
@@ -430,10 +430,30 @@
     fn job_exists(&mut self, ctx: &mut Context<'_>, id: JobId, item: &Item) -> bool {
         let CallerVerb::Submit(Ok(spec)) = &self.call.verb else { return false };
         match decode::<JobRecord>(&item.value) {
-            Ok(record) if record.spec == *spec => {
+            Ok(record) => {
+                let Some(grant) = self.grant(ctx.view.catalog()) else {
+                    // The configuration has changed since; the request is judged by the present one.
+                    return self.begin(ctx);
+                };
+                if record.queue.name != grant.queue.name {
+                    return self.finish(
+                        ctx,
+                        Answer::Taken,
+                        "a job of another queue has this identifier",
+                    );
+                }
+                if !is_open_to(&grant, record.workspace.as_ref()) {
+                    return self.finish(
+                        ctx,
+                        Answer::Taken,
+                        "a job of another workspace has this identifier",
+                    );
+                }
+                if record.spec != *spec {
+                    return self.finish(ctx, Answer::Taken, "another job has this identifier");
+                }
                 self.finish(ctx, Answer::Accepted, "the same job is already stored")
             }
-            Ok(_) => self.finish(ctx, Answer::Taken, "another job has this identifier"),
             Err(error) => {
                 log::error!(event = "bad_record", job:% = id; "the stored job can't be decoded: {error}");
                 self.finish(ctx, Answer::Taken, "an unreadable job has this identifier")
@@ -509,19 +529,27 @@
                 return None;
             }
         };
-        if !self.may_access(ctx.view.catalog(), &state) {
+        let grant = self.grant(ctx.view.catalog());
+        let elsewhere = grant.as_ref().is_some_and(|g| !state.is_of(g.queue));
+        let open = match &grant {
+            Some(grant) => is_open_to(grant, state.workspace.as_ref()),
+            None => state.workspace.is_none(),
+        };
+        if elsewhere {
+            self.finish(ctx, Answer::NoJob, "the job belongs to another queue");
+            return None;
+        }
+        if !open {
             self.finish(ctx, Answer::OtherWorkspace, "the job belongs to another workspace");
             return None;
         }
         Some(state)
     }
 
-    /// Returns true if the caller's key gives access to the job.
-    fn may_access(&self, catalog: Option<&Catalog>, state: &StateRecord) -> bool {
-        let Some(owner) = &state.workspace else { return true };
+    /// Returns what the configuration grants the caller.
+    fn grant<'a>(&'a self, catalog: Option<&'a Catalog>) -> Option<Grant<'a>> {
         let key = self.call.key.as_deref();
-        let grant = catalog.and_then(|c| c.authorize(&self.call.host, &self.call.path, key).ok());
-        grant.is_some_and(|g| g.queue.anonymous || g.workspace.is_some_and(|w| w.name == *owner))
+        catalog?.authorize(&self.call.host, &self.call.path, key).ok()
     }
 
     /// Ends a request whose deadline has passed.
@@ -572,6 +600,12 @@
     }
 }
 
+/// Returns true if a caller with this grant has access to the jobs of a workspace in its queue.
+fn is_open_to(grant: &Grant<'_>, owner: Option<&WorkspaceId>) -> bool {
+    let Some(owner) = owner else { return true };
+    grant.queue.anonymous || grant.workspace.is_some_and(|w| w.name == *owner)
+}
+
 /// Returns the metric label of an answer.
 fn metric_label(answer: &Answer) -> &'static str {
     match answer {
--- a/crates/fleet/src/front/commit.rs
+++ b/crates/fleet/src/front/commit.rs
@@ -23,7 +23,7 @@
     id: JobId,
     record: &JobRecord,
 ) -> Result<Commit, bulrushlink_core::Error> {
-    let state = StateRecord { workspace: record.workspace.clone(), ..StateRecord::default() };
+    let state = StateRecord::new(record.workspace.clone(), &record.queue);
     let mut writes =
         vec![(keys::job(id), encode(record)?, None), (keys::state(id), encode(&state)?, None)];
     if record.spec.schedule.is_none() {
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -102,6 +102,8 @@
                 let job = &mut self.jobs[at];
                 job.marked = !state.begun && job.spec.schedule.is_none();
                 job.state = state;
+                // A state that an earlier version stored doesn't name the queue.
+                job.state.queue.clone_from(&job.accepted_queue.name);
                 job.close_untouched_rounds();
                 job.rev = item.rev;
             }
@@ -126,7 +128,7 @@
         let accepted = ctx.clock.now - age;
         // One commit creates both records, and only the placer changes the state, so a new job has
         // the default state at the revision of this item.
-        let state = StateRecord { workspace: record.workspace.clone(), ..StateRecord::default() };
+        let state = StateRecord::new(record.workspace.clone(), &record.queue);
         let mut job = Job::new(id, record, state, item.rev, accepted);
         job.expected = self.expected_wait(ctx, &job);
         self.jobs.insert(at, job);
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -212,9 +212,22 @@
     /// Crashes of workers under the job's tasks, sorted by round, step and index. Appended later:
     /// records without it are read as having none, and earlier versions don't read it.
     pub(crate) crashes: Vec<CrashRecord>,
+    /// Name of the job's queue, repeated from the job's record so that a read of the state alone can tell whose job
+    /// it is. Appended later: empty in records of earlier versions.
+    pub(crate) queue: String,
 }
 
 impl StateRecord {
+    /// Returns the state of a job that has just been accepted.
+    pub(crate) fn new(workspace: Option<WorkspaceId>, queue: &Queue) -> Self {
+        Self { workspace, queue: queue.name.clone(), ..Self::default() }
+    }
+
+    /// Returns true if the job belongs to a queue, as far as the record tells.
+    pub(crate) fn is_of(&self, queue: &Queue) -> bool {
+        self.queue.is_empty() || self.queue == queue.name
+    }
+
     /// Lists the tasks of job `id` whose latest run is on a worker: the task, the run and the boot.
     pub(crate) fn placed_tasks(&self, id: JobId) -> impl Iterator<Item = (TaskId, Run, &Boot)> {
         self.rounds.iter().flat_map(move |round| {
@@ -270,7 +283,7 @@
 impl Stored for LoadForecast {}
 
 impl Stored for StateRecord {
-    const APPENDED: usize = 1;
+    const APPENDED: usize = 2;
 }
 
 /// Encodes a record.
--- a/crates/fleet/src/record/tests.rs
+++ b/crates/fleet/src/record/tests.rs
@@ -4,8 +4,9 @@
     CrashRecord, Known, LAYOUT_VERSION, LostRun, Outcome, RoundRecord, StateRecord, StepRecord,
     TaskRecord, decode, encode,
 };
+use crate::catalog::Queue;
 use crate::ids::{Boot, Run};
-use bulrushlink_core::WorkspaceId;
+use bulrushlink_core::{Span, WorkspaceId};
 
 /// The fields of a state before crashes were counted, in their order.
 type FirstState = (Option<WorkspaceId>, Option<Outcome>, u64, bool, Vec<RoundRecord>, Vec<u32>);
@@ -28,7 +29,9 @@
     let bytes = postcard::to_extend(&first_state(), vec![LAYOUT_VERSION]).expect("encodable");
     let state: StateRecord = decode(&bytes).expect("readable");
     let crashes = Vec::new();
-    let expected = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
+    let queue = String::new();
+    let expected =
+        StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes, queue };
     assert_eq!(state, expected);
 }
 
@@ -40,13 +43,42 @@
     let addr = Some(([10, 0, 0, 1], 80).into());
     let lost = vec![LostRun { run: Run(2), boot: boot(), addr, confirmed: true }];
     let crashes = vec![CrashRecord { lost, ..CrashRecord::new(2, 0, 0) }];
-    let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes };
+    let queue = "replay".to_string();
+    let state = StateRecord { workspace, outcome, ended, begun, rounds, finished, crashes, queue };
     let bytes = encode(&state).expect("encodable");
     assert_eq!(bytes[0], LAYOUT_VERSION);
     assert_eq!(postcard::from_bytes::<FirstState>(&bytes[1..]), Ok(first_state()));
     assert_eq!(decode::<StateRecord>(&bytes), Ok(state));
 }
 
+/// A job that an earlier version stored must stay known at its queue, whichever that is.
+#[test]
+fn state_without_a_queue_belongs_to_any() {
+    let bytes = postcard::to_extend(&first_state(), vec![LAYOUT_VERSION]).expect("encodable");
+    let state: StateRecord = decode(&bytes).expect("readable");
+    let named = StateRecord { queue: "replay".to_string(), ..state.clone() };
+    for (name, same) in [("replay", true), ("score", false)] {
+        let queue = queue(name);
+        assert!(state.is_of(&queue));
+        assert_eq!(named.is_of(&queue), same);
+    }
+}
+
+fn queue(name: &str) -> Queue {
+    Queue {
+        name: name.to_string(),
+        host: "jobs.example".to_string(),
+        prefix: format!("/{name}/"),
+        endpoint: "dispatch".to_string(),
+        priority: 1,
+        attempts: 2,
+        stretch: 3.0,
+        target: Span(1_000),
+        anonymous: false,
+        advised: false,
+    }
+}
+
 /// Guards against a step that starts before a dependency is done, or never, because of what was known
 /// before: the answers must be the same as without any.
 #[test]
