Show a job as begun once a worker has confirmed a run of it

Cause: the commit that recorded a start, before it was sent, stored the job as begun and removed the marker that counts it as pending. Nothing brought them back when the start was refused, withheld or lost, or the leader changed.

Change: a job has begun when a worker answers a start of it or lists a run or an end of it. That is stored with the next change of the job, or after 0.7 s.

--- a/crates/fleet/src/placer/flush.rs
+++ b/crates/fleet/src/placer/flush.rs
@@ -31,8 +31,18 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(super) struct Flight {
     pub(super) ordinal: u64,
-    /// Each job in the commit, with the version of its state.
-    jobs: Vec<(JobId, u64)>,
+    /// The jobs in the commit.
+    jobs: Vec<Stored>,
+}
+
+/// A job in a commit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Stored {
+    id: JobId,
+    /// Version of its state.
+    version: u64,
+    /// The state shows that the job has begun or is over, so the commit removes its marker.
+    begun: bool,
 }
 
 impl Placer {
@@ -46,9 +56,9 @@
             let ordinal = self.ordinal + 1;
             let Some((commit, jobs)) = self.next_commit(&mut due) else { return };
             self.ordinal = ordinal;
-            for (id, version) in &jobs {
-                if let Ok(at) = self.job_index(*id) {
-                    self.jobs[at].flight = Some(*version);
+            for job in &jobs {
+                if let Ok(at) = self.job_index(job.id) {
+                    self.jobs[at].flight = Some(job.version);
                     self.jobs[at].committed = ordinal;
                 }
             }
@@ -68,7 +78,8 @@
     /// wait for the commit. Among the others the least recently committed one goes first: in the order
     /// of the identifiers, jobs with low ones would always be ahead.
     fn jobs_to_store(&self, ctx: &Context<'_>) -> Vec<usize> {
-        let waits = |at: &usize| self.jobs[*at].is_dirty() && self.jobs[*at].flight.is_none();
+        let now = ctx.clock.now;
+        let waits = |at: &usize| self.jobs[*at].must_store(now) && self.jobs[*at].flight.is_none();
         let mut due: Vec<usize> = (0..self.jobs.len()).filter(waits).collect();
         due.sort_by_cached_key(|at| {
             let job = &self.jobs[*at];
@@ -78,7 +89,7 @@
     }
 
     /// Returns the next commit of the jobs in `due`, from which it takes them.
-    fn next_commit(&mut self, due: &mut Vec<usize>) -> Option<(Commit, Vec<(JobId, u64)>)> {
+    fn next_commit(&mut self, due: &mut Vec<usize>) -> Option<(Commit, Vec<Stored>)> {
         let mut commit = Commit { expect: vec![self.guard()], ..Commit::default() };
         let (mut jobs, mut bytes) = (Vec::new(), 0);
         while let Some(at) = due.last() {
@@ -103,10 +114,11 @@
             if job.starts && !job.is_over() {
                 commit.expect.push((Subject::Key(keys::cancel(job.id)), Rev::ABSENT));
             }
-            if job.marked && (job.state.begun || job.is_over()) {
+            let begun = job.state.begun || job.is_over();
+            if job.marked && begun {
                 commit.removes.push(keys::marker(&job.accepted_queue.name, job.id));
             }
-            jobs.push((job.id, job.version));
+            jobs.push(Stored { id: job.id, version: job.version, begun });
         }
         (!jobs.is_empty()).then_some((commit, jobs))
     }
@@ -119,8 +131,8 @@
     ) {
         let Some(at) = self.flights.iter().position(|f| f.ordinal == ordinal) else { return };
         let flight = self.flights.remove(at);
-        for (id, _) in &flight.jobs {
-            if let Ok(at) = self.job_index(*id) {
+        for job in &flight.jobs {
+            if let Ok(at) = self.job_index(job.id) {
                 self.jobs[at].flight = None;
             }
         }
@@ -139,20 +151,22 @@
     }
 
     fn commit_succeeded(&mut self, ctx: &mut Context<'_>, flight: &Flight, rev: Rev) {
-        for (id, version) in &flight.jobs {
-            let Ok(at) = self.job_index(*id) else { continue };
+        for Stored { id, version, begun } in flight.jobs.iter().copied() {
+            let Ok(at) = self.job_index(id) else { continue };
             let job = &mut self.jobs[at];
             job.rev = rev;
-            job.stored = *version;
+            job.stored = version;
             let starts = job.starts;
-            if job.version == *version {
+            if job.version == version {
                 job.starts = false;
             }
-            if job.state.begun || job.is_over() {
+            // A run may have been confirmed while the commit was in flight.
+            if begun {
                 job.marked = false;
+                job.confirmed = None;
             }
             if starts {
-                self.send_starts(ctx, *id, *version);
+                self.send_starts(ctx, id, version);
             }
         }
     }
@@ -164,7 +178,7 @@
         if self.step_down_if_replaced(items) {
             return;
         }
-        for (id, _) in &flight.jobs {
+        for Stored { id, .. } in &flight.jobs {
             let cancelled = find(&keys::cancel(*id)).is_some();
             let rev = find(&keys::state(*id)).map(|i| i.rev);
             if let (Ok(at), Some(rev)) = (self.job_index(*id), rev) {
--- a/crates/fleet/src/placer/forecast.rs
+++ b/crates/fleet/src/placer/forecast.rs
@@ -345,7 +345,7 @@
         let waiting: Vec<(&str, Option<&WorkspaceId>)> = self
             .jobs
             .iter()
-            .filter(|j| !j.is_over() && !j.state.begun)
+            .filter(|j| !j.is_over() && !j.planned)
             .map(|j| (j.accepted_queue.name.as_str(), j.state.workspace.as_ref()))
             .collect();
         let owners = |queue: &str| {
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -261,6 +261,7 @@
         if let Ok(j) = self.job_index(end.task.job) {
             let attempts = self.jobs[j].queue(ctx.catalog).attempts;
             let job = &mut self.jobs[j];
+            job.confirm_run(now);
             let here = job.task(&end.task).is_some_and(|t| t.place.as_ref() == Some(&boot));
             let effect = if here {
                 job.record_checkpoint(&end.task, end.run, &end.saved);
@@ -351,6 +352,7 @@
         let boot = self.workers[at].boot.clone();
         if let Ok(j) = self.job_index(report.task.job) {
             let job = &mut self.jobs[j];
+            job.confirm_run(now);
             let here = job.task(&report.task).is_some_and(|t| t.place.as_ref() == Some(&boot));
             if here {
                 job.record_checkpoint(&report.task, report.run, &report.saved);
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -14,6 +14,9 @@
 use super::pace::StepPace;
 use super::times::SavedWork;
 
+/// Longest time for which the confirmation of a job's first run waits to be stored with another change. The number of
+/// pending jobs may be 2 s old.
+const BEGUN_STORE_DELAY: Span = Span(700);
 /// Tasks in open rounds of a job that have not begun at which no further round is opened; enough for a pass to fill
 /// the largest part of a fleet.
 const WAITING_TASKS_MAX: u64 = 64;
@@ -42,6 +45,10 @@
     pub(crate) committed: u64,
     /// The store still has the marker that counts the job as pending.
     pub(crate) marked: bool,
+    /// A start of the job has been recorded, or is to be.
+    pub(crate) planned: bool,
+    /// When a worker first confirmed a run of the job, while the stored state doesn't show it.
+    pub(crate) confirmed: Option<Moment>,
     /// The next commit records a start, so it must fail if the job has been cancelled.
     pub(crate) starts: bool,
     /// When it was accepted, or a run of it has last ended.
@@ -104,6 +111,7 @@
         accepted: Moment,
     ) -> Self {
         let marked = !state.begun && record.spec.schedule.is_none();
+        let planned = state.begun || state.rounds.iter().any(RoundRecord::has_begun);
         let chains = record.spec.chains(|s| s.estimate);
         let longest_chain = chains.iter().copied().max().unwrap_or_default();
         let paces = vec![StepPace::default(); record.spec.steps.len()];
@@ -120,6 +128,8 @@
             flight: None,
             committed: 0,
             marked,
+            planned,
+            confirmed: None,
             starts: false,
             waiting_since: accepted,
             retries: Retries::default(),
@@ -303,10 +313,25 @@
             record.run = run;
             record.place = Some(boot);
         }
-        self.state.begun = true;
+        self.planned = true;
         self.starts = true;
     }
 
+    /// Records that a worker has confirmed a run of the job, by a reply to its start or by a list of its runs or
+    /// ends: from then on the job isn't pending. A start that is only recorded may be refused, withheld or lost.
+    pub(crate) fn confirm_run(&mut self, now: Moment) {
+        if !self.state.begun {
+            self.state.begun = true;
+            self.confirmed = Some(now);
+        }
+    }
+
+    /// Returns true if the state has to be stored: it has changed, or a run was confirmed a while ago. What follows
+    /// a confirmation within that time is stored with it.
+    pub(crate) fn must_store(&self, now: Moment) -> bool {
+        self.is_dirty() || self.confirmed.is_some_and(|at| now.since(at) >= BEGUN_STORE_DELAY)
+    }
+
     /// Returns the latest checkpoint of a task; empty if there is none.
     pub(crate) fn checkpoint(&self, task: &TaskId) -> Option<&str> {
         self.step_record(task)?.checkpoint(task.index)
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -5,7 +5,7 @@
 use crate::activity::Part;
 use crate::edge::{Fault, StoreOp, StoreReply, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Rev};
-use crate::record::{Item, JobRecord, StateRecord, decode, keys};
+use crate::record::{Item, JobRecord, RoundRecord, StateRecord, decode, keys};
 
 use super::job::Job;
 use super::resize::Resize;
@@ -101,6 +101,7 @@
             Ok(state) => {
                 let job = &mut self.jobs[at];
                 job.marked = !state.begun && job.spec.schedule.is_none();
+                job.planned = state.begun || state.rounds.iter().any(RoundRecord::has_begun);
                 job.state = state;
                 // A state that an earlier version stored doesn't name the queue.
                 job.state.queue.clone_from(&job.accepted_queue.name);
--- a/crates/fleet/src/placer/starts.rs
+++ b/crates/fleet/src/placer/starts.rs
@@ -179,6 +179,9 @@
                     slot.phase = Phase::Running;
                     slot.since = now;
                 }
+                if let Ok(j) = self.job_index(task.job) {
+                    self.jobs[j].confirm_run(now);
+                }
             }
             Err(Fault::NotDone(cause)) if slot.phase == Phase::Starting => {
                 log::info!(event = "start_failed", task:% = task, run = run.0, worker:% = id, cause:% = cause; "the start was not sent");
--- a/crates/fleet/src/placer/tests.rs
+++ b/crates/fleet/src/placer/tests.rs
@@ -17,6 +17,7 @@
 use crate::settings::{Bounds, Features};
 
 mod backlog;
+mod begun;
 mod ceilings;
 mod endpoints;
 mod forecasts;
