Keep sending holds while an acknowledgement is withheld

Cause: holds were held back with them, so that failures were heard of later and faulty workers got more gangs.

Change: the hold is sent at once without the acknowledgement, and further ones 50 ms apart, as the worker repeats its ends.

--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -24,6 +24,8 @@
 const HOLD_RETRY_DELAY: Span = Span(250);
 /// Time after which a hold is sent although processed ends are not recorded yet.
 const HOLD_DELAY_MAX: Span = Span(1_200);
+/// Delay before the next hold if its acknowledgement was withheld: the worker repeats its ends at once.
+const WITHHELD_HOLD_DELAY: Span = Span(50);
 /// Time that a hold waits for an end while the worker still has to report whether a stopped or
 /// unheard run is gone.
 const CLOSING_HOLD_WAIT: Span = Span(150);
@@ -205,8 +207,9 @@
         }
         worker.silent = 0;
         worker.loss = None;
-        worker.hold_next = now;
         worker.told = worker.told.max(call.acked);
+        let withheld = worker.acked > worker.told && worker.slots.has_unanswered_start();
+        worker.hold_next = if withheld { now + WITHHELD_HOLD_DELAY } else { now };
         worker.reported_clock = clock.or(worker.reported_clock);
         if let Some(clock) = clock {
             worker.set_clock(now, clock);
@@ -535,8 +538,7 @@
     let overdue = now.since(worker.hold_next) >= HOLD_DELAY_MAX;
     // The worker repeats ends until they are acknowledged, which they can't be before they are
     // recorded.
-    let repeats = withheld || (!worker.ends.is_empty() && !unacked);
-    if !needed || (repeats && !overdue) {
+    if !needed || (!worker.ends.is_empty() && !unacked && !overdue) {
         return None;
     }
     if worker.missing.is_some() && worker.slots.is_empty() && !unacked {
