Keep memory for the runs of guaranteed jobs, and end the growth of the others

Cause: while no start was in flight, one more was planned although no memory was left for runs, and a gang of any size, again and again. Nothing was kept for guaranteed jobs, which would have waited until other runs end.

Change: a start is planned only if its run fits into the memory that is left. A thirty-second of the memory of jobs is for runs of guaranteed jobs only.

--- a/crates/fleet/src/placer/decide.rs
+++ b/crates/fleet/src/placer/decide.rs
@@ -308,7 +308,7 @@
         fleet.limit_trials(shape, &mut placed);
         if let Ok(j) = self.job_index(unit.job) {
             let spec = &self.jobs[j].spec;
-            placed.truncate(placement.runs.allowed(spec, placed.len(), shape.step.gang));
+            placed.truncate(placement.runs.allowed(spec, unit, placed.len()));
             placement.runs.take(spec, placed.len());
         }
         if placed.is_empty() {
--- a/crates/fleet/src/placer/held.rs
+++ b/crates/fleet/src/placer/held.rs
@@ -7,6 +7,7 @@
 use crate::ids::JobId;
 use crate::model::JobSpec;
 
+use super::units::Unit;
 use super::worker::Phase;
 use super::{Context, Placer};
 
@@ -18,6 +19,8 @@
 const TEXT_COPIES: u64 = 2;
 /// Share of the memory of jobs that runs may take although jobs take all of it, as a divisor.
 pub(crate) const RUNS_DIVISOR: u64 = 8;
+/// Share of the memory of jobs that only runs of guaranteed jobs may take, as a divisor.
+const GUARANTEED_RUNS_DIVISOR: u64 = 32;
 /// Share of the memory of jobs up to which rounds are opened beyond the first one of each job; below the share
 /// from which on large jobs are refused, so that rounds don't keep other jobs out.
 const ROUNDS_SHARE: f64 = 0.4;
@@ -28,20 +31,26 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) struct RunBudget {
     left: u64,
+    /// The part of it that is kept for guaranteed jobs.
+    reserved: u64,
     /// No start is in flight.
     idle: bool,
 }
 
 impl RunBudget {
-    /// Returns how many of `wanted` starts of a job may be planned. A gang starts as a whole; if it is too large for
-    /// the memory that is left, it starts while no other start is in flight.
-    pub(super) fn allowed(&self, spec: &JobSpec, wanted: usize, gang: bool) -> usize {
-        let fits = usize::try_from(self.left / start_bytes(spec)).unwrap_or(usize::MAX);
+    /// Returns how many of `wanted` starts of a unit may be planned. A gang starts as a whole; if only its runs, but not
+    /// its starts in flight, fit into the memory that is left, it starts while no other start is in flight.
+    pub(super) fn allowed(&self, spec: &JobSpec, unit: &Unit, wanted: usize) -> usize {
+        let reserved = if unit.guaranteed { 0 } else { self.reserved };
+        let left = self.left.saturating_sub(reserved);
+        let fits = |bytes: u64| usize::try_from(left / bytes).unwrap_or(usize::MAX);
+        let starts = fits(start_bytes(spec));
+        let gang = spec.steps.get(usize::from(unit.step)).is_some_and(|s| s.gang);
         match gang {
-            _ if fits >= wanted => wanted,
-            true if self.idle => wanted,
+            _ if starts >= wanted => wanted,
+            true if self.idle && fits(RUN_BYTES) >= wanted => wanted,
             true => 0,
-            false => fits.max(usize::from(self.idle)).min(wanted),
+            false => starts,
         }
     }
 
@@ -115,6 +124,7 @@
         let jobs = self.jobs.bytes() + self.extra_memory;
         let left = ctx.job_memory.saturating_sub(jobs + runs);
         let least = (ctx.job_memory / RUNS_DIVISOR).saturating_sub(runs);
-        RunBudget { left: left.max(least), idle: starts == 0 }
+        let reserved = ctx.job_memory / GUARANTEED_RUNS_DIVISOR;
+        RunBudget { left: left.max(least), reserved, idle: starts == 0 }
     }
 }
