--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -16,7 +16,7 @@
 
 /// Longest time for which the confirmation of a job's first run waits to be stored with another change. The number of
 /// pending jobs may be 2 s old.
-const BEGUN_STORE_DELAY: Span = Span(700);
+const BEGUN_STORE_DELAY: Span = Span(500);
 /// Tasks in open rounds of a job that have not begun at which no further round is opened; enough for a pass to fill
 /// the largest part of a fleet.
 const WAITING_TASKS_MAX: u64 = 64;
