Count a worker's crash only against runs that its next boot doesn't have

Cause: the crash of a boot was counted as soon as the next one was known.

Change: the crash is kept with the run, and counts once the present boot turns out not to have the run; if it lists the run or its end, it doesn't count.

Evidence: placer/tests/reboots.rs, crash_is_not_counted_against_a_run_that_the_ next_boot_has, failed before.

--- a/crates/fleet/src/placer/crash.rs
+++ b/crates/fleet/src/placer/crash.rs
@@ -72,7 +72,7 @@
 
 impl CrashEvidence {
     /// Returns what is known of a crash that was found when the age of the run was no longer known.
-    fn of_unknown_age(confirmed: bool) -> Self {
+    pub(super) fn of_unknown_age(confirmed: bool) -> Self {
         Self { confirmed, early: false, unambiguous: false, age: None }
     }
 
@@ -349,10 +349,27 @@
     /// Counts a worker's crash against the tasks that ran there, and gives up those that go on
     /// crashing workers.
     pub(super) fn count_worker_crash(&mut self, ctx: &mut Context<'_>, at: usize) {
-        let now = ctx.clock.now;
+        let runs = self.crash_evidence(at, ctx.clock.now);
+        let boot = self.workers[at].boot.clone();
+        self.count_crashes(ctx, &boot, &runs, false);
+        self.count_lost(ctx, &boot, |l| l.boot == boot);
+    }
+
+    /// Counts the crash of the boot that a run was started on, once the present boot turns out not to have the run.
+    pub(super) fn count_earlier_boot(&mut self, ctx: &mut Context<'_>, at: usize, slot: &Slot) {
+        let Some(evidence) = slot.crash else { return };
+        let boot = self.workers[at].boot.clone();
+        self.count_crashes(ctx, &boot, &[(slot.task, slot.run, evidence)], false);
+    }
+
+    /// Returns what a worker's crash says of the runs there.
+    pub(super) fn crash_evidence(
+        &mut self,
+        at: usize,
+        now: Moment,
+    ) -> Vec<(TaskId, Run, CrashEvidence)> {
         self.record_loss(at, now, false);
         let worker = &self.workers[at];
-        let boot = worker.boot.clone();
         let loss = worker.contact_loss(now);
         let mut runs = Vec::new();
         if worker.was_ready(loss.at) {
@@ -375,12 +392,11 @@
             }
         } else if !worker.slots.is_empty() {
             log::info!(
-                event = "crash_uncounted", worker:% = boot.worker, runs = worker.slots.len();
+                event = "crash_uncounted", worker:% = worker.id(), runs = worker.slots.len();
                 "the worker may have left as planned"
             );
         }
-        self.count_crashes(ctx, &boot, &runs, false);
-        self.count_lost(ctx, &boot, |l| l.boot == boot);
+        runs
     }
 
     /// Counts the crash of an earlier boot of a worker, or at its address, against the tasks that
@@ -418,7 +434,7 @@
     }
 
     /// Counts a crash against the tasks that are remembered as lost, where the runs match.
-    fn count_lost(
+    pub(super) fn count_lost(
         &mut self,
         ctx: &mut Context<'_>,
         boot: &Boot,
@@ -435,17 +451,6 @@
         self.count_crashes(ctx, boot, &runs, true);
     }
 
-    /// Counts a crash that was found when a run was restored on a worker that has a later boot.
-    pub(super) fn count_restored_crash(
-        &mut self,
-        ctx: &mut Context<'_>,
-        boot: &Boot,
-        task: TaskId,
-        run: Run,
-    ) {
-        self.count_crashes(ctx, boot, &[(task, run, CrashEvidence::of_unknown_age(false))], false);
-    }
-
     fn count_crashes(
         &mut self,
         ctx: &mut Context<'_>,
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -490,6 +490,7 @@
     ) {
         self.stale = true;
         let now = ctx.clock.now;
+        self.count_earlier_boot(ctx, worker, slot);
         let Ok(at) = self.job_index(slot.task.job) else { return };
         let job = &mut self.jobs[at];
         let before = job.task(&slot.task).filter(|t| t.run == slot.run);
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -5,7 +5,7 @@
 use crate::activity::Part;
 use crate::edge::{Fault, StoreOp, StoreReply, WorkerEntry, WorkerState};
 use crate::ids::{Boot, JobId, Rev};
-use crate::record::{Item, JobRecord, RoundRecord, StateRecord, decode, keys};
+use crate::record::{CrashEvidence, Item, JobRecord, RoundRecord, StateRecord, decode, keys};
 
 use super::job::Job;
 use super::resize::Resize;
@@ -153,16 +153,8 @@
             runs = runs.len(), took_ms = now.since(self.since).millis(),
             features:? = ctx.features; "all records are loaded; placing starts"
         );
-        let mut replaced = Vec::new();
         for (boot, task, run, need) in runs {
-            let slot = Slot::new(task, run, need, Phase::Unheard, now);
-            if !self.restore_run(&boot, slot, now) {
-                replaced.push((boot, task, run));
-            }
-        }
-        // A job that is given up stops its runs, so all of them have to be restored before.
-        for (boot, task, run) in replaced {
-            self.count_restored_crash(ctx, &boot, task, run);
+            self.restore_run(&boot, Slot::new(task, run, need, Phase::Unheard, now), now);
         }
         self.count_earlier_crashes(ctx);
         self.apply_pending_cancels(ctx);
@@ -171,8 +163,8 @@
     /// Puts a recorded run on its worker, where it stays until the worker's present boot has reported. That may be
     /// a later boot than the recorded one: the former leader sends starts to the identifier, and a boot that it
     /// doesn't know of yet accepts them. It may also be an earlier one, if the entry of the recorded boot isn't in
-    /// the store yet. Returns false if a later boot has replaced the recorded one.
-    fn restore_run(&mut self, boot: &Boot, slot: Slot, now: Moment) -> bool {
+    /// the store yet.
+    fn restore_run(&mut self, boot: &Boot, mut slot: Slot, now: Moment) {
         let at = self.worker_index(&boot.worker).unwrap_or_else(|at| {
             self.fences += 1;
             self.workers.insert(at, Worker::new(boot.clone(), self.fences, None, now));
@@ -182,8 +174,7 @@
             self.replace_boot(at, boot.born, now);
         }
         let worker = &mut self.workers[at];
-        let is_replaced = worker.boot.born > boot.born;
-        if is_replaced {
+        if worker.boot.born > boot.born {
             log::info!(
                 event = "run_moved", task:% = slot.task, run = slot.run.0, worker:% = worker.id(),
                 recorded = boot.born, present = worker.boot.born;
@@ -191,12 +182,12 @@
             );
             // Leases of late starts begin when they reach the present boot.
             worker.rebooted = Some(now);
+            slot.crash = Some(CrashEvidence::of_unknown_age(false));
             if let Ok(j) = self.jobs.position(slot.task.job) {
                 self.jobs[j].move_to_boot(&slot.task, slot.run, &worker.boot);
             }
         }
         worker.insert_slot(slot);
-        !is_replaced
     }
 
     pub(super) fn read_workers(&mut self, ctx: &mut Context<'_>) {
@@ -333,7 +324,16 @@
     /// arrive later.
     pub(super) fn handle_reboot(&mut self, ctx: &mut Context<'_>, at: usize, born: u64) {
         let now = ctx.clock.now;
-        self.count_worker_crash(ctx, at);
+        let runs = self.crash_evidence(at, now);
+        let worker = &mut self.workers[at];
+        for (task, run, evidence) in runs {
+            if let Some(s) = worker.slot_index(&task, run) {
+                let slot = &mut worker.slots[s];
+                slot.crash = slot.crash.or(Some(evidence));
+            }
+        }
+        let earlier = worker.boot.clone();
+        self.count_lost(ctx, &earlier, |l| l.boot == earlier);
         self.judge_loss(ctx, at, true);
         let worker = &mut self.workers[at];
         log::info!(
--- a/crates/fleet/src/placer/tests/reboots.rs
+++ b/crates/fleet/src/placer/tests/reboots.rs
@@ -279,6 +279,27 @@
     assert_eq!(bench.closing(), 1);
 }
 
+/// The crash of the earlier boot was counted against a run that was at work on the next one, or had ended there as done,
+/// and a job whose tasks were sound was given up (soak, seed 6).
+#[test]
+fn crash_is_not_counted_against_a_run_that_the_next_boot_has() {
+    for (is_there, is_taken_over) in [(true, true), (true, false), (false, true), (false, false)] {
+        let mut bench = if is_taken_over {
+            takeover(step(1, false, 8), &[Some(2)], &[(0, 1)])
+        } else {
+            let mut bench = takeover(step(1, false, 8), &[Some(1)], &[(0, 1)]);
+            hear(&mut bench, 0, 1, &[task(1, 0)]);
+            bench.show(vec![(2, accelerators(8))]);
+            bench
+        };
+        assert_eq!(bench.placer.jobs[0].state.crashes.len(), 0);
+        let running = if is_there { vec![task(1, 0)] } else { Vec::new() };
+        hear(&mut bench, 0, 2, &running);
+        let counted = bench.placer.jobs[0].state.crashes.len();
+        assert_eq!(counted, usize::from(!is_there), "{is_there} {is_taken_over}");
+    }
+}
+
 /// A run on a next boot that never replies must count as lost only after the leases that begin on that boot when
 /// a start arrives there.
 #[test]
--- a/crates/fleet/src/placer/worker.rs
+++ b/crates/fleet/src/placer/worker.rs
@@ -7,6 +7,7 @@
 use crate::ids::{Boot, JobId, Run, TaskId};
 use crate::lead::{LEADER_LEASE_TTL, STORE_OUTAGE_MAX, UNSURE_LEASE};
 use crate::model::Resources;
+use crate::record::CrashEvidence;
 
 use super::pace::WorkerPace;
 use super::slots::Slots;
@@ -74,6 +75,9 @@
     pub(crate) timed: bool,
     /// Work that the checkpoint had saved from which the run resumed; `None` if that isn't known.
     pub(crate) saved_work: Option<Span>,
+    /// The boot that the run was started on has crashed. It counts once the present boot turns out not to have
+    /// the run.
+    pub(crate) crash: Option<CrashEvidence>,
 }
 
 /// An end that a worker has reported and repeats until it is acknowledged, which happens once it is
@@ -210,6 +214,7 @@
             telling: false,
             timed: false,
             saved_work: None,
+            crash: None,
         }
     }
 
@@ -236,7 +241,7 @@
 
     /// Applies the worker's report of the run, made at `clock` on the worker's clock.
     pub(crate) fn apply_report(&mut self, report: &RunReport, now: Moment, clock: Option<u64>) {
-        self.confirmed = true;
+        (self.confirmed, self.crash) = (true, None);
         if matches!(self.phase, Phase::Starting | Phase::Unheard) {
             self.phase = Phase::Running;
             self.since = now;
