--- a/crates/fleet/src/placer.rs
+++ b/crates/fleet/src/placer.rs
@@ -219,7 +219,7 @@
     jobs: Jobs,
     /// Memory that the jobs take beyond what was counted when they were accepted, in bytes.
     extra_memory: u64,
-    /// The jobs at which the next list of waiting units begins, of the guaranteed ones and of the others.
+    /// The jobs at which the next list of waiting units begins, of the others and of the guaranteed ones.
     cursors: [JobId; 2],
     /// Sorted by identifier.
     workers: Vec<Worker>,
--- a/crates/fleet/src/placer/held.rs
+++ b/crates/fleet/src/placer/held.rs
@@ -17,7 +17,7 @@
 const START_BYTES: u64 = 4_096;
 /// A start in flight holds its text in the call and in the encoded request.
 const TEXT_COPIES: u64 = 2;
-/// Share of the memory of jobs that runs may take although jobs take all of it, as a divisor.
+/// Share of the memory of jobs that runs may take even if jobs take all of it, as a divisor.
 pub(crate) const RUNS_DIVISOR: u64 = 8;
 /// Share of the memory of jobs that only runs of guaranteed jobs may take, as a divisor.
 const GUARANTEED_RUNS_DIVISOR: u64 = 32;
--- a/crates/fleet/src/placer/holds.rs
+++ b/crates/fleet/src/placer/holds.rs
@@ -530,9 +530,9 @@
         return None;
     }
     let unacked = worker.acked > worker.told;
-    // The worker may have rebooted since, and numbers its ends anew: an acknowledgement of the earlier boot's ends would
-    // make it forget the end of a run that it started late. So each one is sent only as often as it has to be, to a
-    // worker that has just replied, and while no start is under way.
+    // The worker may have rebooted since, and its next boot numbers its ends from 1 again: an acknowledgement that was
+    // meant for the earlier boot makes it forget the end of a late start. So an acknowledgement isn't repeated, and is
+    // sent only to a worker that has replied since a call to it failed, and while no start to it is unanswered.
     let withheld = unacked && worker.slots.has_unanswered_start();
     let acked = if unacked && !withheld && worker.silent == 0 { worker.acked } else { 0 };
     let needed = !worker.slots.is_empty() || unacked || !worker.fenced || worker.silent > 0;
--- a/crates/fleet/src/placer/job.rs
+++ b/crates/fleet/src/placer/job.rs
@@ -17,8 +17,8 @@
 /// Longest time for which the confirmation of a job's first run waits to be stored with another change. The number of
 /// pending jobs may be 2 s old.
 const BEGUN_STORE_DELAY: Span = Span(500);
-/// Tasks in open rounds of a job that have not begun at which no further round is opened; enough for a pass to fill
-/// the largest part of a fleet.
+/// Tasks in open rounds without runs at which no further round of a job is opened. Each placement may start all of
+/// them, so a fleet fills up within a few placements.
 const WAITING_TASKS_MAX: u64 = 64;
 
 /// A job with its state in memory, which may be newer than the stored one.
@@ -111,7 +111,7 @@
         accepted: Moment,
     ) -> Self {
         let marked = !state.begun && record.spec.schedule.is_none();
-        let planned = state.begun || state.rounds.iter().any(RoundRecord::has_begun);
+        let planned = state.begun || state.rounds.iter().any(RoundRecord::has_runs);
         let chains = record.spec.chains(|s| s.estimate);
         let longest_chain = chains.iter().copied().max().unwrap_or_default();
         let paces = vec![StepPace::default(); record.spec.steps.len()];
@@ -198,9 +198,10 @@
         self.step_mut(task)?.tasks.get_mut(task.index as usize)
     }
 
-    /// Opens the rounds that are due at `wall`, in milliseconds since the Unix epoch, bit by bit: with a short
-    /// interval, all rounds of a job may be due at once. While rounds wait that have not begun, further ones would
-    /// only take memory. One round is always open; others are as long as their progress fits into `room` bytes.
+    /// Opens the rounds that are due at `wall`, in milliseconds since the Unix epoch, a few at a time: with a short
+    /// interval, all rounds of a job may be due at once. While open rounds wait for their first run, further ones
+    /// would only take memory. One round is always open; others are opened while their progress fits into `room`
+    /// bytes.
     pub(crate) fn open_rounds(&mut self, wall: u64, mut room: u64) {
         // Rounds are opened in their order, and are in one of the two lists from then on.
         let opened = self.opened_rounds();
@@ -210,8 +211,8 @@
         let (tasks, bytes) = (self.spec.tasks().max(1), self.spec.round_memory());
         let open_max = (JOB_TASKS_MAX / tasks).max(1) as usize;
         let waiting_max = (WAITING_TASKS_MAX / tasks).max(1) as usize;
-        let untouched = self.state.rounds.iter().filter(|r| !r.has_begun());
-        let mut waiting = untouched.take(waiting_max).count();
+        let unused = self.state.rounds.iter().filter(|r| !r.has_runs());
+        let mut waiting = unused.take(waiting_max).count();
         for round in opened..self.spec.rounds() {
             let is_first = self.state.rounds.is_empty();
             if self.spec.due(round) > wall
@@ -240,12 +241,12 @@
         (self.state.finished.len() + self.state.rounds.len()) as u32
     }
 
-    /// Closes the latest rounds while they have not begun; they are opened again later. A state that an earlier
-    /// version stored may have thousands.
-    pub(crate) fn close_untouched_rounds(&mut self) {
+    /// Closes the latest rounds that have no runs; they are opened again later. A state that an earlier version stored
+    /// may have thousands.
+    pub(crate) fn close_unused_rounds(&mut self) {
         while let Some(last) = self.state.rounds.last()
             && last.round + 1 == self.opened_rounds()
-            && !last.has_begun()
+            && !last.has_runs()
         {
             self.state.rounds.pop();
         }
--- a/crates/fleet/src/placer/load.rs
+++ b/crates/fleet/src/placer/load.rs
@@ -101,11 +101,11 @@
             Ok(state) => {
                 let job = &mut self.jobs[at];
                 job.marked = !state.begun && job.spec.schedule.is_none();
-                job.planned = state.begun || state.rounds.iter().any(RoundRecord::has_begun);
+                job.planned = state.begun || state.rounds.iter().any(RoundRecord::has_runs);
                 job.state = state;
                 // A state that an earlier version stored doesn't name the queue.
                 job.state.queue.clone_from(&job.accepted_queue.name);
-                job.close_untouched_rounds();
+                job.close_unused_rounds();
                 job.rev = item.rev;
             }
             Err(error) => {
--- a/crates/fleet/src/placer/slots.rs
+++ b/crates/fleet/src/placer/slots.rs
@@ -108,7 +108,7 @@
         self.starting
     }
 
-    /// Returns true if a start has been sent to the worker that may not have been carried out yet.
+    /// Returns true if a start that was sent to the worker may still be carried out.
     pub(crate) fn has_unanswered_start(&self) -> bool {
         let unanswered = |s: &Slot| match s.phase {
             Phase::Starting | Phase::Unheard => true,
--- a/crates/fleet/src/placer/units.rs
+++ b/crates/fleet/src/placer/units.rs
@@ -97,14 +97,14 @@
         let postponed = self.postpone_suspects(ctx.clock.now);
         let orphaned_tasks = self.orphaned_tasks();
         let mut units = Vec::new();
-        for (class, most) in [(true, GUARANTEED_UNITS_MAX), (false, UNITS_MAX)] {
-            let mut cursor = self.cursors[usize::from(class)];
+        for (wanted, most) in [(true, GUARANTEED_UNITS_MAX), (false, UNITS_MAX)] {
+            let mut cursor = self.cursors[usize::from(wanted)];
             let first = self.jobs.position(cursor).unwrap_or_else(|at| at);
             for at in (first..self.jobs.len()).chain(0..first) {
                 let job = &self.jobs[at];
                 if job.is_over()
                     || ctx.clock.now < job.rest
-                    || guaranteed.binary_search(&job.id).is_ok() != class
+                    || guaranteed.binary_search(&job.id).is_ok() != wanted
                 {
                     continue;
                 }
@@ -113,10 +113,10 @@
                     break;
                 }
                 ctx.activity.work_on(job.id);
-                let held = (&orphaned_tasks[..], postponed.contains(&job.id));
-                self.list_units(ctx, job, class, held, &mut units);
+                let excluded = (&orphaned_tasks[..], postponed.contains(&job.id));
+                self.list_units(ctx, job, wanted, excluded, &mut units);
             }
-            self.cursors[usize::from(class)] = cursor;
+            self.cursors[usize::from(wanted)] = cursor;
         }
         units
     }
--- a/crates/fleet/src/record.rs
+++ b/crates/fleet/src/record.rs
@@ -254,7 +254,7 @@
     }
 
     /// Returns true if a run of the round has been recorded.
-    pub(crate) fn has_begun(&self) -> bool {
+    pub(crate) fn has_runs(&self) -> bool {
         self.steps.iter().flat_map(|s| &s.tasks).any(|t| t.run > Run(0))
     }
 
